--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,4 @@
 GO ?= go
-# Packages with shared state, which also run under the race detector.
-RACE_PACKAGES = ./agent/... ./lib/... ./pkg/... ./standin/...
-
 .PHONY: all build lint test race demo bench
 
 all: build
@@ -19,7 +16,7 @@
 	$(GO) test ./...
 
 race:
-	$(GO) test -race $(RACE_PACKAGES)
+	$(GO) test -race ./...
 
 demo: build
 	$(GO) run ./tools/demo -binary bin/kingcupwood
