Add the table of idempotency keys

Two submissions with one key run once while the owner of the key lives. A refused run frees the key; outcomes are handed over on a graceful stop.

--- /dev/null
+++ b/pkg/idempotency/table.go
@@ -0,0 +1,203 @@
+// Package idempotency holds the table of idempotency keys that a daemon owns. Two submissions with
+// one key run once as long as the owner of the key lives and the retention has not passed.
+package idempotency
+
+import (
+	"container/list"
+	"context"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Retention is how long the outcome of a key is kept after its run ended.
+const Retention = 10 * time.Minute
+
+// ErrBodyMismatch is returned when a key comes again with a request that differs from the first.
+var ErrBodyMismatch = errors.New("the idempotency key was used before with a different request")
+
+// ErrTableFull is returned when no more keys can be kept; the request has not run.
+var ErrTableFull = errors.New("too many idempotency keys are in use")
+
+// Key names one submission: the service, the kind and the key which the caller chose.
+type Key struct {
+	Service string `cbor:"1,keyasint"`
+	Kind    string `cbor:"2,keyasint"`
+	Value   string `cbor:"3,keyasint"`
+}
+
+// Digest identifies the content of a request.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a request from its target and its body.
+func DigestOf(target string, body []byte) Digest {
+	h := sha256.New()
+	h.Write([]byte(target))
+	h.Write([]byte{0})
+	h.Write(body)
+	return Digest(h.Sum(nil))
+}
+
+// Record is the outcome of a key, as handed over to the next owner.
+type Record[T any] struct {
+	Key     Key       `cbor:"1,keyasint"`
+	Digest  Digest    `cbor:"2,keyasint"`
+	Outcome T         `cbor:"3,keyasint"`
+	Expires time.Time `cbor:"4,keyasint"`
+}
+
+// Table maps keys to the outcome of their run, of type T. It is safe for concurrent use.
+type Table[T any] struct {
+	now       func() time.Time
+	limit     int
+	limitSize int
+	size      func(T) int
+
+	mu      sync.Mutex
+	total   int
+	entries map[Key]*entry[T]
+	// ended lists the entries with an outcome in order of expiry.
+	ended *list.List
+}
+
+type entry[T any] struct {
+	key     Key
+	digest  Digest
+	done    chan struct{}
+	keep    bool
+	outcome T
+	expires time.Time
+	bytes   int
+}
+
+// NewTable returns a table for at most limit keys and at most limitBytes bytes of outcomes, as given
+// by size.
+func NewTable[T any](limit, limitBytes int, size func(T) int, now func() time.Time) *Table[T] {
+	return &Table[T]{now: now, limit: limit, limitSize: limitBytes, size: size, entries: map[Key]*entry[T]{}, ended: list.New()}
+}
+
+// Run calls run for the first submission of key and returns its outcome. Later submissions wait for
+// that outcome and get the same one, without a run. If run reports keep as false (the request has
+// proved not to have run), the key is forgotten and a waiting or later submission may run.
+//
+// Errors: ErrBodyMismatch, ErrTableFull, or the error of ctx while waiting; none of these submissions
+// has run itself, though the first one may have.
+func (t *Table[T]) Run(ctx context.Context, key Key, digest Digest, run func() (outcome T, keep bool)) (T, error) {
+	var zero T
+	for {
+		e, first, err := t.claim(key, digest)
+		if err != nil {
+			return zero, err
+		}
+		if first {
+			return t.finish(e, run), nil
+		}
+		select {
+		case <-e.done:
+			if e.keep {
+				return e.outcome, nil
+			}
+		case <-ctx.Done():
+			return zero, ctx.Err()
+		}
+	}
+}
+
+func (t *Table[T]) claim(key Key, digest Digest) (e *entry[T], first bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	if e, ok := t.entries[key]; ok {
+		if e.digest != digest {
+			return nil, false, ErrBodyMismatch
+		}
+		return e, false, nil
+	}
+	if len(t.entries) >= t.limit || t.total >= t.limitSize {
+		return nil, false, ErrTableFull
+	}
+	e = &entry[T]{key: key, digest: digest, done: make(chan struct{})}
+	t.entries[key] = e
+	return e, true, nil
+}
+
+// finish runs the request of a claimed entry. A panic in run leaves the key with the zero outcome,
+// since the request may have run.
+func (t *Table[T]) finish(e *entry[T], run func() (T, bool)) T {
+	e.keep = true
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if e.keep {
+			t.retain(e)
+		} else {
+			delete(t.entries, e.key)
+		}
+		close(e.done)
+	}()
+	e.outcome, e.keep = run()
+	return e.outcome
+}
+
+func (t *Table[T]) retain(e *entry[T]) {
+	e.expires = t.now().Add(Retention)
+	e.bytes = t.size(e.outcome)
+	t.total += e.bytes
+	t.ended.PushBack(e)
+}
+
+// expire drops the outcomes whose retention has passed.
+func (t *Table[T]) expire() {
+	now := t.now()
+	for front := t.ended.Front(); front != nil; front = t.ended.Front() {
+		e := front.Value.(*entry[T])
+		if now.Before(e.expires) {
+			return
+		}
+		t.ended.Remove(front)
+		t.total -= e.bytes
+		delete(t.entries, e.key)
+	}
+}
+
+// Export returns the outcomes in the table, for the next owner of the keys.
+func (t *Table[T]) Export() []Record[T] {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	records := make([]Record[T], 0, t.ended.Len())
+	for item := t.ended.Front(); item != nil; item = item.Next() {
+		e := item.Value.(*entry[T])
+		records = append(records, Record[T]{Key: e.key, Digest: e.digest, Outcome: e.outcome, Expires: e.expires})
+	}
+	return records
+}
+
+// Import adds the outcomes of another table. A key that is already known keeps its own outcome. It
+// returns the number of outcomes added.
+func (t *Table[T]) Import(records []Record[T]) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	added := 0
+	for _, r := range records {
+		if _, known := t.entries[r.Key]; known || len(t.entries) >= t.limit {
+			continue
+		}
+		e := &entry[T]{key: r.Key, digest: r.Digest, outcome: r.Outcome, keep: true, done: make(chan struct{})}
+		close(e.done)
+		t.entries[r.Key] = e
+		t.retain(e)
+		added++
+	}
+	return added
+}
+
+// Len returns the number of keys in the table.
+func (t *Table[T]) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
--- /dev/null
+++ b/pkg/idempotency/table_test.go
@@ -0,0 +1,123 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newTestTable(limit int) *Table[string] {
+	return NewTable(limit, 1<<20, func(s string) int { return len(s) }, time.Now)
+}
+
+var (
+	saveKey    = Key{Service: "pages", Kind: "save", Value: "k1"}
+	saveDigest = DigestOf("/pages/1", []byte("text"))
+)
+
+// Guards against a save that runs twice when a caller submits it again while the first is running.
+func TestConcurrentSubmissionsRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(10)
+		var runs atomic.Int32
+		got := make(chan string, 5)
+		for range 5 {
+			go func() {
+				outcome, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) {
+					time.Sleep(time.Second)
+					return "saved", runs.Add(1) > 0
+				})
+				is.NoErr(err)
+				got <- outcome
+			}()
+		}
+		for range 5 {
+			is.Equal(<-got, "saved")
+		}
+		is.Equal(runs.Load(), int32(1))
+	})
+}
+
+// Guards against a key that blocks a save for good after the first submission was refused.
+func TestRefusedRunFreesTheKey(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(10)
+	_, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "refused", false })
+	is.NoErr(err)
+	outcome, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
+	is.NoErr(err)
+	is.Equal(outcome, "saved")
+}
+
+// Guards against a different order being answered with the outcome of an earlier one.
+func TestKeyWithAnotherBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(10)
+	_, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
+	is.NoErr(err)
+	_, err = table.Run(t.Context(), saveKey, DigestOf("/pages/1", []byte("other")), func() (string, bool) {
+		t.Error("a mismatched request has run")
+		return "", true
+	})
+	is.True(errors.Is(err, ErrBodyMismatch))
+}
+
+// Guards against unbounded growth, and against a full table that forgets a key before its time.
+func TestFullTableRefusesAndExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(1)
+		_, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
+		is.NoErr(err)
+		second := Key{Service: "pages", Kind: "save", Value: "k2"}
+		run := func() (string, bool) { return "second", true }
+		_, err = table.Run(t.Context(), second, saveDigest, run)
+		is.True(errors.Is(err, ErrTableFull))
+		time.Sleep(Retention)
+		outcome, err := table.Run(t.Context(), second, saveDigest, run)
+		is.NoErr(err)
+		is.Equal(outcome, "second")
+		is.Equal(table.Len(), 1)
+	})
+}
+
+// Guards against a save that runs again on the next owner after a graceful stop of the first.
+func TestHandoverKeepsOutcomes(t *testing.T) {
+	is := is.New(t)
+	first, next := newTestTable(10), newTestTable(10)
+	_, err := first.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
+	is.NoErr(err)
+	is.Equal(next.Import(first.Export()), 1)
+	outcome, err := next.Run(t.Context(), saveKey, saveDigest, func() (string, bool) {
+		t.Error("the request has run on the next owner")
+		return "again", true
+	})
+	is.NoErr(err)
+	is.Equal(outcome, "saved")
+}
+
+// Guards against a submission that waits past its deadline for an earlier one.
+func TestWaitingEndsWithTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(10)
+		go func() {
+			_, _ = table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) {
+				time.Sleep(time.Minute)
+				return "saved", true
+			})
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := table.Run(ctx, saveKey, saveDigest, func() (string, bool) { return "", true })
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		time.Sleep(time.Minute) // lets the first submission end
+	})
+}
