--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -27,6 +27,10 @@
 
 func commands() []command {
 	return []command{
+		{name: "answers", short: "Write and check answer files", long: "Writes and checks the files in which teams describe their services.", sub: []command{
+			{name: "new", short: "Write a commented answer file", long: "Writes a commented answer file for a service.", data: &answersNewCommand{}},
+			{name: "check", short: "Check answer files", long: "Checks the answer files of all services together and reports every fault.", data: &answersCheckCommand{}},
+		}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 	}
 }
--- /dev/null
+++ b/pkg/snapshot/bench_test.go
@@ -0,0 +1,68 @@
+package snapshot
+
+import (
+	"runtime"
+	"testing"
+)
+
+// targetServices is the number of services of the target.
+const targetServices = 1400
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkSize reports the encoded size of a service and of a manifest and the resident size of a
+// snapshot at the target, each in bytes.
+func BenchmarkSize(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		s := largeSnapshot(b, targetServices)
+		resident := heapBytes() - before
+		object, _, err := Encode(s.Services["service-0007"])
+		if err != nil {
+			b.Fatal(err)
+		}
+		manifest, _, err := EncodeManifest(&s.Manifest)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(object)), "service-bytes")
+		b.ReportMetric(float64(len(manifest)), "manifest-bytes")
+		b.ReportMetric(float64(resident), "snapshot-bytes")
+		runtime.KeepAlive(s)
+	}
+}
+
+// BenchmarkApply measures one changed service in a snapshot at the target.
+func BenchmarkApply(b *testing.B) {
+	old := largeSnapshot(b, targetServices)
+	next, err := old.With(2, testService("service-0000", 5), 2)
+	if err != nil {
+		b.Fatal(err)
+	}
+	delta, err := next.DeltaFrom(old)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := old.Apply(delta); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(delta.Objects[0])), "object-bytes")
+}
+
+// BenchmarkMatch measures the routing of one request.
+func BenchmarkMatch(b *testing.B) {
+	s := largeSnapshot(b, targetServices)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Match("service-0700", "GET", "/path-4/x")
+	}
+}
--- /dev/null
+++ b/pkg/snapshot/chain.go
@@ -0,0 +1,182 @@
+package snapshot
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rules of the request path that a call chain must fit.
+const (
+	// MaxChain is the number of services that a chain of calls may pass through, as in the target.
+	MaxChain = 13
+
+	// Each hop keeps 2% of the remaining time, at least 2 ms, for its own failure response.
+	hopReservePercent = 2
+	hopReserveMin     = 2 * time.Millisecond
+	// hopsPerCall counts the daemons between a caller and a backend server.
+	hopsPerCall = 2
+)
+
+// backendTime returns what is left of a deadline when the request reaches the backend server, zero
+// if the hops before it use up everything.
+func backendTime(deadline time.Duration) time.Duration {
+	for range hopsPerCall {
+		deadline -= max(deadline*hopReservePercent/100, hopReserveMin)
+	}
+	return max(deadline, 0)
+}
+
+func (c *checker) checkReferences() {
+	c.kind = nil
+	s := c.service
+	seen := map[string]bool{}
+	for _, name := range s.DependsOn {
+		switch {
+		case name == s.Name:
+			c.fail(KeyDependsOn, "other services", "the service depends on itself")
+		case seen[name]:
+			c.fail(KeyDependsOn, "each service once", "%q is listed twice", name)
+		case c.services[name] == nil:
+			c.add(Problem{Key: KeyDependsOn, Reason: fmt.Sprintf("there is no service %q", name),
+				Expected: "names of services", Unknown: name})
+		}
+		seen[name] = true
+	}
+	for i := range s.Kinds {
+		c.kind = &s.Kinds[i]
+		c.checkCalls(seen)
+	}
+	c.kind = nil
+}
+
+func (c *checker) checkCalls(dependencies map[string]bool) {
+	seen := map[string]bool{}
+	for _, call := range c.kind.Calls {
+		if seen[call] {
+			c.fail(KeyCalls, "each kind once", "%q is listed twice", call)
+			continue
+		}
+		seen[call] = true
+		service, name, ok := strings.Cut(call, "/")
+		if !ok || !ValidName(service) || !ValidName(name) {
+			c.fail(KeyCalls, "service/kind, such as finder/search", "%q is not a kind of a service", call)
+			continue
+		}
+		if service == c.service.Name {
+			c.fail(KeyCalls, "kinds of other services", "%q is a kind of the service itself", call)
+			continue
+		}
+		if !dependencies[service] {
+			c.fail(KeyCalls, "a service listed in depends-on", "%q calls service %q, which depends-on does not list", call, service)
+		}
+		callee := c.lookup(call)
+		if callee == nil {
+			c.add(Problem{Key: KeyCalls, Reason: fmt.Sprintf("there is no kind %q", call),
+				Expected: "existing kinds of other services", Unknown: call})
+			continue
+		}
+		c.checkDeadlines(call, callee)
+	}
+	c.checkServiceTime()
+}
+
+func (c *checker) lookup(call string) *Kind {
+	service, name, _ := strings.Cut(call, "/")
+	if s := c.services[service]; s != nil {
+		return s.Kind(name)
+	}
+	return nil
+}
+
+// checkDeadlines refuses a callee whose deadline ends after the time that its caller has: its answer
+// may arrive when the caller has already given up.
+func (c *checker) checkDeadlines(call string, callee *Kind) {
+	if c.kind.Deadline <= 0 || callee.Deadline <= 0 {
+		return
+	}
+	if left := backendTime(c.kind.Deadline); callee.Deadline > left {
+		c.fail(KeyCalls, fmt.Sprintf("a deadline of %q of at most %s, or a longer deadline here", call, left),
+			"%q has %s, but a deadline of %s leaves only %s for it", call, callee.Deadline, c.kind.Deadline, left)
+	}
+}
+
+func (c *checker) checkServiceTime() {
+	k := c.kind
+	if k.Deadline <= 0 || k.ServiceTime <= 0 {
+		return
+	}
+	if left := backendTime(k.Deadline); k.ServiceTime > left {
+		c.fail(KeyDeadline, "a longer deadline or a shorter service-time",
+			"a deadline of %s leaves %s for a service-time of %s", k.Deadline, left, k.ServiceTime)
+	}
+}
+
+// Marks of the depth-first search.
+const (
+	unvisited = iota
+	onPath
+	finished
+)
+
+// checkCycles reports each dependency cycle once, at the service that closes it.
+func (c *checker) checkCycles() {
+	marks := make(map[string]int, len(c.services))
+	var path []string
+	var visit func(name string)
+	visit = func(name string) {
+		marks[name] = onPath
+		path = append(path, name)
+		for _, next := range c.services[name].DependsOn {
+			switch {
+			case c.services[next] == nil || next == name:
+			case marks[next] == unvisited:
+				visit(next)
+			case marks[next] == onPath:
+				c.service, c.kind = c.services[name], nil
+				cycle := append(slices.Clone(path[slices.Index(path, next):]), next)
+				c.fail(KeyDependsOn, "dependencies without a cycle", "dependency cycle %s", strings.Join(cycle, " -> "))
+			}
+		}
+		path = path[:len(path)-1]
+		marks[name] = finished
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		if marks[name] == unvisited {
+			visit(name)
+		}
+	}
+}
+
+// checkChains reports the kinds whose chain of calls is longer than the request path allows. A cycle
+// of calls is reported through the dependencies that it needs and ends the search here.
+func (c *checker) checkChains() {
+	lengths := map[string]int{}
+	var length func(call string, kind *Kind) int
+	length = func(call string, kind *Kind) int {
+		if known, ok := lengths[call]; ok {
+			return known
+		}
+		lengths[call] = 1
+		longest := 0
+		for _, next := range kind.Calls {
+			if callee := c.lookup(next); callee != nil {
+				longest = max(longest, length(next, callee))
+			}
+		}
+		lengths[call] = longest + 1
+		return longest + 1
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		c.service = c.services[name]
+		for i := range c.service.Kinds {
+			c.kind = &c.service.Kinds[i]
+			if n := length(name+"/"+c.kind.Name, c.kind); n > MaxChain {
+				c.fail(KeyCalls, fmt.Sprintf("a chain of at most %d calls", MaxChain), "the chain of calls has a length of %d", n)
+			}
+		}
+	}
+	c.kind = nil
+}
--- /dev/null
+++ b/pkg/snapshot/codec.go
@@ -0,0 +1,162 @@
+package snapshot
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Limits of what the decoders accept, so that a peer cannot make a daemon allocate without bound.
+const (
+	// MaxObjectBytes bounds an encoded service. An ordinary service takes less than 1 KB.
+	MaxObjectBytes = 64 << 10
+	// MaxManifestBytes bounds an encoded manifest. 1,400 services take about 80 KB.
+	MaxManifestBytes = 4 << 20
+
+	maxArrayElements = 65536
+	maxMapPairs      = 64
+	maxNestedLevels  = 8
+)
+
+// Errors of decoding, building and applying. The returned errors wrap them.
+var (
+	// ErrHash means that the content differs from the hash under which it was announced.
+	ErrHash = errors.New("content does not match its hash")
+	// ErrFormat means that the bytes are not the deterministic encoding of the expected type.
+	ErrFormat = errors.New("malformed encoding")
+	// ErrOldVersion means that the offered version is not above the current one.
+	ErrOldVersion = errors.New("version is not newer")
+	// ErrBase means that the delta was made for another base version.
+	ErrBase = errors.New("delta has another base version")
+	// ErrMissing means that an object or a service that is referred to is absent.
+	ErrMissing = errors.New("referenced entry is missing")
+)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxArrayElements:  maxArrayElements,
+		MaxMapPairs:       maxMapPairs,
+		MaxNestedLevels:   maxNestedLevels,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// HashOf returns the hash of an encoded object.
+func HashOf(data []byte) Hash { return sha256.Sum256(data) }
+
+// String returns the hash in lower-case hexadecimal digits.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// Short returns the first 12 hexadecimal digits, for logs and terminal output.
+func (h Hash) Short() string { return h.String()[:12] }
+
+// ParseHash returns the hash written by String. Other input gives an error.
+func ParseHash(text string) (Hash, error) {
+	var h Hash
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(h) {
+		return Hash{}, errors.Errorf("%q is not a hash of %d hexadecimal digits", text, 2*len(h))
+	}
+	copy(h[:], raw)
+	return h, nil
+}
+
+// Encode returns the deterministic encoding of s and its hash. Equal services give equal bytes. It
+// fails if the encoding exceeds MaxObjectBytes.
+func Encode(s *Service) ([]byte, Hash, error) {
+	return encode(s, MaxObjectBytes)
+}
+
+// Decode returns the service encoded in data. It fails with ErrHash if the hash of data is not want,
+// and with ErrFormat if data is not an encoding made by Encode.
+func Decode(data []byte, want Hash) (*Service, error) {
+	s := new(Service)
+	if err := decode(data, want, MaxObjectBytes, s); err != nil {
+		return nil, errors.WithMessage(err, "decode service")
+	}
+	return s, nil
+}
+
+// EncodeManifest returns the deterministic encoding of m and its hash. It fails if the entries are
+// not in strictly ascending order of service name.
+func EncodeManifest(m *Manifest) ([]byte, Hash, error) {
+	if err := checkOrder(m.Entries); err != nil {
+		return nil, Hash{}, err
+	}
+	return encode(m, MaxManifestBytes)
+}
+
+// DecodeManifest returns the manifest encoded in data. It fails with ErrHash if the hash of data is
+// not want, and with ErrFormat if data is not an encoding made by EncodeManifest.
+func DecodeManifest(data []byte, want Hash) (*Manifest, error) {
+	m := new(Manifest)
+	if err := decode(data, want, MaxManifestBytes, m); err != nil {
+		return nil, errors.WithMessage(err, "decode manifest")
+	}
+	if err := checkOrder(m.Entries); err != nil {
+		return nil, errors.WithMessage(err, "decode manifest")
+	}
+	return m, nil
+}
+
+func encode(value any, limit int) ([]byte, Hash, error) {
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		return nil, Hash{}, errors.Wrap(err, "encode")
+	}
+	if len(data) > limit {
+		return nil, Hash{}, errors.Wrapf(ErrFormat, "encoding takes %d bytes, limit is %d", len(data), limit)
+	}
+	return data, HashOf(data), nil
+}
+
+// decode accepts only the deterministic encoding, so that content and hash determine each other.
+// Unknown fields are refused as well: a daemon that dropped them would serve half a configuration.
+func decode(data []byte, want Hash, limit int, into any) error {
+	if len(data) > limit {
+		return errors.Wrapf(ErrFormat, "%d bytes, limit is %d", len(data), limit)
+	}
+	if HashOf(data) != want {
+		return errors.WithStack(ErrHash)
+	}
+	if err := decoder.Unmarshal(data, into); err != nil {
+		return errors.Wrap(ErrFormat, err.Error())
+	}
+	again, err := encoder.Marshal(into)
+	if err != nil || !bytes.Equal(again, data) {
+		return errors.Wrap(ErrFormat, "encoding is not deterministic")
+	}
+	return nil
+}
+
+func checkOrder(entries []ManifestEntry) error {
+	for i := 1; i < len(entries); i++ {
+		if entries[i-1].Service >= entries[i].Service {
+			return errors.Wrapf(ErrFormat, "entry %q does not follow %q in order of name", entries[i].Service, entries[i-1].Service)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/snapshot/codec_test.go
@@ -0,0 +1,55 @@
+package snapshot
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// Guards against objects whose content differs from the key under which they are stored.
+func TestDecodeVerifies(t *testing.T) {
+	is := is.New(t)
+	data, hash, err := Encode(testService("pages", 2))
+	is.NoErr(err)
+	_, err = Decode(data, Hash{})
+	is.True(errors.Is(err, ErrHash))
+	// The same map with the length of its first key written in two bytes.
+	loose := append([]byte{data[0], 0x18, data[1]}, data[2:]...)
+	_, err = Decode(loose, HashOf(loose))
+	is.True(errors.Is(err, ErrFormat))
+	_, err = Decode(data, hash)
+	is.NoErr(err)
+	parsed, err := ParseHash(hash.String())
+	is.NoErr(err)
+	is.Equal(parsed, hash)
+	_, _, err = EncodeManifest(&Manifest{Version: 1, Entries: []ManifestEntry{{Service: "b"}, {Service: "a"}}})
+	is.True(errors.Is(err, ErrFormat))
+}
+
+// Guards against a panic and against two encodings of one service, whatever a peer sends.
+func FuzzDecode(f *testing.F) {
+	service, _, _ := Encode(testService("pages", 2))
+	manifest, _, _ := EncodeManifest(&Manifest{Version: 1, Entries: []ManifestEntry{{Service: "pages", Revision: 1}}})
+	f.Add(service)
+	f.Add(manifest)
+	f.Add([]byte{0xa1, 0x01, 0x60})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := Decode(data, HashOf(data)); err == nil {
+			again, _, err := Encode(s)
+			if err != nil || !bytes.Equal(again, data) {
+				t.Fatalf("decoded service has another encoding: %v", err)
+			}
+			Check(map[string]*Service{s.Name: s})
+			Diff(nil, s)
+			newRouting(s).match("GET", "/")
+		}
+		if m, err := DecodeManifest(data, HashOf(data)); err == nil {
+			again, _, err := EncodeManifest(m)
+			if err != nil || !bytes.Equal(again, data) {
+				t.Fatalf("decoded manifest has another encoding: %v", err)
+			}
+		}
+	})
+}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -62,6 +62,9 @@
 	ManifestHash Hash
 	Manifest     Manifest
 	Services     map[string]*Service
+
+	// routes holds the routing table of each service.
+	routes map[string]*routing
 }
 
 // Delta carries what changed between two versions of the configuration.
--- /dev/null
+++ b/pkg/snapshot/snapshot_test.go
@@ -0,0 +1,190 @@
+package snapshot
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+// Guards against a daemon that follows deltas and ends with another configuration than one that
+// loaded everything, and against a delta that changes the snapshot that requests are using.
+func TestDeltasEqualBuildFromScratch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		for i, target := range history {
+			want := rebuild(t, target)
+			if !reflect.DeepEqual(want, target) {
+				t.Fatalf("version %d: built from scratch it differs", target.Version)
+			}
+			old := (*Snapshot)(nil)
+			if from := rapid.IntRange(0, i).Draw(t, "from"); from < i {
+				old = history[from]
+			}
+			delta, err := target.DeltaFrom(old)
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := fingerprint(t, old)
+			got, err := old.Apply(delta)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(got, want) || before != fingerprint(t, old) {
+				t.Fatalf("delta to version %d gives another snapshot or changes its base", target.Version)
+			}
+			if _, err := got.Apply(delta); !errors.Is(err, ErrOldVersion) {
+				t.Fatalf("duplicate delta gives %v", err)
+			}
+		}
+	})
+}
+
+// fingerprint returns the encoding of everything in s.
+func fingerprint(t rapid.TB, s *Snapshot) string {
+	if s == nil {
+		return ""
+	}
+	data, err := encoder.Marshal([]any{s.Version, s.ManifestHash, s.Manifest, s.Services})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// Guards against a partially applied delta: any wrong part must refuse the whole.
+func TestApplyRefusesWrongDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		if len(history) == 0 {
+			t.Skip("nothing was accepted")
+		}
+		target, old := history[len(history)-1], (*Snapshot)(nil)
+		if len(history) > 1 && rapid.Bool().Draw(t, "incremental") {
+			old = history[len(history)-2]
+		}
+		delta, err := target.DeltaFrom(old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		damage := rapid.SampledFrom(damages).Draw(t, "damage")
+		if !damage.apply(delta) {
+			t.Skip("no such part in this delta")
+		}
+		before := fingerprint(t, old)
+		if next, err := old.Apply(delta); err == nil || next != nil {
+			t.Fatalf("%s: the delta was applied", damage.name)
+		}
+		if before != fingerprint(t, old) {
+			t.Fatalf("%s: the receiver changed", damage.name)
+		}
+	})
+}
+
+// damages alter one part of a delta and return false if it has no such part.
+var damages = []struct {
+	name  string
+	apply func(d *Delta) bool
+}{
+	{"base", func(d *Delta) bool { d.Base += 1000; return true }},
+	{"version", func(d *Delta) bool { d.Version++; return true }},
+	{"old version", func(d *Delta) bool { old := d.Base; d.Version = old; return true }},
+	{"manifest hash", func(d *Delta) bool { d.ManifestHash[31]++; return true }},
+	{"unknown removal", func(d *Delta) bool { d.Removed = append(d.Removed, "unknown"); return true }},
+	{"lost removal", func(d *Delta) bool { found := d.Removed != nil; d.Removed = nil; return found }},
+	{"object bytes", changed(func(d *Delta) { d.Objects[0][len(d.Objects[0])-1]++ })},
+	{"entry hash", changed(func(d *Delta) { d.Changed[0].Hash[0]++ })},
+	{"entry revision", changed(func(d *Delta) { d.Changed[0].Revision++ })},
+	{"entry name", changed(func(d *Delta) { d.Changed[0].Service = "0" })},
+	{"lost entry", changed(func(d *Delta) { d.Changed, d.Objects = d.Changed[1:], d.Objects[1:] })},
+	{"lost object", changed(func(d *Delta) { d.Objects = d.Objects[1:] })},
+	{"repeated entry", changed(func(d *Delta) {
+		d.Changed, d.Objects = append(d.Changed, d.Changed[0]), append(d.Objects, d.Objects[0])
+	})},
+	{"broken reference", changed(func(d *Delta) {
+		svc, err := Decode(d.Objects[0], d.Changed[0].Hash)
+		if err != nil {
+			panic(err)
+		}
+		svc.DependsOn = append(svc.DependsOn, "unknown")
+		d.Objects[0], d.Changed[0].Hash, _ = Encode(svc)
+	})},
+}
+
+func changed(apply func(d *Delta)) func(d *Delta) bool {
+	return func(d *Delta) bool {
+		if len(d.Changed) == 0 {
+			return false
+		}
+		apply(d)
+		return true
+	}
+}
+
+// Guards against memory that grows with every version, and routes that are sorted again each time.
+func TestApplySharesUnchangedServices(t *testing.T) {
+	is := is.New(t)
+	old := largeSnapshot(t, 30)
+	next, err := old.With(2, testService("service-0013", 2), 2)
+	is.NoErr(err)
+	delta, err := next.DeltaFrom(old)
+	is.NoErr(err)
+	is.Equal(len(delta.Changed), 1)
+	got, err := old.Apply(delta)
+	is.NoErr(err)
+	is.True(got.Services["service-0001"] == old.Services["service-0001"])
+	is.True(got.routes["service-0001"] == old.routes["service-0001"])
+	is.True(got.Services["service-0013"] != old.Services["service-0013"])
+}
+
+// Guards against a request that is handled as a kind with a shorter prefix or another method.
+func TestMatchEqualsNaiveSearch(t *testing.T) {
+	paths := []string{"/", "/a", "/a/", "/a/b", "/a/b/c", "/b"}
+	methods := []string{"", "GET", "POST"}
+	rapid.Check(t, func(t *rapid.T) {
+		svc := &Service{Name: "s"}
+		seen := map[string]bool{}
+		for range rapid.IntRange(1, 8).Draw(t, "kinds") {
+			k := Kind{Method: rapid.SampledFrom(methods).Draw(t, "method"), PathPrefix: rapid.SampledFrom(paths).Draw(t, "prefix")}
+			if !seen[k.Match()] {
+				svc.Kinds = append(svc.Kinds, k)
+			}
+			seen[k.Match()] = true
+		}
+		s := &Snapshot{routes: map[string]*routing{"s": newRouting(svc)}}
+		method, path := rapid.SampledFrom(methods[1:]).Draw(t, "request method"), rapid.SampledFrom(paths).Draw(t, "path")
+		_, got, _ := s.Match("s", method, path)
+		if want := naiveMatch(svc, method, path); got != want {
+			t.Fatalf("%s %s: got %v, want %v", method, path, got, want)
+		}
+	})
+}
+
+func naiveMatch(s *Service, method, path string) *Kind {
+	var best *Kind
+	for i := range s.Kinds {
+		k := &s.Kinds[i]
+		if (k.Method != "" && k.Method != method) || !strings.HasPrefix(path, k.PathPrefix) {
+			continue
+		}
+		if best == nil || len(k.PathPrefix) > len(best.PathPrefix) ||
+			(len(k.PathPrefix) == len(best.PathPrefix) && k.Method != "") {
+			best = k
+		}
+	}
+	return best
+}
+
+// Guards against garbage on the request path, and against a daemon without a snapshot that panics.
+func TestMatchDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	s := largeSnapshot(t, 30)
+	is.Equal(testing.AllocsPerRun(100, func() { s.Match("service-0007", "GET", "/path-4/x") }), 0.0)
+	_, _, ok := (*Snapshot)(nil).Match("service-0007", "GET", "/")
+	is.True(!ok)
+	svc, kind, ok := s.Match("service-0007", "DELETE", "/")
+	is.True(svc != nil && kind == nil && !ok)
+}
--- /dev/null
+++ b/pkg/snapshot/validate.go
@@ -0,0 +1,215 @@
+package snapshot
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Ranges of the values of a service and a kind.
+const (
+	MinRank = 1
+	MaxRank = 9
+	// MaxKinds bounds the kinds of a service, because routing compares a request with each of them.
+	MaxKinds = 64
+	// MaxServers is the number of servers of the target, MaxSlots and MaxConnections are per server.
+	MaxServers     = 16000
+	MaxSlots       = 65536
+	MaxConnections = 65536
+	// MaxDeadline bounds the time for which a request may occupy the daemons on its path.
+	MaxDeadline = 10 * time.Minute
+	// MaxRate bounds the declared rate in requests per second; the target has 1.9 million in total.
+	MaxRate = 10e6
+	// MaxWorth bounds the worth, so that sums over a report cannot overflow.
+	MaxWorth = 1_000_000
+
+	maxPrefixBytes = 512
+)
+
+// Methods lists the request methods that a kind can match.
+var Methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// namePattern keeps names valid as a DNS label, since the Host header names the service.
+var namePattern = regexp.MustCompile(`^[a-z]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// ValidName tells whether name is usable for a service, a team or a kind.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// Validate checks the whole configuration and returns nil or Problems.
+func (s *Snapshot) Validate() error {
+	if problems := Check(s.Services); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
+// Check returns every violation of the rules, in order of service name. Values that are out of range
+// are reported once; rules that depend on them are then left out.
+func Check(services map[string]*Service) Problems {
+	c := &checker{services: services}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		c.service = services[name]
+		c.checkService(name)
+		c.checkReferences()
+	}
+	c.checkCycles()
+	c.checkChains()
+	slices.SortStableFunc(c.problems, func(a, b Problem) int { return strings.Compare(a.Service, b.Service) })
+	return c.problems
+}
+
+// checker collects problems; service and kind are the ones being checked.
+type checker struct {
+	services map[string]*Service
+	service  *Service
+	kind     *Kind
+	problems Problems
+}
+
+func (c *checker) add(p Problem) {
+	p.Service = c.service.Name
+	if c.kind != nil {
+		p.Kind = c.kind.Name
+	}
+	c.problems = append(c.problems, p)
+}
+
+func (c *checker) fail(key, expected, format string, args ...any) {
+	c.add(Problem{Key: key, Expected: expected, Reason: fmt.Sprintf(format, args...)})
+}
+
+const expectedName = "lower-case letters, digits and hyphens, a letter first, at most 63 characters"
+
+func (c *checker) checkService(name string) {
+	s := c.service
+	c.kind = nil
+	if !ValidName(s.Name) || s.Name != name {
+		c.fail(KeyName, expectedName, "%q is not a service name", s.Name)
+	}
+	if !ValidName(s.Team) {
+		c.fail(KeyTeam, expectedName, "%q is not a team name", s.Team)
+	}
+	c.checkRange(KeySlots, s.Slots, 1, MaxSlots)
+	c.checkRange(KeyServers, s.Servers, 1, MaxServers)
+	c.checkRange(KeyConnections, s.Connections, 1, MaxConnections)
+	if s.Connections > 0 && s.Connections < s.Slots {
+		c.fail(KeyConnections, fmt.Sprintf("at least capacity-slots, which is %d", s.Slots),
+			"%d connections cannot use %d slots", s.Connections, s.Slots)
+	}
+	if len(s.Kinds) == 0 || len(s.Kinds) > MaxKinds {
+		c.fail(KeyName, fmt.Sprintf("1 to %d kinds", MaxKinds), "the service has %d kinds", len(s.Kinds))
+	}
+	c.checkCapacity()
+	c.checkKinds()
+}
+
+func (c *checker) checkRange(key string, value, low, high int) {
+	if value < low || value > high {
+		c.fail(key, fmt.Sprintf("a whole number from %d to %d", low, high), "%d is out of range", value)
+	}
+}
+
+// checkCapacity compares the slots that the declared rates occupy on average with the planned slots.
+func (c *checker) checkCapacity() {
+	s := c.service
+	if s.Servers <= 0 || s.Slots <= 0 {
+		return
+	}
+	var busy float64
+	for i := range s.Kinds {
+		if rate := s.Kinds[i].ExpectedRate; rate > 0 {
+			busy += rate * s.Kinds[i].ServiceTime.Seconds()
+		}
+	}
+	if planned := s.Servers * s.Slots; busy > float64(planned) {
+		c.fail(KeyServers, fmt.Sprintf("at least %.0f servers, lower rates or shorter service times", math.Ceil(busy/float64(s.Slots))),
+			"the expected rates occupy %.1f slots, but %d servers with %d slots have %d", busy, s.Servers, s.Slots, planned)
+	}
+}
+
+func (c *checker) checkKinds() {
+	names := map[string]bool{}
+	matches := map[string]string{}
+	for i := range c.service.Kinds {
+		k := &c.service.Kinds[i]
+		c.kind = k
+		if !ValidName(k.Name) {
+			c.fail(KeyName, expectedName, "%q is not a kind name", k.Name)
+		}
+		if names[k.Name] {
+			c.fail(KeyName, "a name used once in the service", "kind %q is declared twice", k.Name)
+		}
+		names[k.Name] = true
+		c.checkMatch()
+		match := k.Match()
+		if other, ok := matches[match]; ok {
+			c.fail(KeyMatch, "a match that no other kind has", "%q never matches, kind %q has the same match", match, other)
+		} else {
+			matches[match] = k.Name
+		}
+		c.checkValues()
+	}
+	c.kind = nil
+}
+
+// Match returns the match as written in an answer file: method and path prefix, or only the prefix.
+func (k *Kind) Match() string {
+	if k.Method == "" {
+		return k.PathPrefix
+	}
+	return k.Method + " " + k.PathPrefix
+}
+
+// checkMatch refuses kinds that no request can ever match: routing sees the decoded path without
+// the query, and methods are compared exactly.
+func (c *checker) checkMatch() {
+	k := c.kind
+	if k.Method != "" && !slices.Contains(Methods, k.Method) {
+		c.add(Problem{Key: KeyMatch, Expected: "one of " + strings.Join(Methods, ", "), Unknown: k.Method,
+			Reason: fmt.Sprintf("no request has the method %q", k.Method)})
+	}
+	switch {
+	case !strings.HasPrefix(k.PathPrefix, "/"):
+		c.fail(KeyMatch, "a path that begins with /", "no request has the path %q", k.PathPrefix)
+	case strings.ContainsAny(k.PathPrefix, "?#%") || strings.ContainsFunc(k.PathPrefix, notInPath):
+		c.fail(KeyMatch, "a decoded path without ? # % and spaces", "no request has the path %q", k.PathPrefix)
+	case strings.Contains(k.PathPrefix, "//") || hasDotSegment(k.PathPrefix):
+		c.fail(KeyMatch, "a path without empty, . and .. segments", "no request has the path %q", k.PathPrefix)
+	case len(k.PathPrefix) > maxPrefixBytes:
+		c.fail(KeyMatch, fmt.Sprintf("at most %d bytes", maxPrefixBytes), "the path has %d bytes", len(k.PathPrefix))
+	}
+}
+
+func notInPath(r rune) bool { return r <= ' ' || r == 0x7f }
+
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) checkValues() {
+	k := c.kind
+	c.checkRange(KeyRank, k.Rank, MinRank, MaxRank)
+	c.checkRange(KeyWorth, k.Worth, 1, MaxWorth)
+	if k.Deadline <= 0 || k.Deadline > MaxDeadline {
+		c.fail(KeyDeadline, "a duration up to "+MaxDeadline.String(), "%s is out of range", k.Deadline)
+	}
+	if k.ServiceTime <= 0 || k.ServiceTime > MaxDeadline {
+		c.fail(KeyServiceTime, "a duration up to "+MaxDeadline.String(), "%s is out of range", k.ServiceTime)
+	}
+	// The conditions are written so that NaN, which a peer could send, is out of range too.
+	if !(k.ExpectedRate > 0 && k.ExpectedRate <= MaxRate) {
+		c.fail(KeyExpectedRate, "a rate above 0, such as 40/s", "%v/s is out of range", k.ExpectedRate)
+	}
+	if !(k.Objective > 0 && k.Objective < 1) {
+		c.fail(KeyObjective, "a share above 0% and below 100%, such as 99.9%", "%v%% is out of range", k.Objective*100)
+	}
+}
