Add the platform stand-in and the platform client

Accepting a configuration needs a store with conditional writes and a client that survives lost responses. standin/platform answers the DynamoDB and S3 calls of the design in memory, with condition expressions, transactions, injected faults and counters. agent/platform reads head, manifests and objects, submits drafts, accepts and withdraws in one transaction, and resolves a lost response by reading back the token of the change. Leases carry a fencing token.

--- /dev/null
+++ b/agent/platform/change.go
@@ -0,0 +1,305 @@
+package platform
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const tokenSort = "token"
+
+// maxTokenBytes bounds a change token, which becomes part of a key of the table.
+const maxTokenBytes = 128
+
+func hashOf(data []byte) snapshot.Hash { return sha256.Sum256(data) }
+
+func tokenPartition(token string) string { return "token#" + token }
+
+func revisionPartition(service string) string { return "revision#" + service }
+
+func revisionSort(revision uint64) string { return fmt.Sprintf("%020d", revision) }
+
+// Accept puts the draft of a service in force, on the condition that the head is at version seen
+// and the draft has the hash draftHash. Repeating a call with the same token returns the outcome of
+// the first one. An unresolved write gives StateUnknown without an error. Errors, for all of which
+// nothing has changed: ForbiddenError, ConflictError, DraftChangedError, InvalidError,
+// NoChangeError, NotFoundError, TokenReusedError, UnavailableError.
+func (c *Client) Accept(ctx context.Context, op Operator, service string, draftHash snapshot.Hash, seen snapshot.Version, token string) (Outcome, error) {
+	change := Change{Action: Accepted, Service: service, Operator: op.Name, Token: token, Answers: draftHash}
+	return c.change(ctx, op, change, seen, func(b base) (*plan, error) {
+		return c.planAccept(ctx, b, change)
+	})
+}
+
+func (c *Client) planAccept(ctx context.Context, b base, change Change) (*plan, error) {
+	draft, err := c.Draft(ctx, change.Service)
+	if err != nil {
+		return nil, err
+	}
+	if draft.Hash != change.Answers {
+		return nil, &DraftChangedError{Service: change.Service, Current: draft}
+	}
+	data, err := c.Object(ctx, draft.Hash)
+	if err != nil {
+		return nil, err
+	}
+	service, err := c.parse(draft.File, data)
+	if err != nil {
+		return nil, err
+	}
+	config, hash, err := c.config.Generator.Encode(service)
+	if err != nil {
+		return nil, invalidError(err)
+	}
+	change.Hash, change.File = hash, draft.File
+	p, err := c.planContent(ctx, b, change, &content{file: draft.File, answers: data, config: config, hash: hash})
+	if err != nil {
+		return nil, err
+	}
+	p.draft = &draft
+	return p, nil
+}
+
+// Withdraw puts the earlier revision to of a service in force again, as a new version and a new
+// revision. Revision 0 removes the service. The outcome and the errors are those of Accept.
+func (c *Client) Withdraw(ctx context.Context, op Operator, service string, to uint64, seen snapshot.Version, token string) (Outcome, error) {
+	change := Change{Action: Withdrawn, Service: service, Operator: op.Name, Token: token, To: to}
+	return c.change(ctx, op, change, seen, func(b base) (*plan, error) {
+		return c.planWithdraw(ctx, b, change, to)
+	})
+}
+
+func (c *Client) planWithdraw(ctx context.Context, b base, change Change, to uint64) (*plan, error) {
+	if to == 0 {
+		change.Removed = true
+		return c.planContent(ctx, b, change, nil)
+	}
+	r, err := c.get(ctx, revisionPartition(change.Service), revisionSort(to))
+	if err != nil {
+		return nil, err
+	}
+	if r == nil {
+		return nil, &NotFoundError{What: fmt.Sprintf("revision %d of %s", to, change.Service)}
+	}
+	earlier := changeOf(r)
+	if change.Removed = earlier.Removed; change.Removed {
+		return c.planContent(ctx, b, change, nil)
+	}
+	change.Hash, change.Answers, change.File = earlier.Hash, earlier.Answers, earlier.File
+	objects, err := c.fetchAll(ctx, []snapshot.Hash{change.Hash, change.Answers})
+	if err != nil {
+		return nil, err
+	}
+	return c.planContent(ctx, b, change, &content{
+		file: change.File, answers: objects[change.Answers], config: objects[change.Hash], hash: change.Hash,
+	})
+}
+
+// planContent numbers the revision and validates the result.
+func (c *Client) planContent(ctx context.Context, b base, change Change, with *content) (*plan, error) {
+	entry, exists := b.entry(change.Service)
+	removesNothing := with == nil && !exists
+	repeatsContent := with != nil && exists && entry.Hash == with.hash
+	if removesNothing || repeatsContent {
+		return nil, &NoChangeError{Service: change.Service}
+	}
+	latest, err := c.Revisions(ctx, change.Service, 1)
+	if err != nil {
+		return nil, err
+	}
+	change.Revision = 1
+	if len(latest) > 0 {
+		change.Revision = latest[0].Revision + 1
+	}
+	change.At = c.config.Now()
+	return c.plan(ctx, b, change, with)
+}
+
+// Revisions lists the changes of a service, latest first. A limit of 0 means all.
+func (c *Client) Revisions(ctx context.Context, service string, limit int32) ([]Change, error) {
+	rows, err := c.list(ctx, revisionPartition(service), "", true, limit)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]Change, len(rows))
+	for i, r := range rows {
+		changes[i] = changeOf(r)
+	}
+	return changes, nil
+}
+
+// change is the common course of Accept and Withdraw.
+func (c *Client) change(ctx context.Context, op Operator, change Change, seen snapshot.Version, prepare func(base) (*plan, error)) (Outcome, error) {
+	outcome := Outcome{State: StateNotAccepted, Token: change.Token, Seen: seen}
+	if err := op.check(change.Service); err != nil {
+		return outcome, err
+	}
+	if change.Token == "" || len(change.Token) > maxTokenBytes {
+		return outcome, &InvalidError{Reasons: []string{fmt.Sprintf("a change token has 1 to %d bytes", maxTokenBytes)}}
+	}
+	earlier, found, err := c.changeByToken(ctx, change.Token)
+	if err != nil {
+		return outcome, err
+	}
+	if found {
+		return c.repeated(outcome, earlier, change)
+	}
+	b, err := c.load(ctx, seen)
+	if err != nil {
+		return outcome, c.refused(change, err)
+	}
+	p, err := prepare(b)
+	if err != nil {
+		return outcome, c.refused(change, err)
+	}
+	for _, data := range p.objects {
+		if _, err := c.store(ctx, data); err != nil {
+			return outcome, err
+		}
+	}
+	return c.commit(ctx, p, outcome)
+}
+
+func (c *Client) refused(change Change, err error) error {
+	var invalid *InvalidError
+	var conflict *ConflictError
+	fields := []zap.Field{zap.String("service", change.Service), zap.String("operator", change.Operator), zap.Error(err)}
+	switch {
+	case errors.As(err, &invalid):
+		c.log.Log(event.ConfigurationInvalid, fields...)
+	case errors.As(err, &conflict):
+		c.log.Log(event.ConfigurationConflict, fields...)
+	}
+	return err
+}
+
+// repeated answers a call whose token is already in the table.
+func (c *Client) repeated(outcome Outcome, earlier, change Change) (Outcome, error) {
+	if !earlier.sameRequest(change) {
+		return outcome, &TokenReusedError{Earlier: earlier}
+	}
+	outcome.State, outcome.Change = StateAccepted, earlier
+	return outcome, nil
+}
+
+func (c *Client) changeByToken(ctx context.Context, token string) (Change, bool, error) {
+	r, err := c.get(ctx, tokenPartition(token), tokenSort)
+	if err != nil || r == nil {
+		return Change{}, false, err
+	}
+	return changeOf(r), true, nil
+}
+
+// commit moves the head in one transaction with the rows of the change.
+func (c *Client) commit(ctx context.Context, p *plan, outcome Outcome) (Outcome, error) {
+	var refusal error
+	found, err := c.settle(ctx, conditionalWrite{
+		operation: fmt.Sprintf("%s %s", p.change.Action, p.change.Service),
+		write: func(ctx context.Context) error {
+			_, err := c.table.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: c.transaction(p)})
+			return err
+		},
+		readBack: func(ctx context.Context, refused bool) (settlement, error) {
+			var found settlement
+			var err error
+			found, refusal, err = c.readBack(ctx, p, refused)
+			return found, err
+		},
+	})
+	fields := []zap.Field{
+		zap.String("service", p.change.Service), zap.String("operator", p.change.Operator),
+		zap.Uint64("version", uint64(p.change.Version)),
+	}
+	switch {
+	case found == applied:
+		outcome.State, outcome.Change = StateAccepted, p.change
+		c.log.Log(event.ConfigurationAccepted, append(fields, zap.String("action", string(p.change.Action)))...)
+		return outcome, nil
+	case found == open:
+		outcome.State = StateUnknown
+		c.log.Log(event.ConfigurationUnknown, append(fields, zap.Error(err))...)
+		return outcome, nil
+	case err != nil:
+		return outcome, err
+	}
+	return outcome, c.refused(p.change, refusal)
+}
+
+func (c *Client) transaction(p *plan) []types.TransactWriteItem {
+	revision := p.change.row(revisionPartition(p.change.Service), revisionSort(p.change.Revision))
+	items := []types.TransactWriteItem{
+		c.transactPut(p.head.row(), p.before.unchanged()),
+		c.transactPut(p.change.row(changePartition(p.change.Version), changeSort), where(missing, nil)),
+		c.transactPut(p.change.row(tokenPartition(p.change.Token), tokenSort), where(missing, nil)),
+		c.transactPut(revision, where(missing, nil)),
+	}
+	if p.draft != nil {
+		items = append(items, c.transactCheck(key(draftPartition, p.draft.Service), p.draft.unchanged()))
+	}
+	return items
+}
+
+// readBack looks for the change in the table. The head is read first: if it has moved past the
+// version on which the change builds and the token is absent afterwards, the transaction can never
+// take effect, since versions only increase.
+func (c *Client) readBack(ctx context.Context, p *plan, refused bool) (settlement, error, error) {
+	head, err := c.Head(ctx)
+	if err != nil {
+		return open, nil, err
+	}
+	earlier, found, err := c.changeByToken(ctx, p.change.Token)
+	switch {
+	case err != nil:
+		return open, nil, err
+	case found && earlier.sameRequest(p.change):
+		p.change = earlier
+		return applied, nil, nil
+	case found:
+		return superseded, &TokenReusedError{Earlier: earlier}, nil
+	case head.Version != p.before.Version:
+		return superseded, c.conflict(ctx, p.before.Version, head.Version), nil
+	case refused && p.draft != nil:
+		return c.readBackDraft(ctx, *p.draft)
+	}
+	return open, nil, nil
+}
+
+// readBackDraft tells whether the draft was replaced. A draft that was replaced never returns,
+// because each submission has its own nonce.
+func (c *Client) readBackDraft(ctx context.Context, accepted Draft) (settlement, error, error) {
+	current, err := c.draftOrNone(ctx, accepted.Service)
+	if err != nil {
+		return open, nil, err
+	}
+	if current.nonce != accepted.nonce {
+		return superseded, &DraftChangedError{Service: accepted.Service, Current: current}, nil
+	}
+	return open, nil, nil
+}
+
+// Outcome tells what became of the change with the token that was made on version seen.
+func (c *Client) Outcome(ctx context.Context, token string, seen snapshot.Version) (Outcome, error) {
+	outcome := Outcome{State: StateUnknown, Token: token, Seen: seen}
+	head, err := c.Head(ctx)
+	if err != nil {
+		return outcome, err
+	}
+	earlier, found, err := c.changeByToken(ctx, token)
+	switch {
+	case err != nil:
+		return outcome, err
+	case found:
+		outcome.State, outcome.Change = StateAccepted, earlier
+	case head.Version > seen:
+		outcome.State = StateNotAccepted
+	}
+	return outcome, nil
+}
--- /dev/null
+++ b/agent/platform/lease.go
@@ -0,0 +1,175 @@
+package platform
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+)
+
+const leasePartition = "lease"
+
+// Lease is a lease in the table. The clocks of the holders decide when it may be taken over; that
+// two holders never both write is ensured by Token, not by the clocks.
+type Lease struct {
+	Name, Holder string
+	// Token is the fencing token. It increases each time the lease is acquired.
+	Token   uint64
+	Expires time.Time
+	// Value is what the holder published with PublishLease, such as its address.
+	Value string
+}
+
+func leaseOf(r row) Lease {
+	return Lease{
+		Name: r.text(sortKey), Holder: r.text("holder"), Token: r.number("token"),
+		Expires: r.time("expires"), Value: r.text("value"),
+	}
+}
+
+func (l Lease) lost() error { return &LeaseLostError{Name: l.Name, Holder: l.Holder, Token: l.Token} }
+
+// free reports whether holder may acquire the lease at the time now.
+func (l Lease) free(holder string, now time.Time) bool {
+	return l.Holder == "" || l.Holder == holder || !now.Before(l.Expires)
+}
+
+// Leases lists the leases whose name has the prefix, held or not, in order of name.
+func (c *Client) Leases(ctx context.Context, prefix string) ([]Lease, error) {
+	rows, err := c.list(ctx, leasePartition, prefix, false, 0)
+	if err != nil {
+		return nil, err
+	}
+	leases := make([]Lease, len(rows))
+	for i, r := range rows {
+		leases[i] = leaseOf(r)
+	}
+	return leases, nil
+}
+
+// AcquireLease takes the lease for ttl if it is free, expired or was left behind by an earlier
+// process with the same holder name. Errors: LeaseHeldError, UnavailableError.
+func (c *Client) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (Lease, error) {
+	r, err := c.get(ctx, leasePartition, name)
+	if err != nil {
+		return Lease{}, err
+	}
+	now := c.config.Now()
+	current := leaseOf(r)
+	if !current.free(holder, now) {
+		return Lease{}, &LeaseHeldError{Name: name, Holder: current.Holder, Expires: current.Expires}
+	}
+	lease := Lease{Name: name, Holder: holder, Token: current.Token + 1, Expires: now.Add(ttl)}
+	condition := where(missing, nil)
+	if r != nil {
+		// The expiry is compared so that a renewal in the meantime prevents the takeover.
+		condition = where("#nonce = :nonce AND #expires = :expires",
+			row{":nonce": text(r.text("nonce")), ":expires": milliseconds(current.Expires)})
+	}
+	if err := c.writeLease(ctx, lease, r.text("nonce"), condition); err != nil {
+		return Lease{}, err
+	}
+	c.log.Log(event.LeaseAcquired, zap.String("lease", name), zap.Uint64("token", lease.Token))
+	return lease, nil
+}
+
+// writeLease replaces the row of a lease. previous is the nonce of the row that it replaces.
+func (c *Client) writeLease(ctx context.Context, l Lease, previous string, condition clause) error {
+	nonce := rand.Text()
+	var winner Lease
+	item := key(leasePartition, l.Name)
+	item["holder"], item["token"] = text(l.Holder), number(l.Token)
+	item["expires"], item["nonce"] = milliseconds(l.Expires), text(nonce)
+	found, err := c.settle(ctx, conditionalWrite{
+		operation: "acquire lease " + l.Name,
+		write:     func(ctx context.Context) error { return c.put(ctx, item, condition) },
+		readBack: func(ctx context.Context, refused bool) (settlement, error) {
+			r, err := c.get(ctx, leasePartition, l.Name)
+			winner = leaseOf(r)
+			switch {
+			case err != nil:
+				return open, err
+			case r.text("nonce") == nonce:
+				return applied, nil
+			case r.text("nonce") != previous || refused:
+				return superseded, nil
+			}
+			return open, nil
+		},
+	})
+	if err == nil && found == superseded {
+		return &LeaseHeldError{Name: l.Name, Holder: winner.Holder, Expires: winner.Expires}
+	}
+	return err
+}
+
+// RenewLease extends the lease to ttl from now, as long as nobody else has acquired it. Errors:
+// LeaseLostError, UnavailableError.
+func (c *Client) RenewLease(ctx context.Context, l Lease, ttl time.Duration) (Lease, error) {
+	l.Expires = c.config.Now().Add(ttl)
+	// The times are compared so that a delayed renewal neither shortens a later one nor revives a
+	// released lease.
+	condition := where("#token = :token AND #holder = :holder AND #expires > :zero AND #expires < :expires",
+		row{":token": number(l.Token), ":holder": text(l.Holder), ":zero": number(0), ":expires": milliseconds(l.Expires)})
+	err := c.writeAsHolder(ctx, "renew lease", l, "SET #expires = :expires", condition,
+		func(current Lease) bool { return !current.Expires.Before(l.Expires.Truncate(time.Millisecond)) })
+	return l, err
+}
+
+// ReleaseLease gives the lease up, so that another holder can acquire it at once. Errors:
+// LeaseLostError, UnavailableError.
+func (c *Client) ReleaseLease(ctx context.Context, l Lease) error {
+	condition := where("#token = :token AND #holder = :holder AND #expires > :zero",
+		row{":token": number(l.Token), ":holder": text(l.Holder), ":zero": number(0)})
+	err := c.writeAsHolder(ctx, "release lease", l, "SET #expires = :zero", condition,
+		func(current Lease) bool { return current.Expires.UnixMilli() == 0 })
+	if err == nil {
+		c.log.Log(event.LeaseReleased, zap.String("lease", l.Name), zap.Uint64("token", l.Token))
+	}
+	return err
+}
+
+// PublishLease stores value, such as the address of the holder, in the row of the lease. The write is
+// refused once the lease has expired by the clock of the holder or has another token. Errors:
+// LeaseLostError, UnavailableError.
+func (c *Client) PublishLease(ctx context.Context, l Lease, value string) error {
+	condition := where("#token = :token AND #holder = :holder AND #expires > :now",
+		row{":token": number(l.Token), ":holder": text(l.Holder), ":now": milliseconds(c.config.Now()), ":value": text(value)})
+	return c.writeAsHolder(ctx, "publish lease", l, "SET #value = :value", condition,
+		func(current Lease) bool { return current.Value == value && c.config.Now().Before(current.Expires) })
+}
+
+// writeAsHolder updates the row of a lease under its fencing token. done reports whether the row
+// shows the effect of the write; all of these writes have the same effect when repeated.
+func (c *Client) writeAsHolder(ctx context.Context, operation string, l Lease, set string, condition clause, done func(Lease) bool) error {
+	found, err := c.settle(ctx, conditionalWrite{
+		operation: operation + " " + l.Name,
+		write: func(ctx context.Context) error {
+			return c.update(ctx, key(leasePartition, l.Name), set, condition.naming(set))
+		},
+		readBack: func(ctx context.Context, refused bool) (settlement, error) {
+			r, err := c.get(ctx, leasePartition, l.Name)
+			if err != nil {
+				return open, err
+			}
+			current := leaseOf(r)
+			switch {
+			case current.Token != l.Token || current.Holder != l.Holder:
+				return superseded, nil
+			case done(current):
+				return applied, nil
+			case refused:
+				return superseded, nil
+			}
+			return open, nil
+		},
+	})
+	if err == nil && found == superseded {
+		c.log.Log(event.LeaseLost, zap.String("lease", l.Name), zap.Uint64("token", l.Token))
+		return l.lost()
+	}
+	return err
+}
--- /dev/null
+++ b/agent/platform/types.go
@@ -0,0 +1,132 @@
+package platform
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// AllServices in Operator.Services stands for every service.
+const AllServices = "*"
+
+// Operator is an authenticated operator.
+type Operator struct {
+	Name     string
+	Services []string
+}
+
+// MayRevise reports whether o may submit, accept and withdraw the configuration of service.
+func (o Operator) MayRevise(service string) bool {
+	return slices.Contains(o.Services, service) || slices.Contains(o.Services, AllServices)
+}
+
+func (o Operator) check(service string) error {
+	if o.Name == "" || !o.MayRevise(service) {
+		return &ForbiddenError{Operator: o.Name, Service: service}
+	}
+	return nil
+}
+
+// Head names the configuration that is in force. The zero value means that none was accepted yet.
+type Head struct {
+	Version  snapshot.Version
+	Manifest snapshot.Hash
+	// Sources is the hash of the object that lists the answers of each service.
+	Sources snapshot.Hash
+	// Token is the change token of the accept or withdraw that produced this version.
+	Token string
+}
+
+// Draft is a submitted revision that is not accepted yet.
+type Draft struct {
+	Service string
+	// File is the name under which the answers were submitted.
+	File string
+	// Hash is the SHA-256 of the answers.
+	Hash      snapshot.Hash
+	Operator  string
+	Submitted time.Time
+	// nonce identifies the write of the draft.
+	nonce string
+}
+
+// Action says how a change came about.
+type Action string
+
+// The actions.
+const (
+	Accepted  Action = "accept"
+	Withdrawn Action = "withdraw"
+)
+
+// Change is one accept or withdraw.
+type Change struct {
+	Version snapshot.Version
+	Action  Action
+	Service string
+	// Revision of the service; it increases with each of its changes.
+	Revision uint64
+	// Removed is true if the change removed the service; Hash and Answers are then zero.
+	Removed bool
+	// To is the earlier revision that a withdraw put in force again.
+	To uint64
+	// Hash is that of the service configuration, Answers that of the answers it comes from, File the
+	// name under which they were submitted.
+	Hash     snapshot.Hash
+	Answers  snapshot.Hash
+	File     string
+	Operator string
+	Token    string
+	At       time.Time
+}
+
+// String describes the change in one line.
+func (c Change) String() string {
+	return fmt.Sprintf("version %d: %s of %s revision %d by %s", c.Version, c.Action, c.Service, c.Revision, c.Operator)
+}
+
+// sameRequest reports whether both changes come from the same request of an operator.
+func (c Change) sameRequest(other Change) bool {
+	return c.Action == other.Action && c.Service == other.Service && c.Operator == other.Operator &&
+		c.Token == other.Token && c.To == other.To && (c.Action == Withdrawn || c.Answers == other.Answers)
+}
+
+// State says what is known about a change.
+type State string
+
+// The states of a change.
+const (
+	StateAccepted    State = "accepted"
+	StateNotAccepted State = "not accepted"
+	// StateUnknown means that the change may still take effect; ask again with its token.
+	StateUnknown State = "not known yet"
+)
+
+// Outcome is what an operator is told about an accept or withdraw.
+type Outcome struct {
+	State State
+	// Change is set if State is StateAccepted.
+	Change Change
+	// Token and Seen identify the change when asking again.
+	Token string
+	Seen  snapshot.Version
+}
+
+// FormatHash returns h in lower-case hexadecimal.
+func FormatHash(h snapshot.Hash) string { return hex.EncodeToString(h[:]) }
+
+// ParseHash reads a hash written by FormatHash.
+func ParseHash(text string) (snapshot.Hash, error) {
+	var h snapshot.Hash
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(h) {
+		return h, errors.Errorf("%q is not a SHA-256 in hexadecimal", text)
+	}
+	copy(h[:], data)
+	return h, nil
+}
--- /dev/null
+++ b/lib/event/platform.go
@@ -0,0 +1,23 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the client of the table service and the object store.
+var (
+	PlatformReadRetried      = Event{6001, zapcore.DebugLevel, "platform read failed; retrying after a delay"}
+	PlatformUnavailable      = Event{6002, zapcore.WarnLevel, "platform did not answer within the retry limit"}
+	PlatformWriteAmbiguous   = Event{6003, zapcore.InfoLevel, "platform write has an unknown outcome; reading back its token"}
+	PlatformWriteResolved    = Event{6004, zapcore.InfoLevel, "platform write with a lost response took effect"}
+	ConfigurationAccepted    = Event{6005, zapcore.InfoLevel, "configuration accepted"}
+	ConfigurationConflict    = Event{6006, zapcore.InfoLevel, "configuration not accepted; another change came first"}
+	ConfigurationUnknown     = Event{6007, zapcore.WarnLevel, "outcome of a configuration change is not known yet"}
+	ConfigurationInvalid     = Event{6008, zapcore.InfoLevel, "configuration refused as invalid"}
+	LeaseAcquired            = Event{6009, zapcore.InfoLevel, "lease acquired"}
+	LeaseLost                = Event{6010, zapcore.WarnLevel, "lease lost to another holder"}
+	LeaseReleased            = Event{6011, zapcore.InfoLevel, "lease released"}
+	AdministrationRefused    = Event{7001, zapcore.InfoLevel, "administration request refused"}
+	AdministrationServed     = Event{7002, zapcore.DebugLevel, "administration request served"}
+	StandinPlatformListening = Event{8001, zapcore.InfoLevel, "platform stand-in listening"}
+	StandinFaultInjected     = Event{8002, zapcore.InfoLevel, "platform stand-in fault injected"}
+	StandinPlatformStopped   = Event{8003, zapcore.InfoLevel, "platform stand-in stopped"}
+)
--- /dev/null
+++ b/standin/platform/faults.go
@@ -0,0 +1,168 @@
+package platform
+
+import (
+	"sync"
+	"time"
+)
+
+// Store names one of the two stores.
+type Store string
+
+// The stores.
+const (
+	Table   Store = "table"
+	Objects Store = "objects"
+)
+
+// FaultKind says how a request goes wrong.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	// Outage refuses the request with status 503; nothing takes effect.
+	Outage FaultKind = "outage"
+	// Slow delays the request. It takes effect after the delay even if the client has gone.
+	Slow FaultKind = "slow"
+	// LoseResponse lets the request take effect, then closes the connection without a response.
+	LoseResponse FaultKind = "lose-response"
+)
+
+// Operations selects the requests that a fault affects.
+type Operations string
+
+// The selections.
+const (
+	AllOperations Operations = ""
+	OnlyReads     Operations = "reads"
+	OnlyWrites    Operations = "writes"
+)
+
+// Fault is one injected fault of a store.
+type Fault struct {
+	Store      Store      `json:"store"`
+	Kind       FaultKind  `json:"kind"`
+	Operations Operations `json:"operations,omitempty"`
+	// DelayMS is the delay of a Slow fault in milliseconds.
+	DelayMS int64 `json:"delay_ms,omitempty"`
+	// Count is the number of requests affected; zero means until the fault is cleared.
+	Count int `json:"count,omitempty"`
+}
+
+// check returns an error for a fault that cannot be injected.
+func (f Fault) check() error {
+	if f.Store != Table && f.Store != Objects {
+		return invalid("unknown store %q", f.Store)
+	}
+	if f.Kind != Outage && f.Kind != Slow && f.Kind != LoseResponse {
+		return invalid("unknown kind of fault %q", f.Kind)
+	}
+	if f.Operations != AllOperations && f.Operations != OnlyReads && f.Operations != OnlyWrites {
+		return invalid("unknown operations %q", f.Operations)
+	}
+	if f.Count < 0 || f.DelayMS < 0 || f.DelayMS > 0 != (f.Kind == Slow) {
+		return invalid("a slow fault, and no other one, needs delay_ms; count is not negative")
+	}
+	return nil
+}
+
+// activeFault is an injected fault; cleared is closed when it is removed, which ends its delays.
+type activeFault struct {
+	Fault
+	left    int
+	cleared chan struct{}
+}
+
+func (f *activeFault) affects(store Store, isWrite bool) bool {
+	if f.Store != store {
+		return false
+	}
+	return f.Operations == AllOperations || (f.Operations == OnlyWrites) == isWrite
+}
+
+// wait delays a request until the delay is over or the fault is cleared.
+func (f *activeFault) wait() {
+	timer := time.NewTimer(time.Duration(f.DelayMS) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.cleared:
+	}
+}
+
+// faults holds the injected faults.
+type faults struct {
+	mu     sync.Mutex
+	active []*activeFault
+}
+
+func (f *faults) add(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active = append(f.active, &activeFault{Fault: fault, left: fault.Count, cleared: make(chan struct{})})
+}
+
+// clear removes all faults and lets delayed requests continue.
+func (f *faults) clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fault := range f.active {
+		close(fault.cleared)
+	}
+	f.active = nil
+}
+
+// take returns the first fault that affects the request, or nil.
+func (f *faults) take(store Store, isWrite bool) *activeFault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fault := range f.active {
+		if !fault.affects(store, isWrite) || fault.Count > 0 && fault.left == 0 {
+			continue
+		}
+		if fault.Count > 0 {
+			fault.left--
+		}
+		return fault
+	}
+	return nil
+}
+
+// Counts holds the requests that one store received, including refused ones.
+type Counts struct {
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+	// PeakReads and PeakWrites are the highest numbers received within one second of the clock.
+	PeakReads  uint64 `json:"peak_reads_per_second"`
+	PeakWrites uint64 `json:"peak_writes_per_second"`
+}
+
+// counter counts the requests of one store.
+type counter struct {
+	mu            sync.Mutex
+	total         Counts
+	second        int64
+	reads, writes uint64
+}
+
+func (c *counter) add(now time.Time, isWrite bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if second := now.Unix(); second != c.second {
+		c.second, c.reads, c.writes = second, 0, 0
+	}
+	if isWrite {
+		c.total.Writes++
+		c.writes++
+	} else {
+		c.total.Reads++
+		c.reads++
+	}
+	c.total.PeakReads = max(c.total.PeakReads, c.reads)
+	c.total.PeakWrites = max(c.total.PeakWrites, c.writes)
+}
+
+func (c *counter) counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,145 @@
+// Package platform is a stand-in for the users' table service and object store. It answers, in
+// memory, the DynamoDB and S3 calls that kingcupwood uses, and injects faults for tests. It does not
+// verify request signatures and supports one table and one bucket.
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+)
+
+// Paths of the administration endpoints. A bucket name cannot start with an underscore, so they
+// never collide with the object store.
+const (
+	// FaultsPath takes POST with a Fault, and DELETE to clear all faults.
+	FaultsPath = "/_admin/faults"
+	// CountersPath answers GET with Counts by store.
+	CountersPath = "/_admin/counters"
+)
+
+// Server is the HTTP handler of the stand-in.
+type Server struct {
+	tableName string
+	bucket    string
+	table     *table
+	objects   *objects
+	faults    faults
+	counters  map[Store]*counter
+	now       func() time.Time
+	log       *event.Logger
+}
+
+// NewServer returns a stand-in with the operators of config in its table.
+func NewServer(config Config, log *event.Logger) *Server {
+	s := &Server{
+		tableName: config.Table,
+		bucket:    config.Bucket,
+		table:     newTable(),
+		objects:   newObjects(),
+		counters:  map[Store]*counter{Table: {}, Objects: {}},
+		now:       time.Now,
+		log:       log,
+	}
+	for _, operator := range config.Operators {
+		row := operator.row()
+		s.table.rows[rowKey{*row[PartitionKey].S, *row[SortKey].S}] = row
+	}
+	return s
+}
+
+// Inject adds a fault. The error says why a fault is not valid.
+func (s *Server) Inject(fault Fault) error {
+	if err := fault.check(); err != nil {
+		return err
+	}
+	s.faults.add(fault)
+	s.log.Log(event.StandinFaultInjected, zap.String("store", string(fault.Store)), zap.String("kind", string(fault.Kind)))
+	return nil
+}
+
+// ClearFaults removes all faults and lets delayed requests continue at once.
+func (s *Server) ClearFaults() { s.faults.clear() }
+
+// Counts returns the requests that store has received.
+func (s *Server) Counts(store Store) Counts {
+	if c, ok := s.counters[store]; ok {
+		return c.counts()
+	}
+	return Counts{}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == FaultsPath:
+		s.serveFaults(w, r)
+	case r.URL.Path == CountersPath:
+		writeTableJSON(w, http.StatusOK, map[Store]Counts{Table: s.Counts(Table), Objects: s.Counts(Objects)})
+	case r.Method == http.MethodPost && r.URL.Path == "/":
+		operation := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), targetPrefix)
+		s.serveStore(w, r, Table, operation != "GetItem" && operation != "Query", s.serveTable)
+	default:
+		s.serveStore(w, r, Objects, r.Method != http.MethodGet, s.serveObjects)
+	}
+}
+
+func (s *Server) serveStore(w http.ResponseWriter, r *http.Request, store Store, isWrite bool, serve http.HandlerFunc) {
+	s.counters[store].add(s.now(), isWrite)
+	fault := s.faults.take(store, isWrite)
+	if fault == nil {
+		serve(w, r)
+		return
+	}
+	switch fault.Kind {
+	case Outage:
+		writeUnavailable(w, store)
+	case Slow:
+		// The body is read before the delay: the server may close it when the client goes away.
+		buffered, err := bufferBody(w, r)
+		if err != nil {
+			return
+		}
+		fault.wait()
+		serve(w, buffered)
+	case LoseResponse:
+		serve(discardResponse{http.Header{}}, r)
+		panic(http.ErrAbortHandler) // net/http closes the connection without a response
+	}
+}
+
+func writeUnavailable(w http.ResponseWriter, store Store) {
+	if store == Objects {
+		writeObjectError(w, http.StatusServiceUnavailable, "ServiceUnavailable", "injected outage")
+		return
+	}
+	writeTableError(w, &apiError{Type: "ServiceUnavailable", Message: "injected outage", status: http.StatusServiceUnavailable})
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodDelete:
+		s.ClearFaults()
+	case http.MethodPost:
+		var fault Fault
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&fault); err != nil {
+			writeTableError(w, invalid("the fault cannot be decoded: %v", err))
+			return
+		}
+		if err := s.Inject(fault); err != nil {
+			writeTableError(w, err)
+			return
+		}
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/platform/settings.go
@@ -0,0 +1,131 @@
+package platform
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+
+	"kingcupwood.example/kingcupwood/lib/settings"
+)
+
+// Names used unless the settings say otherwise.
+const (
+	DefaultTable  = "kingcupwood"
+	DefaultBucket = "kingcupwood"
+)
+
+const (
+	mainSection    = "platform"
+	operatorPrefix = "operator "
+	sha256Bytes    = 32
+)
+
+// Operator is one operator in the table.
+type Operator struct {
+	Name string
+	// TokenSHA256 is the SHA-256 of the bearer token in lower-case hexadecimal.
+	TokenSHA256 string
+	// Services lists the services that the operator may revise; "*" stands for all.
+	Services []string
+}
+
+// row returns the table row that agent/platform reads to authenticate the operator.
+func (o Operator) row() item {
+	return item{
+		PartitionKey: stringValue("operator#" + o.TokenSHA256),
+		SortKey:      stringValue("operator"),
+		"operator":   stringValue(o.Name),
+		"services":   {SS: o.Services},
+	}
+}
+
+// Config holds the settings of the stand-in.
+type Config struct {
+	Listen    netip.AddrPort
+	Table     string
+	Bucket    string
+	Operators []Operator
+}
+
+// LoadConfig reads the INI file at path. It returns settings.Errors with every fault found.
+func LoadConfig(path string) (Config, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true}, path)
+	if err != nil {
+		return Config{}, errors.Wrapf(err, "read settings file %s", path)
+	}
+	l := loader{path: path}
+	config := l.config(file)
+	if len(l.faults) > 0 {
+		return Config{}, l.faults
+	}
+	return config, nil
+}
+
+type loader struct {
+	path   string
+	faults settings.Errors
+}
+
+func (l *loader) fail(section, key, format string, args ...any) {
+	l.faults = append(l.faults, &settings.Error{File: l.path, Section: section, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (l *loader) config(file *ini.File) Config {
+	config := Config{Table: DefaultTable, Bucket: DefaultBucket}
+	if !file.HasSection(mainSection) {
+		l.fail(mainSection, "", "the section is required")
+	}
+	for _, section := range file.Sections() {
+		name := section.Name()
+		switch {
+		case name == mainSection:
+			l.main(section, &config)
+		case strings.HasPrefix(name, operatorPrefix):
+			config.Operators = append(config.Operators, l.operator(section))
+		case name != ini.DefaultSection || len(section.Keys()) > 0:
+			l.fail(name, "", "unknown section")
+		}
+	}
+	return config
+}
+
+func (l *loader) main(section *ini.Section, config *Config) {
+	l.rejectUnknown(section, "listen", "table", "bucket")
+	addr, err := netip.ParseAddrPort(section.Key("listen").String())
+	if err != nil {
+		l.fail(mainSection, "listen", "%q is not an IP address with a port, such as 127.0.0.1:7000", section.Key("listen").String())
+	}
+	config.Listen = addr
+	config.Table = section.Key("table").MustString(DefaultTable)
+	config.Bucket = section.Key("bucket").MustString(DefaultBucket)
+}
+
+func (l *loader) operator(section *ini.Section) Operator {
+	l.rejectUnknown(section, "token-sha256", "services")
+	operator := Operator{
+		Name:        strings.TrimSpace(strings.TrimPrefix(section.Name(), operatorPrefix)),
+		TokenSHA256: section.Key("token-sha256").String(),
+		Services:    section.Key("services").Strings(","),
+	}
+	digest, err := hex.DecodeString(operator.TokenSHA256)
+	if err != nil || len(digest) != sha256Bytes || strings.ToLower(operator.TokenSHA256) != operator.TokenSHA256 {
+		l.fail(section.Name(), "token-sha256", "a SHA-256 in lower-case hexadecimal is required")
+	}
+	if len(operator.Services) == 0 {
+		l.fail(section.Name(), "services", "a list of services or * is required")
+	}
+	return operator
+}
+
+func (l *loader) rejectUnknown(section *ini.Section, known ...string) {
+	for _, key := range section.Keys() {
+		if !slices.Contains(known, key.Name()) {
+			l.fail(section.Name(), key.Name(), "unknown key")
+		}
+	}
+}
