Add the administration API and its commands

The commands platform, answers submit and config show, diff, accept, withdraw and status use it. Exit code 3 and a message with the change token stand for an outcome that is not known yet.

An accept that is refused looks for its token once more, since the same request may have been carried out through another daemon in between.

--- a/agent/platform/change.go
+++ b/agent/platform/change.go
@@ -152,13 +152,9 @@
 	if found {
 		return c.repeated(outcome, earlier, change)
 	}
-	b, err := c.load(ctx, seen)
-	if err != nil {
-		return outcome, c.refused(change, err)
-	}
-	p, err := prepare(b)
+	p, err := c.prepare(ctx, seen, prepare)
 	if err != nil {
-		return outcome, c.refused(change, err)
+		return c.refusedOrRepeated(ctx, outcome, change, err)
 	}
 	for _, data := range p.objects {
 		if _, err := c.store(ctx, data); err != nil {
@@ -168,6 +164,24 @@
 	return c.commit(ctx, p, outcome)
 }
 
+func (c *Client) prepare(ctx context.Context, seen snapshot.Version, prepare func(base) (*plan, error)) (*plan, error) {
+	b, err := c.load(ctx, seen)
+	if err != nil {
+		return nil, err
+	}
+	return prepare(b)
+}
+
+// refusedOrRepeated looks for the token once more before a refusal is final: the same request, sent
+// through another daemon, may have moved the head after the first look.
+func (c *Client) refusedOrRepeated(ctx context.Context, outcome Outcome, change Change, refusal error) (Outcome, error) {
+	earlier, found, err := c.changeByToken(ctx, change.Token)
+	if err == nil && found {
+		return c.repeated(outcome, earlier, change)
+	}
+	return outcome, c.refused(change, refusal)
+}
+
 func (c *Client) refused(change Change, err error) error {
 	var invalid *InvalidError
 	var conflict *ConflictError
--- /dev/null
+++ b/cli/cmd/administration.go
@@ -0,0 +1,110 @@
+package cmd
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/operator"
+	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/lib/settings"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// administrationOptions are the options of every command that calls the administration API.
+type administrationOptions struct {
+	Settings string `long:"settings" env:"KINGCUPWOOD_SETTINGS" required:"true" value-name:"FILE" description:"INI settings file with the section [administration]"`
+}
+
+// administrationSettings is the settings file of an operator.
+type administrationSettings struct {
+	Administration struct {
+		// Addresses are those of the administration API of one or more daemons, tried in turn.
+		Addresses []netip.AddrPort `key:"addresses"`
+		Token     string           `key:"token"`
+		Timeout   time.Duration    `key:"timeout" default:"30s"`
+	} `section:"administration"`
+}
+
+func (o administrationOptions) client() (*operator.Client, error) {
+	var s administrationSettings
+	if err := settings.Load(o.Settings, &s); err != nil {
+		return nil, err
+	}
+	a := s.Administration
+	if len(a.Addresses) == 0 || a.Token == "" || a.Timeout == 0 {
+		return nil, errors.Errorf("%s: section [administration]: addresses, token and timeout must not be empty", o.Settings)
+	}
+	return operator.NewClient(a.Addresses, a.Token, &http.Client{Timeout: a.Timeout}), nil
+}
+
+// serviceArgument is the argument of the commands that concern one service.
+type serviceArgument struct {
+	Service string `positional-arg-name:"SERVICE" required:"yes"`
+}
+
+// changeOptions are the options of the commands that change the configuration.
+type changeOptions struct {
+	administrationOptions
+	Seen  uint64 `long:"seen" required:"true" value-name:"VERSION" description:"version that you saw; the change is refused if another one is in force"`
+	Token string `long:"token" value-name:"TOKEN" description:"change token; repeat a command with the token of the first run"`
+}
+
+// unknownOutcomeError means that the change may have taken effect or may still do so.
+type unknownOutcomeError struct {
+	token string
+	seen  snapshot.Version
+	err   error
+}
+
+// Error implements error.
+func (e *unknownOutcomeError) Error() string {
+	message := fmt.Sprintf("the outcome is not known yet; ask with: kingcupwood config status --change %s --seen %d", e.token, e.seen)
+	if e.err != nil {
+		message += "\n  " + e.err.Error()
+	}
+	return message
+}
+
+// exitCode tells scripts that the change did not fail for certain.
+func (e *unknownOutcomeError) exitCode() int { return exitUnknown }
+
+// change runs send with a change token and prints the outcome. The token is printed first, so that it
+// is known even if the command is interrupted.
+func (o changeOptions) change(send func(ctx context.Context, c *operator.Client, seen snapshot.Version, token string) (operator.OutcomeMessage, error)) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	token, seen := o.Token, snapshot.Version(o.Seen)
+	if token == "" {
+		token = rand.Text()
+	}
+	fmt.Fprintln(os.Stderr, "change token", token)
+	outcome, err := send(context.Background(), client, seen, token)
+	var uncertain *operator.UncertainError
+	if errors.As(err, &uncertain) {
+		return &unknownOutcomeError{token: token, seen: seen, err: uncertain.Err}
+	}
+	if err != nil {
+		return err
+	}
+	return printOutcome(outcome)
+}
+
+func printOutcome(outcome operator.OutcomeMessage) error {
+	switch outcome.State {
+	case platform.StateAccepted:
+		fmt.Println("accepted:", outcome.Change)
+		return nil
+	case platform.StateNotAccepted:
+		return errors.New("not accepted")
+	}
+	return &unknownOutcomeError{token: outcome.Token, seen: outcome.Seen}
+}
--- /dev/null
+++ b/cli/cmd/platform.go
@@ -0,0 +1,63 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/standin/platform"
+)
+
+// platformHeaderTimeout bounds the headers of a request to the stand-in.
+const platformHeaderTimeout = 10 * time.Second
+
+type platformCommand struct {
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file"`
+}
+
+// Execute runs the stand-in for the table service and the object store until a signal arrives.
+func (c *platformCommand) Execute([]string) error {
+	config, err := platform.LoadConfig(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := event.NewLogger(zapcore.InfoLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	listener, err := net.Listen("tcp", config.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return servePlatform(ctx, listener, config, log)
+}
+
+// servePlatform serves until ctx ends. Requests in flight are cut off: a real platform that goes down
+// does the same.
+func servePlatform(ctx context.Context, listener net.Listener, config platform.Config, log *event.Logger) error {
+	handler := platform.NewServer(config, log)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: platformHeaderTimeout}
+	stopped := context.AfterFunc(ctx, func() {
+		handler.ClearFaults()
+		_ = server.Close()
+	})
+	defer stopped()
+	log.Log(event.StandinPlatformListening, zap.String("address", listener.Addr().String()))
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		log.Log(event.StandinPlatformStopped)
+		return nil
+	}
+	return err
+}
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -14,6 +14,8 @@
 	exitOK     = 0
 	exitFailed = 1
 	exitUsage  = 2
+	// exitUnknown means that a change may have taken effect.
+	exitUnknown = 3
 )
 
 // command describes a subcommand for the flag parser; data carries its options and Execute method.
@@ -28,6 +30,25 @@
 func commands() []command {
 	return []command{
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
+		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
+		{name: "answers", short: "Work on the answers of a service", long: "Works on the answers to the questionnaire about a service.", sub: answersCommands()},
+		{name: "config", short: "Show and change the configuration", long: "Shows, accepts and withdraws configurations through the administration API of a daemon.", sub: configCommands()},
+	}
+}
+
+func answersCommands() []command {
+	return []command{
+		{name: "submit", short: "Submit answers as a draft", long: "Submits an answer file as the draft of its service. Nothing changes until the draft is accepted.", data: &answersSubmitCommand{}},
+	}
+}
+
+func configCommands() []command {
+	return []command{
+		{name: "show", short: "Show a service", long: "Prints the answers in force and the latest changes of a service.", data: &configShowCommand{}},
+		{name: "diff", short: "Show what a draft changes", long: "Prints what accepting the draft of a service changes for its callers.", data: &configDiffCommand{}},
+		{name: "accept", short: "Accept a draft", long: "Puts the draft of a service in force. Exit code 3 means that the outcome is not known yet.", data: &configAcceptCommand{}},
+		{name: "withdraw", short: "Withdraw a configuration", long: "Puts an earlier revision of a service in force again, as a new version. Exit code 3 means that the outcome is not known yet.", data: &configWithdrawCommand{}},
+		{name: "status", short: "Show the state of the configuration", long: "Prints the versions of the platform and of one daemon, the drafts and the leases, or the outcome of one change.", data: &configStatusCommand{}},
 	}
 }
 
@@ -66,7 +87,7 @@
 	var flagErr *flags.Error
 	if !errors.As(err, &flagErr) {
 		fmt.Fprintln(os.Stderr, "kingcupwood:", err)
-		return exitFailed
+		return exitCodeOf(err)
 	}
 	if flagErr.Type == flags.ErrHelp {
 		fmt.Fprintln(os.Stdout, flagErr.Message)
@@ -75,3 +96,12 @@
 	fmt.Fprintln(os.Stderr, "kingcupwood:", flagErr.Message)
 	return exitUsage
 }
+
+// exitCodeOf returns the exit code that err asks for, exitFailed if it asks for none.
+func exitCodeOf(err error) int {
+	var coded interface{ exitCode() int }
+	if errors.As(err, &coded) {
+		return coded.exitCode()
+	}
+	return exitFailed
+}
