--- /dev/null
+++ b/pkg/fence/table_test.go
@@ -0,0 +1,99 @@
+package fence
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against a request that runs although its fence, which arrived first, was answered with
+// "never will run".
+func TestFenceOvertakesRequest(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(4)
+	id := AttemptID{Sender: 1, Seq: 7}
+	is.Equal(table.Fence(id), NeverWillRun)
+	is.True(!table.Arrive(id, nil))
+	is.True(!table.Start(id))
+}
+
+// Guards against a fence that leaves a waiting request in the queue.
+func TestFenceCancelsWaiting(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(4)
+	id := AttemptID{Sender: 1, Seq: 7}
+	cancelled := 0
+	is.True(table.Arrive(id, func() { cancelled++ }))
+	is.Equal(table.Lookup(id), Unknown)
+	is.Equal(table.Fence(id), NeverWillRun)
+	is.Equal(table.Fence(id), NeverWillRun)
+	is.Equal(cancelled, 1)
+	is.True(!table.Start(id))
+}
+
+// Guards against a duplicate that runs again, and against a fence that denies a run after its end.
+func TestDuplicateAfterFinish(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(4)
+	id := AttemptID{Sender: 1, Seq: 7}
+	is.True(table.Arrive(id, nil))
+	is.True(table.Start(id))
+	table.Finish(id)
+	is.True(!table.Arrive(id, nil))
+	is.Equal(table.Fence(id), HasStarted)
+}
+
+// Guards against an evicted fence that lets its late request run, and against "never will run" for
+// an attempt whose run was evicted.
+func TestEvictedFenceHolds(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(1)
+	ran, late := AttemptID{Sender: 1, Seq: 5}, AttemptID{Sender: 1, Seq: 6}
+	is.True(table.Arrive(ran, nil))
+	is.True(table.Start(ran))
+	table.Finish(ran)
+	is.Equal(table.Fence(late), NeverWillRun)
+	is.Equal(table.Fence(AttemptID{Sender: 1, Seq: 7}), NeverWillRun)
+	is.True(!table.Arrive(late, nil))
+	is.Equal(table.Fence(late), NeverWillRun)
+	is.Equal(table.Fence(ran), Unknown)
+	is.True(table.Arrive(AttemptID{Sender: 2, Seq: 1}, nil)) // other senders are not affected
+}
+
+// Guards against any interleaving of arrive, start, finish, fence and eviction in which an attempt
+// starts after "never will run", starts twice, or is denied although it has started.
+func TestInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(rapid.IntRange(1, 4).Draw(t, "limit"))
+		starts := map[AttemptID]int{}
+		denied := map[AttemptID]bool{}
+		attempts := rapid.Custom(func(t *rapid.T) AttemptID {
+			return AttemptID{rapid.Uint64Range(1, 2).Draw(t, "sender"), rapid.Uint64Range(1, 6).Draw(t, "seq")}
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) { table.Arrive(attempts.Draw(t, "id"), nil) },
+			"finish": func(t *rapid.T) { table.Finish(attempts.Draw(t, "id")) },
+			"start": func(t *rapid.T) {
+				if id := attempts.Draw(t, "id"); table.Start(id) {
+					starts[id]++
+				}
+			},
+			"fence": func(t *rapid.T) {
+				id := attempts.Draw(t, "id")
+				denied[id] = denied[id] || table.Fence(id) == NeverWillRun
+			},
+			"lookup": func(t *rapid.T) {
+				id := attempts.Draw(t, "id")
+				denied[id] = denied[id] || table.Lookup(id) == NeverWillRun
+			},
+			"": func(t *rapid.T) {
+				for id, n := range starts {
+					if n > 1 || denied[id] {
+						t.Fatalf("attempt %v: %d starts, denied: %v", id, n, denied[id])
+					}
+				}
+			},
+		})
+	})
+}
