Add the call transport between daemons

A call holds one connection: the goroutine of the caller writes a frame and reads its reply, which saves two goroutine hand-offs per hop. The receiver greets with its incarnation, so that a fence answered by a restarted daemon counts as unknown. A go-away frame ends idle connections on a planned stop; requests that cross it are still served.

Tests cover late responses, duplicates, fences and draining.

--- /dev/null
+++ b/agent/peer/call/call_test.go
@@ -0,0 +1,277 @@
+package call
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// generous is a deadline that a test reaches only if it is stuck.
+const generous = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type handlerFunc func(ctx context.Context, r *Request) *Response
+
+func (f handlerFunc) ServeCall(ctx context.Context, r *Request) *Response { return f(ctx, r) }
+
+// daemon is a receiver with its call and net/rpc listeners.
+type daemon struct {
+	server    *Server
+	addr, rpc string
+}
+
+func startDaemon(t testing.TB, h handlerFunc) *daemon {
+	t.Helper()
+	server := NewServer(h, 77, event.Nop())
+	calls, fences := listen(t), listen(t)
+	go func() { _ = server.Serve(calls) }()
+	rpcServer := rpc.NewServer()
+	if err := server.RegisterRPC(rpcServer); err != nil {
+		t.Fatal(err)
+	}
+	go rpcServer.Accept(fences)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return &daemon{server: server, addr: calls.Addr().String(), rpc: fences.Addr().String()}
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func newTestClient(t testing.TB) *Client {
+	c := NewClient(5, event.Nop())
+	t.Cleanup(c.Close)
+	return c
+}
+
+func within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func request(seq uint64) *Request {
+	return &Request{
+		Attempt: fence.AttemptID{Sender: 5, Seq: seq}, Service: "pages", Kind: "save",
+		Timeout: generous, Method: "POST", Target: "/pages/a", Host: "pages",
+		Header: http.Header{"Accept": {"a", "b"}, "X-Request-Id": {"r"}}, Body: []byte("body"),
+	}
+}
+
+// echo starts the attempt and returns its target and body.
+func echo(_ context.Context, r *Request) *Response {
+	if !r.Start() {
+		return ErrorResponse(r.Attempt, verdict.Wrap(verdict.NotRun, errors.New("fenced")))
+	}
+	return &Response{Verdict: verdict.Ran, Status: 200, Header: r.Header, Body: append([]byte(r.Target+" "), r.Body...)}
+}
+
+// Guards against fields that are lost in a frame and against a connection per call.
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	var got *Request
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		got = r
+		return echo(ctx, r)
+	})
+	c := newTestClient(t)
+	is.NoErr(c.Prepare(within(t, generous), d.addr, 1))
+	for seq := uint64(1); seq < 4; seq++ {
+		want := request(seq)
+		resp, err := c.Do(within(t, generous), d.addr, want)
+		is.NoErr(err)
+		got.table = nil
+		is.Equal(got, want)
+		is.Equal(string(resp.Body), "/pages/a body")
+		is.Equal(resp.Header, want.Header)
+		is.Equal(c.peers[d.addr].open, 1)
+	}
+}
+
+// Guards against a late response that is taken for the response to the next request.
+func TestLateResponse(t *testing.T) {
+	is := is.New(t)
+	release, written := make(chan struct{}), make(chan struct{})
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		if r.Attempt.Seq == 1 {
+			<-release
+			defer close(written)
+		}
+		return echo(ctx, r)
+	})
+	c := newTestClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err := c.Do(ctx, d.addr, request(1))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	is.True(errors.Is(err, context.Canceled))
+	close(release)
+	<-written
+	next := request(2)
+	next.Target = "/next"
+	resp, err := c.Do(within(t, generous), d.addr, next)
+	is.NoErr(err)
+	is.Equal(string(resp.Body), "/next body")
+}
+
+// Guards against a duplicate that runs, and against telling its sender "not run" although the first
+// delivery has run.
+func TestDuplicateDelivery(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		runs.Add(1)
+		return echo(ctx, r)
+	})
+	c := newTestClient(t)
+	_, err := c.Do(within(t, generous), d.addr, request(1))
+	is.NoErr(err)
+	resp, err := c.Do(within(t, generous), d.addr, request(1))
+	is.NoErr(err)
+	is.Equal(resp.Verdict, verdict.MayHaveRun)
+	is.Equal(runs.Load(), int32(1))
+}
+
+// Guards against a fence that is ignored while the request waits, and against "never will run" for
+// an attempt that has started.
+func TestFenceWaitingAndStarted(t *testing.T) {
+	is := is.New(t)
+	arrived, ended := make(chan struct{}), make(chan bool, 1)
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		if r.Attempt.Seq == 2 && !r.Start() {
+			t.Error("attempt 2 refused to start")
+		}
+		arrived <- struct{}{}
+		if r.Attempt.Seq == 1 {
+			<-ctx.Done() // a waiting request is woken by its fence
+			ended <- r.Start()
+		}
+		return ErrorResponse(r.Attempt, errors.New("no run"))
+	})
+	c := newTestClient(t)
+	for seq, want := range map[uint64]fence.Answer{1: fence.NeverWillRun, 2: fence.HasStarted} {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		r := request(seq)
+		if _, err := c.Do(ctx, d.addr, r); err == nil {
+			c.noteLost(r.Attempt, d.addr, 77) // the response was faster than the cancellation
+		}
+		is.Equal(c.Fence(within(t, generous), d.addr, d.rpc, r.Attempt), want)
+	}
+	is.True(!<-ended)
+}
+
+// Guards against a request that runs after its fence has overtaken it.
+func TestFenceOvertakesRequest(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		runs.Add(1)
+		return echo(ctx, r)
+	})
+	c := newTestClient(t)
+	r := request(1)
+	c.noteLost(r.Attempt, d.addr, 77)
+	is.Equal(c.Fence(within(t, generous), d.addr, d.rpc, r.Attempt), fence.NeverWillRun)
+	resp, err := c.Do(within(t, generous), d.addr, r)
+	is.NoErr(err)
+	is.Equal(resp.Verdict, verdict.NotRun)
+	is.Equal(runs.Load(), int32(0))
+}
+
+// Guards against "never will run" from a restarted daemon, which does not know what its predecessor
+// ran, and against a fence for an attempt that was never lost.
+func TestFenceOtherIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t, echo)
+	c := newTestClient(t)
+	c.noteLost(request(1).Attempt, d.addr, 76)
+	is.Equal(c.Fence(within(t, generous), d.addr, d.rpc, request(1).Attempt), fence.Unknown)
+	is.Equal(c.Fence(within(t, generous), d.addr, d.rpc, request(2).Attempt), fence.Unknown)
+}
+
+// Guards against a fence over a broken cached connection that is not repeated on a new one, and
+// against a fence that blocks when the daemon is gone.
+func TestFenceAfterBrokenConnection(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t, echo)
+	c := newTestClient(t)
+	c.noteLost(request(1).Attempt, d.addr, 77)
+	is.Equal(c.Fence(within(t, generous), d.addr, d.rpc, request(1).Attempt), fence.NeverWillRun)
+	is.NoErr(c.rpcs[d.rpc].client.Close())
+	is.Equal(c.Fence(within(t, generous), d.addr, d.rpc, request(1).Attempt), fence.NeverWillRun)
+	is.Equal(c.Fence(within(t, generous), d.addr, "127.0.0.1:1", request(1).Attempt), fence.Unknown)
+}
+
+// Guards against calls that are cut or lost on a planned stop: the call in flight gets its response,
+// idle connections are not used again, and further calls are proven not run.
+func TestDrainWithoutCut(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		close(arrived)
+		<-release
+		return echo(ctx, r)
+	})
+	c := newTestClient(t)
+	is.NoErr(c.Prepare(within(t, generous), d.addr, 2))
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Do(within(t, generous), d.addr, request(1))
+		result <- err
+	}()
+	<-arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.server.Shutdown(within(t, generous)) }()
+	for !d.server.isDraining() {
+		time.Sleep(time.Millisecond)
+	}
+	waitClosed(t, d.addr)
+	_, err := c.Do(within(t, generous), d.addr, request(2))
+	if v := verdict.Of(err); v == verdict.MayHaveRun {
+		v = map[fence.Answer]verdict.Verdict{fence.NeverWillRun: verdict.NotRun}[c.Fence(within(t, generous), d.addr, d.rpc, request(2).Attempt)]
+		is.Equal(v, verdict.NotRun)
+	} else {
+		is.Equal(v, verdict.NotRun)
+	}
+	close(release)
+	is.NoErr(<-result)
+	is.NoErr(<-stopped)
+}
+
+func waitClosed(t *testing.T, addr string) {
+	for {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/agent/peer/call/client.go
@@ -0,0 +1,242 @@
+package call
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+const (
+	// maxConnsPerPeer bounds the calls in flight to one daemon, waiting ones included.
+	maxConnsPerPeer = 512
+	// idleTimeout closes connections that were not used for so long.
+	idleTimeout = time.Minute
+	// lostLimit is the number of attempts without a response that can still be fenced.
+	lostLimit = 4096
+)
+
+// Client sends requests to other daemons. It is safe for concurrent use.
+type Client struct {
+	incarnation uint64
+	log         *event.Logger
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[string]*peer
+	rpcs   map[string]*rpcConn
+	reaper *time.Timer
+	lost   lostAttempts
+}
+
+// peer holds the connections to one daemon; Client.mu guards it.
+type peer struct {
+	idle []*clientConn // the most recently used is last
+	open int
+}
+
+// NewClient returns a Client of the daemon with the given incarnation, which is the sender in the
+// attempt IDs.
+func NewClient(incarnation uint64, log *event.Logger) *Client {
+	return &Client{
+		incarnation: incarnation, log: log,
+		peers: map[string]*peer{}, rpcs: map[string]*rpcConn{},
+		lost: newLostAttempts(lostLimit),
+	}
+}
+
+// Do sends r to the daemon at addr ("ip:port") and returns its response, which may be a refusal with
+// verdict not run. ctx bounds the call. An error is a *verdict.Error: not run if the daemon cannot
+// have received the whole request, otherwise may have run, which Fence may settle.
+func (c *Client) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, err)
+	}
+	if len(r.Body) > MaxRequestBodyBytes {
+		return nil, verdict.Wrap(verdict.NotRun, ErrRequestTooLarge)
+	}
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, errors.Wrapf(err, "call daemon %s", addr))
+	}
+	resp, err := conn.roundTrip(ctx, r)
+	if err == nil {
+		c.release(addr, conn)
+		return resp, nil
+	}
+	c.discard(addr, conn)
+	if verdict.Of(err) == verdict.MayHaveRun {
+		c.noteLost(r.Attempt, addr, conn.incarnation)
+	}
+	return nil, err
+}
+
+// Prepare opens connections to the daemon at addr until n are idle, so that its first calls do not
+// wait for new connections.
+func (c *Client) Prepare(ctx context.Context, addr string, n int) error {
+	for range n {
+		c.mu.Lock()
+		p := c.peers[addr]
+		enough := p != nil && len(p.idle) >= n
+		c.mu.Unlock()
+		if enough {
+			return nil
+		}
+		conn, err := c.open(ctx, addr)
+		if err != nil {
+			return errors.Wrapf(err, "connect to daemon %s", addr)
+		}
+		c.release(addr, conn)
+	}
+	return nil
+}
+
+// conn returns an idle connection to addr that is still open, or a new one.
+func (c *Client) conn(ctx context.Context, addr string) (*clientConn, error) {
+	deadline, _ := ctx.Deadline()
+	for {
+		conn := c.takeIdle(addr)
+		if conn == nil {
+			return c.open(ctx, addr)
+		}
+		if conn.ready(deadline) {
+			return conn, nil
+		}
+		c.discard(addr, conn)
+	}
+}
+
+func (c *Client) takeIdle(addr string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[addr]
+	if p == nil || len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	conn := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return conn
+}
+
+func (c *Client) open(ctx context.Context, addr string) (*clientConn, error) {
+	if err := c.reserve(addr); err != nil {
+		return nil, err
+	}
+	conn, err := dial(ctx, addr)
+	if err != nil {
+		c.discard(addr, nil)
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (c *Client) reserve(addr string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return ErrClosed
+	}
+	p := c.peers[addr]
+	if p == nil {
+		p = &peer{}
+		c.peers[addr] = p
+	}
+	if p.open >= maxConnsPerPeer {
+		return ErrPeerConnections
+	}
+	p.open++
+	return nil
+}
+
+func (c *Client) release(addr string, conn *clientConn) {
+	if !conn.reusable {
+		c.discard(addr, conn)
+		return
+	}
+	conn.idleSince = time.Now()
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		c.discard(addr, conn)
+		return
+	}
+	p := c.peers[addr]
+	p.idle = append(p.idle, conn)
+	c.armReaper()
+	c.mu.Unlock()
+}
+
+// discard closes conn, which may be nil, and gives its place in the limit back.
+func (c *Client) discard(addr string, conn *clientConn) {
+	if conn != nil {
+		_ = conn.codec.conn.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[addr]
+	if p.open--; p.open == 0 {
+		delete(c.peers, addr)
+	}
+}
+
+// armReaper schedules reap; the caller holds c.mu.
+func (c *Client) armReaper() {
+	if c.reaper == nil && !c.closed {
+		c.reaper = time.AfterFunc(idleTimeout/2, c.reap)
+	}
+}
+
+// reap closes the connections that were idle for too long.
+func (c *Client) reap() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reaper = nil
+	oldest := time.Now().Add(-idleTimeout)
+	for addr, p := range c.peers {
+		n := 0
+		for n < len(p.idle) && p.idle[n].idleSince.Before(oldest) {
+			_ = p.idle[n].codec.conn.Close()
+			n++
+		}
+		p.idle = slices.Delete(p.idle, 0, n)
+		if p.open -= n; p.open == 0 {
+			delete(c.peers, addr)
+		}
+	}
+	c.reapRPC(oldest)
+	if len(c.peers)+len(c.rpcs) > 0 {
+		c.armReaper()
+	}
+}
+
+// Close closes all idle connections. Calls in flight finish, further calls fail as not run.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.reaper != nil {
+		c.reaper.Stop()
+	}
+	for _, p := range c.peers {
+		for _, conn := range p.idle {
+			_ = conn.codec.conn.Close()
+		}
+		p.open -= len(p.idle)
+		p.idle = nil
+	}
+	c.reapRPC(time.Now())
+}
+
+func (c *Client) noteLost(id fence.AttemptID, addr string, incarnation uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost.add(id, lostAttempt{addr: addr, incarnation: incarnation})
+}
--- /dev/null
+++ b/agent/peer/call/clientconn.go
@@ -0,0 +1,137 @@
+package call
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// aLongTimeAgo is a deadline that ends pending reads and writes at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// clientConn is a connection to another daemon. One call at a time uses it.
+type clientConn struct {
+	codec codec
+	check *IdleCheck
+	// abort ends the call on the connection; it is created once to save an allocation per call.
+	abort func()
+	// incarnation is that of the receiving daemon.
+	incarnation uint64
+	idleSince   time.Time
+	// reusable is false once the receiver has sent a go-away frame or the call was cancelled.
+	reusable bool
+}
+
+// dial connects to addr and reads the greeting.
+func dial(ctx context.Context, addr string) (*clientConn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := greet(ctx, conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "no greeting")
+	}
+	return c, nil
+}
+
+func greet(ctx context.Context, conn net.Conn) (*clientConn, error) {
+	c := &clientConn{codec: newCodec(conn), check: NewIdleCheck(conn), reusable: true}
+	c.abort = func() { _ = conn.SetDeadline(aLongTimeAgo) }
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, c.abort)
+	var b [greetingBytes]byte
+	_, err := io.ReadFull(c.codec.in, b[:])
+	if !stop() {
+		return nil, ctx.Err()
+	}
+	if err != nil {
+		return nil, contextError(ctx, err)
+	}
+	if string(b[:len(greetingMagic)]) != greetingMagic {
+		return nil, errors.Wrap(ErrProtocol, "unknown greeting")
+	}
+	c.incarnation = binary.BigEndian.Uint64(b[len(greetingMagic):])
+	return c, nil
+}
+
+// ready sets the deadline of the next call and reports whether the connection can be used.
+func (c *clientConn) ready(deadline time.Time) bool {
+	return c.codec.conn.SetDeadline(deadline) == nil && c.codec.in.Buffered() == 0 && c.check.OK()
+}
+
+// roundTrip writes r and reads its response in the calling goroutine. The deadline of ctx is already
+// set on the connection.
+func (c *clientConn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, c.abort)
+		defer func() {
+			if !stop() {
+				c.reusable = false // abort may still change the deadline
+			}
+		}()
+	}
+	if complete, err := c.codec.writeRequest(r); err != nil {
+		v := verdict.MayHaveRun
+		if !complete {
+			v = verdict.NotRun
+		}
+		return nil, verdict.Wrap(v, errors.Wrap(contextError(ctx, err), "send request"))
+	}
+	resp, err := c.readResponse()
+	if err == nil && resp.Attempt != r.Attempt {
+		err = ErrMismatch
+	}
+	if err != nil {
+		return nil, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(contextError(ctx, err), "receive response"))
+	}
+	return resp, nil
+}
+
+func (c *clientConn) readResponse() (*Response, error) {
+	p, err := c.codec.nextPrefix(MaxResponseBodyBytes)
+	if err == nil && p.kind == frameGoAway {
+		c.reusable = false
+		p, err = c.codec.nextPrefix(MaxResponseBodyBytes)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if p.kind != frameResponse {
+		return nil, errors.Wrapf(ErrProtocol, "frame type %d instead of a response", p.kind)
+	}
+	header, body, err := c.codec.readFrame(p)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := decodeResponse(header)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = body
+	return resp, nil
+}
+
+// contextError returns the error of ctx if it is the cause of err, so that callers can tell an
+// exceeded deadline from a failed connection.
+func contextError(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil {
+		return cause
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return context.DeadlineExceeded // the timer of the connection fired before that of ctx
+	}
+	return err
+}
--- /dev/null
+++ b/agent/peer/call/frame.go
@@ -0,0 +1,169 @@
+package call
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+
+	"github.com/pkg/errors"
+)
+
+// A connection starts with a greeting from the receiver: greetingMagic and its incarnation. Frames
+// follow: a prefix of type (1 byte), reserved (3 bytes), length of the header and length of the body
+// (4 bytes each, big-endian), then the header in CBOR and the body.
+const (
+	greetingMagic = "kcw1"
+	greetingBytes = 12
+	prefixBytes   = 12
+	// readBufferBytes holds a typical frame (4 kB body), so that one read system call receives it.
+	readBufferBytes = 8 << 10
+	// copyBodyBytes is the size up to which a body is copied behind the header for a single write;
+	// larger bodies are passed to writev uncopied.
+	copyBodyBytes = 16 << 10
+)
+
+type frameType uint8
+
+const (
+	frameRequest  frameType = 1
+	frameResponse frameType = 2
+	// frameGoAway has neither header nor body. The receiver closes the connection soon, so the
+	// sender starts no further call on it.
+	frameGoAway frameType = 3
+)
+
+var goAwayFrame = []byte{byte(frameGoAway), 11: 0}
+
+type prefix struct {
+	kind         frameType
+	header, body int
+}
+
+// parsePrefix checks the lengths against the limits before anything is allocated for them.
+func parsePrefix(b []byte, maxBody int) (prefix, error) {
+	p := prefix{
+		kind:   frameType(b[0]),
+		header: int(binary.BigEndian.Uint32(b[4:])),
+		body:   int(binary.BigEndian.Uint32(b[8:])),
+	}
+	switch {
+	case p.header > MaxHeaderBytes:
+		return p, errors.Wrapf(ErrProtocol, "frame header of %d bytes", p.header)
+	case p.body > maxBody:
+		return p, errors.Wrapf(ErrProtocol, "frame body of %d bytes", p.body)
+	}
+	return p, nil
+}
+
+// codec reads and writes the frames of one connection. Its buffers are reused from call to call.
+type codec struct {
+	conn net.Conn
+	in   *bufio.Reader
+	out  bytes.Buffer
+	flat []string
+	head []byte
+}
+
+func newCodec(conn net.Conn) codec {
+	return codec{conn: conn, in: bufio.NewReaderSize(conn, readBufferBytes)}
+}
+
+// nextPrefix blocks until the prefix of the next frame has arrived.
+func (c *codec) nextPrefix(maxBody int) (prefix, error) {
+	b, err := c.in.Peek(prefixBytes)
+	if err != nil {
+		if len(b) > 0 && err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return prefix{}, err
+	}
+	p, err := parsePrefix(b, maxBody)
+	if err != nil {
+		return p, err
+	}
+	_, err = c.in.Discard(prefixBytes)
+	return p, err
+}
+
+// readFrame reads the rest of a frame. The header is valid until the next call.
+func (c *codec) readFrame(p prefix) (header, body []byte, err error) {
+	if cap(c.head) < p.header {
+		c.head = make([]byte, p.header)
+	}
+	header = c.head[:p.header]
+	if _, err := io.ReadFull(c.in, header); err != nil {
+		return nil, nil, err
+	}
+	if p.body == 0 {
+		return header, nil, nil
+	}
+	body = make([]byte, p.body)
+	_, err = io.ReadFull(c.in, body)
+	return header, body, err
+}
+
+// beginFrame empties the output buffer and reserves the prefix.
+func (c *codec) beginFrame() {
+	c.out.Reset()
+	c.out.Write(make([]byte, prefixBytes))
+}
+
+// writeFrame sends the buffered header with body. complete is false if the peer cannot have received
+// the whole frame.
+func (c *codec) writeFrame(kind frameType, body []byte) (complete bool, err error) {
+	frame := c.out.Bytes()
+	frame[0] = byte(kind)
+	binary.BigEndian.PutUint32(frame[4:], uint32(len(frame)-prefixBytes))
+	binary.BigEndian.PutUint32(frame[8:], uint32(len(body)))
+	total := int64(len(frame) + len(body))
+	var n int64
+	if len(body) <= copyBodyBytes {
+		c.out.Write(body)
+		var written int
+		written, err = c.conn.Write(c.out.Bytes())
+		n = int64(written)
+	} else {
+		buffers := net.Buffers{frame, body}
+		n, err = buffers.WriteTo(c.conn)
+	}
+	return n == total, err
+}
+
+// headerTooLarge reports whether the buffered header exceeds what the peer accepts.
+func (c *codec) headerTooLarge() bool { return c.out.Len()-prefixBytes > MaxHeaderBytes }
+
+// writeRequest sends r. complete is false if the peer cannot have received the whole request.
+func (c *codec) writeRequest(r *Request) (complete bool, err error) {
+	c.beginFrame()
+	c.flat = flatten(c.flat[:0], r.Header)
+	if err := encodeRequest(&c.out, r, c.flat); err != nil {
+		return false, err
+	}
+	if c.headerTooLarge() {
+		return false, ErrRequestTooLarge
+	}
+	return c.writeFrame(frameRequest, r.Body)
+}
+
+// writeResponse sends r; a response over the limits is replaced by one that keeps its verdict.
+func (c *codec) writeResponse(r *Response) error {
+	c.beginFrame()
+	c.flat = flatten(c.flat[:0], r.Header)
+	if err := encodeResponse(&c.out, r, c.flat); err != nil {
+		return err
+	}
+	if c.headerTooLarge() || len(r.Body) > MaxResponseBodyBytes {
+		return c.writeResponse(tooLarge(r))
+	}
+	_, err := c.writeFrame(frameResponse, r.Body)
+	return err
+}
+
+func tooLarge(r *Response) *Response {
+	return &Response{
+		Attempt: r.Attempt, Verdict: r.Verdict, Draining: r.Draining, Load: r.Load,
+		Reason: ErrResponseTooLarge.Error(), Status: 502,
+	}
+}
--- /dev/null
+++ b/agent/peer/call/header.go
@@ -0,0 +1,144 @@
+package call
+
+import (
+	"bytes"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// requestHeader and responseHeader are the CBOR headers of the frames. They are encoded as arrays
+// and carry the HTTP header as a flat list of names and values, because maps would make the codec
+// allocate for each entry.
+type requestHeader struct {
+	_             struct{} `cbor:",toarray"`
+	Sender, Seq   uint64
+	Service, Kind string
+	Version       uint64
+	TimeoutMicros int64
+	Depth         int
+	Method        string
+	Target        string
+	Host          string
+	Header        []string
+}
+
+type responseHeader struct {
+	_                struct{} `cbor:",toarray"`
+	Sender, Seq      uint64
+	Verdict          uint8
+	Draining         bool
+	Reason           string
+	RetryAfterMicros int64
+	Load             float64
+	Status           int
+	Header           []string
+}
+
+var encMode, decMode = newModes()
+
+func newModes() (cbor.UserBufferEncMode, cbor.DecMode) {
+	enc, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	dec, err := cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: 4096, MaxMapPairs: 16}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return enc, dec
+}
+
+func encodeRequest(buf *bytes.Buffer, r *Request, flat []string) error {
+	return encMode.MarshalToBuffer(&requestHeader{
+		Sender: r.Attempt.Sender, Seq: r.Attempt.Seq,
+		Service: r.Service, Kind: r.Kind, Version: r.Version,
+		TimeoutMicros: r.Timeout.Microseconds(), Depth: r.Depth,
+		Method: r.Method, Target: r.Target, Host: r.Host, Header: flat,
+	}, buf)
+}
+
+func decodeRequest(data []byte) (*Request, error) {
+	var h requestHeader
+	if err := decMode.Unmarshal(data, &h); err != nil {
+		return nil, errors.Wrap(ErrProtocol, err.Error())
+	}
+	timeout := time.Duration(h.TimeoutMicros) * time.Microsecond
+	if h.TimeoutMicros < 0 || timeout < 0 || h.Depth < 0 {
+		return nil, errors.Wrap(ErrProtocol, "negative timeout or depth")
+	}
+	header, err := unflatten(h.Header)
+	if err != nil {
+		return nil, err
+	}
+	return &Request{
+		Attempt: fence.AttemptID{Sender: h.Sender, Seq: h.Seq},
+		Service: h.Service, Kind: h.Kind, Version: h.Version,
+		Timeout: timeout, Depth: h.Depth,
+		Method: h.Method, Target: h.Target, Host: h.Host, Header: header,
+	}, nil
+}
+
+func encodeResponse(buf *bytes.Buffer, r *Response, flat []string) error {
+	return encMode.MarshalToBuffer(&responseHeader{
+		Sender: r.Attempt.Sender, Seq: r.Attempt.Seq,
+		Verdict: uint8(r.Verdict), Draining: r.Draining, Reason: r.Reason,
+		RetryAfterMicros: r.RetryAfter.Microseconds(), Load: r.Load,
+		Status: r.Status, Header: flat,
+	}, buf)
+}
+
+func decodeResponse(data []byte) (*Response, error) {
+	var h responseHeader
+	if err := decMode.Unmarshal(data, &h); err != nil {
+		return nil, errors.Wrap(ErrProtocol, err.Error())
+	}
+	if h.Verdict > uint8(verdict.Ran) || h.RetryAfterMicros < 0 {
+		return nil, errors.Wrap(ErrProtocol, "verdict or retry time out of range")
+	}
+	header, err := unflatten(h.Header)
+	if err != nil {
+		return nil, err
+	}
+	return &Response{
+		Attempt: fence.AttemptID{Sender: h.Sender, Seq: h.Seq},
+		Verdict: verdict.Verdict(h.Verdict), Draining: h.Draining, Reason: h.Reason,
+		RetryAfter: time.Duration(h.RetryAfterMicros) * time.Microsecond, Load: h.Load,
+		Status: h.Status, Header: header,
+	}, nil
+}
+
+// flatten appends the entries of h to list as alternating names and values.
+func flatten(list []string, h http.Header) []string {
+	for name, values := range h {
+		for _, value := range values {
+			list = append(list, name, value)
+		}
+	}
+	return list
+}
+
+// unflatten is the inverse of flatten. The first values of all names share one backing array.
+func unflatten(list []string) (http.Header, error) {
+	if len(list)%2 != 0 {
+		return nil, errors.Wrap(ErrProtocol, "header name without a value")
+	}
+	h := make(http.Header, len(list)/2)
+	values := make([]string, len(list)/2)
+	for i := 0; i < len(list); i += 2 {
+		name := list[i]
+		if existing, ok := h[name]; ok {
+			h[name] = append(existing, list[i+1])
+			continue
+		}
+		values[0] = list[i+1]
+		h[name] = values[:1:1]
+		values = values[1:]
+	}
+	return h, nil
+}
--- /dev/null
+++ b/agent/peer/call/idle.go
@@ -0,0 +1,43 @@
+package call
+
+import (
+	"net"
+	"syscall"
+)
+
+// IdleCheck detects that the peer of an idle connection has closed it or has sent something
+// unexpected. It costs one system call and catches most connections that were closed while idle;
+// a close that is still in transit is not visible.
+type IdleCheck struct {
+	raw   syscall.RawConn
+	probe func(fd uintptr) bool
+	quiet bool
+}
+
+// NewIdleCheck returns a check for conn. For a connection without a file descriptor the check always
+// passes.
+func NewIdleCheck(conn net.Conn) *IdleCheck {
+	c := &IdleCheck{}
+	if sc, ok := conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	c.probe = func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.quiet = err == syscall.EAGAIN || err == syscall.EINTR
+		return true
+	}
+	return c
+}
+
+// OK reports whether the connection is open and has nothing to read. The read deadline of the
+// connection must not have passed, and OK must not be called concurrently.
+func (c *IdleCheck) OK() bool {
+	if c.raw == nil {
+		return true
+	}
+	c.quiet = false
+	return c.raw.Read(c.probe) == nil && c.quiet
+}
--- /dev/null
+++ b/agent/peer/call/server.go
@@ -0,0 +1,199 @@
+package call
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+const (
+	// maxServerConns bounds the goroutines of the server; further connections are closed before the
+	// greeting, which the sender reports as not run.
+	maxServerConns = 4096
+	// acceptBackoff is the pause after a failed accept, such as at the limit of open files.
+	acceptBackoff = 10 * time.Millisecond
+)
+
+// Server receives calls from other daemons.
+type Server struct {
+	handler     Handler
+	incarnation uint64
+	log         *event.Logger
+	table       *fence.Table
+	base        context.Context
+	cancel      context.CancelFunc
+
+	mu        sync.Mutex
+	draining  bool
+	listeners map[net.Listener]struct{}
+	conns     map[*serverConn]struct{}
+	running   sync.WaitGroup
+}
+
+// NewServer returns a Server for the daemon with the given incarnation.
+func NewServer(h Handler, incarnation uint64, log *event.Logger) *Server {
+	base, cancel := context.WithCancel(context.Background())
+	return &Server{
+		handler: h, incarnation: incarnation, log: log,
+		table: fence.NewTable(fence.DefaultLimit), base: base, cancel: cancel,
+		listeners: map[net.Listener]struct{}{}, conns: map[*serverConn]struct{}{},
+	}
+}
+
+// Table returns the attempts that the server has received.
+func (s *Server) Table() *fence.Table { return s.table }
+
+// Serve accepts connections until the listener fails or Shutdown is called, which makes it return
+// ErrClosed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners[l] = struct{}{}
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		_ = l.Close()
+		return ErrClosed
+	}
+	for {
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+			s.admit(conn)
+		case s.isDraining():
+			return ErrClosed
+		case errors.Is(err, net.ErrClosed):
+			return err
+		default:
+			time.Sleep(acceptBackoff)
+		}
+	}
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Server) admit(conn net.Conn) {
+	c := newServerConn(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || len(s.conns) >= maxServerConns {
+		_ = conn.Close()
+		if !s.draining {
+			s.log.Log(event.CallConnLimit, zap.Stringer("peer", conn.RemoteAddr()))
+		}
+		return
+	}
+	s.conns[c] = struct{}{}
+	s.running.Add(1)
+	go s.serveConn(c)
+}
+
+func (s *Server) serveConn(c *serverConn) {
+	defer s.running.Done()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		_ = c.codec.conn.Close()
+	}()
+	if err := c.greet(s.incarnation); err != nil || !c.endCall() {
+		return
+	}
+	for {
+		r, err := c.readRequest()
+		if err != nil {
+			s.logReadError(c, err)
+			return
+		}
+		r.table = s.table
+		if err := c.writeResponse(s.serve(r)); err != nil {
+			s.log.Log(event.CallResponseLost, zap.Stringer("attempt", r.Attempt), zap.Error(err))
+			return
+		}
+		if !c.endCall() {
+			return
+		}
+	}
+}
+
+func (s *Server) logReadError(c *serverConn, err error) {
+	if errors.Is(err, ErrProtocol) || errors.Is(err, io.ErrUnexpectedEOF) {
+		s.log.Log(event.CallConnRejected, zap.Stringer("peer", c.codec.conn.RemoteAddr()), zap.Error(err))
+	}
+}
+
+// serve runs one attempt through the handler.
+func (s *Server) serve(r *Request) *Response {
+	ctx, cancel := context.WithTimeout(s.base, r.Timeout)
+	defer cancel()
+	if !s.table.Arrive(r.Attempt, cancel) {
+		return s.refuse(r.Attempt)
+	}
+	defer s.table.Finish(r.Attempt)
+	resp := s.handler.ServeCall(ctx, r)
+	if resp == nil {
+		resp = ErrorResponse(r.Attempt, errors.New("handler gave no response"))
+	}
+	resp.Attempt = r.Attempt
+	return resp
+}
+
+// refuse answers an attempt that must not run. The first delivery of a duplicate may have run, so
+// that only a settled attempt is reported as not run.
+func (s *Server) refuse(id fence.AttemptID) *Response {
+	answer := s.table.Lookup(id)
+	s.log.Log(event.CallAttemptRefused, zap.Stringer("attempt", id), zap.Stringer("answer", answer))
+	v := verdict.MayHaveRun
+	if answer == fence.NeverWillRun {
+		v = verdict.NotRun
+	}
+	return ErrorResponse(id, verdict.Wrap(v, errors.New("attempt is fenced or a duplicate")))
+}
+
+// Shutdown stops accepting connections, tells the senders to use no connection again and waits until
+// the calls in flight have been answered. If ctx ends first, it closes their connections and returns
+// the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	open := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		c.drain()
+	}
+	done := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(done)
+	}()
+	defer s.cancel()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		s.cancel()
+		for _, c := range open {
+			_ = c.codec.conn.Close()
+		}
+		<-done
+		return ctx.Err()
+	}
+}
