Add admission control, selection and retry budget

admission: ranked queue with protected work before excess, token bucket per kind, observed slot limit, refusals that are always not run. selection: read-copy-update table, power of two choices, spill by load, slow start, ejection with a floor of half the set, rendezvous subsets. retry: budget by share of requests with a minimum rate, hop timeout.

First usable versions; the behaviour under floods is not measured yet.

--- /dev/null
+++ b/pkg/admission/acquire.go
@@ -0,0 +1,194 @@
+package admission
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// Outcome is what the daemon saw of a request that had a slot.
+type Outcome struct {
+	// ServiceTime is the time in the slot; zero gives no sample, for example after an early failure.
+	ServiceTime time.Duration
+	// Shed means that the backend server refused the request because it was overloaded.
+	Shed bool
+}
+
+// Ticket is a slot held by a running request.
+type Ticket struct {
+	ctl   *Controller
+	kind  *kindState
+	class int
+	work  time.Duration
+	done  atomic.Bool
+}
+
+// Protected reports whether the request was within the declared rate of its kind.
+func (t *Ticket) Protected() bool { return !isExcess(t.class) }
+
+// Done returns the slot. Only the first call has an effect.
+func (t *Ticket) Done(o Outcome) {
+	if t.done.Swap(true) {
+		return
+	}
+	c := t.ctl
+	c.mu.Lock()
+	now := c.now()
+	c.running--
+	c.runWork -= t.work
+	if isExcess(t.class) {
+		c.excess--
+	}
+	c.observe(t.kind, o)
+	c.limiter.adjust(now)
+	out := c.dispatch(now, nil)
+	c.mu.Unlock()
+	out.deliver()
+}
+
+func (c *Controller) observe(kind *kindState, o Outcome) {
+	if o.Shed {
+		c.limiter.shed = true
+		return
+	}
+	if o.ServiceTime > 0 {
+		kind.observe(o.ServiceTime)
+		c.limiter.observe(kind.ServiceTime, o.ServiceTime)
+	}
+}
+
+// Acquire waits for a slot for a request of kind that must be finished by deadline. The caller calls
+// Done on the ticket when the request has left the backend server. The error is a *Refusal; the
+// request has then not run. ctx should end no later than deadline; if it ends while the request is
+// waiting, the request leaves the queue.
+func (c *Controller) Acquire(ctx context.Context, kind string, deadline time.Time) (*Ticket, error) {
+	if ctx.Err() != nil {
+		return nil, &Refusal{Reason: ReasonCancelled}
+	}
+	w := &Waiter{ctl: c, deadline: deadline}
+	ticket, refusal, out := c.offer(w, kind)
+	out.deliver()
+	switch {
+	case ticket != nil:
+		return ticket, nil
+	case refusal != nil:
+		return nil, refusal
+	}
+	return c.await(ctx, w)
+}
+
+func (c *Controller) await(ctx context.Context, w *Waiter) (*Ticket, error) {
+	select {
+	case r := <-w.result:
+		return r.unpack()
+	case <-ctx.Done():
+	}
+	if w.Cancel() {
+		return nil, &Refusal{Reason: ReasonCancelled}
+	}
+	// The outcome was decided at the same moment; a granted slot is given back unused.
+	r := <-w.result
+	if r.ticket != nil {
+		r.ticket.Done(Outcome{})
+	}
+	return nil, &Refusal{Reason: ReasonCancelled}
+}
+
+// Offer is Acquire for callers that must not block: notify is called once, before or after Offer
+// returns, with a ticket or a refusal, and without any lock held.
+func (c *Controller) Offer(kind string, deadline time.Time, notify func(*Ticket, *Refusal)) *Waiter {
+	w := &Waiter{ctl: c, deadline: deadline, notify: notify}
+	ticket, refusal, out := c.offer(w, kind)
+	out.deliver()
+	if ticket != nil || refusal != nil {
+		notify(ticket, refusal)
+	}
+	return w
+}
+
+// Cancel takes a waiting request out of the queue and reports whether it was waiting. After true
+// the request is not notified any more and never runs.
+func (w *Waiter) Cancel() bool {
+	w.ctl.mu.Lock()
+	defer w.ctl.mu.Unlock()
+	removed := w.ctl.queue.remove(w)
+	w.ctl.publish()
+	return removed
+}
+
+// offer starts, queues or refuses w. If ticket and refusal are nil, w is waiting.
+func (c *Controller) offer(w *Waiter, kind string) (*Ticket, *Refusal, deliveries) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		return nil, &Refusal{Reason: ReasonDraining}, nil
+	}
+	now := c.now()
+	c.limiter.adjust(now)
+	c.classify(w, kind, now)
+	// Requests that waited for a raised limit or behind expired ones come first.
+	out := c.dispatch(now, nil)
+	if !w.deadline.After(now) {
+		return nil, &Refusal{ReasonDeadline, c.retryAfter()}, out
+	}
+	if c.hasSlot(w.class) {
+		ticket := c.start(w)
+		c.publish()
+		return ticket, nil, out
+	}
+	refusal, out := c.enqueue(w, now, out)
+	c.publish()
+	return nil, refusal, out
+}
+
+// classify takes a token of the kind and sets the class of w.
+func (c *Controller) classify(w *Waiter, kind string, now time.Time) {
+	w.kind = c.kinds[kind]
+	if w.kind == nil {
+		w.kind = c.unknown
+	}
+	w.class = classOf(w.kind.Rank, w.kind.bucket.AllowN(now, 1))
+	w.work = w.kind.observed
+}
+
+// enqueue puts w into the queue, or refuses it if its deadline cannot be met or if the queue is
+// full of requests that come first. Otherwise a full queue evicts its last request.
+func (c *Controller) enqueue(w *Waiter, now time.Time, out deliveries) (*Refusal, deliveries) {
+	w.seq = c.queue.seq + 1
+	if now.Add(c.wait(w) + w.kind.shortest()).After(w.deadline) {
+		return &Refusal{ReasonDeadline, c.retryAfter()}, out
+	}
+	if c.queue.size >= c.queueLimit {
+		last := c.queue.last()
+		if !w.before(last) {
+			return &Refusal{ReasonQueueFull, c.retryAfter()}, out
+		}
+		c.queue.remove(last)
+		out = append(out, delivery{w: last, refusal: &Refusal{ReasonEvicted, c.retryAfter()}})
+	}
+	if w.notify == nil {
+		w.prepareResult()
+	}
+	c.queue.push(w)
+	return nil, out
+}
+
+// result is the outcome that a blocked Acquire receives.
+type result struct {
+	ticket  *Ticket
+	refusal *Refusal
+}
+
+func (r result) unpack() (*Ticket, error) {
+	if r.refusal != nil {
+		return nil, r.refusal
+	}
+	return r.ticket, nil
+}
+
+// prepareResult prepares w for a blocked Acquire. The channel is buffered so that delivery never blocks.
+func (w *Waiter) prepareResult() {
+	ch := make(chan result, 1)
+	w.result = ch
+	w.notify = func(t *Ticket, r *Refusal) { ch <- result{ticket: t, refusal: r} }
+}
--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,148 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// clock is an injected clock that moves only when a test says so.
+type clock struct{ t time.Time }
+
+func newClock() *clock                   { return &clock{t: time.Unix(1_000_000, 0)} }
+func (c *clock) now() time.Time          { return c.t }
+func (c *clock) advance(d time.Duration) { c.t = c.t.Add(d) }
+
+func twoKinds(slots int) Config {
+	return Config{Slots: slots, Kinds: []Kind{
+		{Name: "order", Rank: 1, Rate: 100, ServiceTime: 10 * time.Millisecond},
+		{Name: "list", Rank: 5, Rate: 0, ServiceTime: 10 * time.Millisecond},
+	}}
+}
+
+// offers collects the outcomes of offered requests.
+type offers struct {
+	tickets  []*Ticket
+	refusals []*Refusal
+}
+
+func (o *offers) notify(t *Ticket, r *Refusal) {
+	if t != nil {
+		o.tickets = append(o.tickets, t)
+	} else {
+		o.refusals = append(o.refusals, r)
+	}
+}
+
+// Guards against a reserved slot that excess work can take, and against slots left idle by it.
+func TestExcessLeavesOneSlot(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	c := New(twoKinds(4), clk.now)
+	var excess, protected offers
+	for range 6 {
+		c.Offer("list", clk.now().Add(time.Second), excess.notify)
+	}
+	is.Equal(len(excess.tickets), 3) // excess work runs in all slots but the reserved one
+	c.Offer("order", clk.now().Add(time.Second), protected.notify)
+	is.Equal(len(protected.tickets), 1)
+	small := New(twoKinds(3), clk.now)
+	var all offers
+	for range 4 {
+		small.Offer("list", clk.now().Add(time.Second), all.notify)
+	}
+	is.Equal(len(all.tickets), 3) // no reserve below four slots
+}
+
+// Guards against a request that is refused with a verdict other than not run.
+func TestRefusalIsNotRun(t *testing.T) {
+	is := is.New(t)
+	c := New(twoKinds(1), newClock().now)
+	c.Drain()
+	_, err := c.Acquire(context.Background(), "order", time.Unix(2_000_000, 0))
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.Reason, ReasonDraining)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(verdict.Of(refusal.NotRun()), verdict.NotRun)
+}
+
+// Guards against waiting in vain: the estimated wait must refuse at once and give a hint.
+func TestHopelessDeadlineIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	c := New(twoKinds(1), clk.now)
+	var o offers
+	for range 5 {
+		c.Offer("order", clk.now().Add(time.Second), o.notify)
+	}
+	c.Offer("order", clk.now().Add(20*time.Millisecond), o.notify)
+	is.Equal(len(o.refusals), 0) // comes before the others by its deadline
+	c.Offer("list", clk.now().Add(40*time.Millisecond), o.notify)
+	is.Equal(len(o.refusals), 1)
+	is.Equal(o.refusals[0].Reason, ReasonDeadline)
+	is.True(o.refusals[0].RetryAfter >= minRetryAfter)
+}
+
+// Guards against drained instances that take new work or drop the work that they already have.
+func TestDrainFinishesWaitingWork(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	c := New(twoKinds(1), clk.now)
+	var o offers
+	c.Offer("order", clk.now().Add(time.Second), o.notify)
+	c.Offer("order", clk.now().Add(time.Second), o.notify)
+	c.Drain()
+	c.Offer("order", clk.now().Add(time.Second), o.notify)
+	is.Equal(len(o.refusals), 1)
+	o.tickets[0].Done(Outcome{ServiceTime: 10 * time.Millisecond})
+	is.Equal(len(o.tickets), 2)
+	o.tickets[1].Done(Outcome{})
+	o.tickets[1].Done(Outcome{}) // a second call must not free a second slot
+	is.Equal(c.Load(), 0.0)
+}
+
+// Guards against a cancelled request that keeps its place in the queue or its slot.
+func TestCancelledRequestLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := New(twoKinds(1), time.Now)
+		running, err := c.Acquire(t.Context(), "order", time.Now().Add(time.Minute))
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = c.Acquire(ctx, "order", time.Now().Add(time.Minute))
+		var refusal *Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Reason, ReasonCancelled)
+		is.Equal(c.Load(), 1.0) // only the running request is left
+		running.Done(Outcome{})
+		is.Equal(c.Load(), 0.0)
+	})
+}
+
+// Guards against a limit that ignores slow or shed requests, or never recovers.
+func TestLimitFollowsObservation(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	c := New(twoKinds(8), clk.now)
+	serve := func(o Outcome, d time.Duration) {
+		for end := clk.now().Add(d); clk.now().Before(end); clk.advance(20 * time.Millisecond) {
+			var one offers
+			c.Offer("order", clk.now().Add(time.Second), one.notify)
+			one.tickets[0].Done(o)
+		}
+	}
+	serve(Outcome{ServiceTime: 50 * time.Millisecond}, 5*time.Second)
+	is.Equal(c.Slots(), 4) // slow work lowers it to half
+	serve(Outcome{Shed: true}, 5*time.Second)
+	is.Equal(c.Slots(), 1) // shed work lowers it further
+	serve(Outcome{ServiceTime: 10 * time.Millisecond}, 5*time.Second)
+	is.Equal(c.Slots(), 8)
+}
--- /dev/null
+++ b/pkg/admission/config.go
@@ -0,0 +1,80 @@
+// Package admission decides which requests a daemon passes to its backend server, in which order,
+// and which it refuses. It holds no goroutines; time comes from an injected clock.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// lowestRank is the largest rank number that the queue distinguishes; larger ones are treated
+	// as lowestRank.
+	lowestRank = 9
+	// queuePerSlot is the default length of the queue for each declared slot. Deadlines bound the
+	// queue before this limit does, unless the deadlines are long.
+	queuePerSlot = 32
+	// burstSeconds is the burst headroom of a kind, as seconds of its declared rate.
+	burstSeconds = 0.5
+	// minBurst is the smallest burst in requests. Random arrivals at a low declared rate exceed a
+	// bucket of one or two requests too often.
+	minBurst = 5
+)
+
+// Kind is what admission control needs to know about one kind of request.
+type Kind struct {
+	Name string
+	// Rank is the urgency, 1 is the most urgent.
+	Rank int
+	// Rate is the share of this instance in the declared rate, in requests per second.
+	Rate float64
+	// ServiceTime is the declared time in a slot; zero means unknown.
+	ServiceTime time.Duration
+}
+
+// Config is the configuration of a Controller.
+type Config struct {
+	// Slots is the number of requests that the backend server declares to run at once, at least 1.
+	Slots int
+	// QueueLimit is the number of waiting requests; zero means a default that depends on Slots.
+	QueueLimit int
+	Kinds      []Kind
+}
+
+// ForService returns the configuration of one instance of svc. The declared rates are divided by
+// ready, the number of ready backend servers of the service. slots is the number that the backend
+// server announced; if it is zero, the number in svc is used.
+func ForService(svc *snapshot.Service, slots, ready int) Config {
+	if slots <= 0 {
+		slots = svc.Slots
+	}
+	cfg := Config{Slots: slots, Kinds: make([]Kind, len(svc.Kinds))}
+	for i := range svc.Kinds {
+		k := &svc.Kinds[i]
+		cfg.Kinds[i] = Kind{
+			Name:        k.Name,
+			Rank:        k.Rank,
+			Rate:        k.ExpectedRate / float64(max(ready, 1)),
+			ServiceTime: k.ServiceTime,
+		}
+	}
+	return cfg
+}
+
+func (c Config) slots() int { return max(c.Slots, 1) }
+
+func (c Config) queueLimit() int {
+	if c.QueueLimit > 0 {
+		return c.QueueLimit
+	}
+	return c.slots() * queuePerSlot
+}
+
+func (k Kind) burst() int {
+	if k.Rate <= 0 {
+		return 0
+	}
+	return max(minBurst, int(math.Ceil(k.Rate*burstSeconds)))
+}
--- /dev/null
+++ b/pkg/admission/controller.go
@@ -0,0 +1,202 @@
+package admission
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// reserveFrom is the number of slots from which one is reserved from excess work.
+	reserveFrom = 4
+	// smoothing is the weight of a new sample in the observed service time of a kind.
+	smoothing = 0.1
+	// minRetryAfter and maxRetryAfter bound the retry hint of a refusal.
+	minRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// kindState is the state of one kind. Its fields are guarded by the lock of the Controller.
+type kindState struct {
+	Kind
+	bucket   *rate.Limiter
+	observed time.Duration // smoothed service time, starts at the declared one
+}
+
+func newKindState(k Kind) *kindState {
+	return &kindState{Kind: k, bucket: rate.NewLimiter(rate.Limit(k.Rate), k.burst()), observed: k.ServiceTime}
+}
+
+// reconfigured returns the state of a kind after a change of configuration. The tokens and the
+// observed time stay. Waiting requests keep the old state, which is not changed.
+func (s *kindState) reconfigured(k Kind, now time.Time) *kindState {
+	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
+	next.bucket.SetLimitAt(now, rate.Limit(k.Rate))
+	next.bucket.SetBurstAt(now, k.burst())
+	if k.ServiceTime != s.ServiceTime {
+		next.observed = k.ServiceTime
+	}
+	return next
+}
+
+// Controller admits requests to one backend server. Its methods may be called concurrently.
+type Controller struct {
+	now  func() time.Time
+	load atomic.Uint64 // bits of a float64
+
+	mu         sync.Mutex
+	kinds      map[string]*kindState
+	unknown    *kindState // for kinds of a configuration that is newer than ours
+	limiter    limiter
+	queue      queue
+	queueLimit int
+	running    int
+	excess     int           // running requests that are excess
+	runWork    time.Duration // expected service times of running requests
+	draining   bool
+}
+
+// New returns a Controller that reads the time from now.
+func New(cfg Config, now func() time.Time) *Controller {
+	c := &Controller{
+		now:     now,
+		kinds:   map[string]*kindState{},
+		unknown: newKindState(Kind{Rank: lowestRank}),
+		limiter: newLimiter(cfg.slots(), now()),
+	}
+	c.Configure(cfg)
+	return c
+}
+
+// Configure replaces the configuration. Waiting and running requests, tokens and what was observed
+// are kept. A request of a kind that is not configured is excess of the lowest rank.
+func (c *Controller) Configure(cfg Config) {
+	c.mu.Lock()
+	now := c.now()
+	kinds := make(map[string]*kindState, len(cfg.Kinds))
+	for _, k := range cfg.Kinds {
+		if old := c.kinds[k.Name]; old != nil {
+			kinds[k.Name] = old.reconfigured(k, now)
+		} else {
+			kinds[k.Name] = newKindState(k)
+		}
+	}
+	c.kinds = kinds
+	c.queueLimit = cfg.queueLimit()
+	c.limiter.declare(cfg.slots())
+	out := c.dispatch(now, nil)
+	c.mu.Unlock()
+	out.deliver()
+}
+
+// Load returns the load for responses: 0 is idle, 1 is all slots busy, above 1 requests wait.
+func (c *Controller) Load() float64 { return math.Float64frombits(c.load.Load()) }
+
+// Slots returns the number of slots in use at present, which is at most the declared number.
+func (c *Controller) Slots() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limiter.limit
+}
+
+// Drain refuses all new work from now on. Waiting and running requests finish.
+func (c *Controller) Drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
+
+// hasSlot reports whether a request of the class may start now.
+func (c *Controller) hasSlot(class int) bool {
+	if c.running >= c.limiter.limit {
+		return false
+	}
+	return !isExcess(class) || c.excess < c.excessLimit()
+}
+
+func (c *Controller) excessLimit() int {
+	if c.limiter.declared >= reserveFrom {
+		return max(c.limiter.limit-1, 1)
+	}
+	return c.limiter.limit
+}
+
+// start takes a slot for w.
+func (c *Controller) start(w *Waiter) *Ticket {
+	c.running++
+	c.runWork += w.work
+	if isExcess(w.class) {
+		c.excess++
+	}
+	return &Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
+}
+
+// dispatch starts waiting requests while slots are free and refuses the ones that are too late.
+// The caller delivers the result after it has released the lock.
+func (c *Controller) dispatch(now time.Time, out deliveries) deliveries {
+	for w := c.queue.popExpired(now); w != nil; w = c.queue.popExpired(now) {
+		out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
+	}
+	for c.running < c.limiter.limit {
+		w := c.queue.first(c.excess < c.excessLimit())
+		if w == nil {
+			break
+		}
+		c.queue.remove(w)
+		if now.Add(w.kind.shortest()).After(w.deadline) {
+			out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
+			continue
+		}
+		out = append(out, delivery{w: w, ticket: c.start(w)})
+	}
+	c.publish()
+	return out
+}
+
+// publish stores the load for readers without the lock.
+func (c *Controller) publish() {
+	load := float64(c.running+c.queue.size) / float64(c.limiter.limit)
+	c.load.Store(math.Float64bits(load))
+}
+
+// wait estimates the time until w gets a slot. Running requests are half done on average.
+func (c *Controller) wait(w *Waiter) time.Duration {
+	return (c.queue.workBefore(w) + c.runWork/2) / time.Duration(c.limiter.limit)
+}
+
+func (c *Controller) retryAfter() time.Duration {
+	d := (c.queue.totalWork() + c.runWork/2) / time.Duration(c.limiter.limit)
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// shortest is the service time that a deadline must leave. The smaller of declared and observed is
+// used: a phase of slow responses must not lead to the refusal of all requests, because then
+// nothing would be observed that ends it.
+func (s *kindState) shortest() time.Duration { return min(s.ServiceTime, s.observed) }
+
+// observe adds a sample to the smoothed service time.
+func (s *kindState) observe(d time.Duration) {
+	if s.observed == 0 {
+		s.observed = d
+		return
+	}
+	s.observed += time.Duration(smoothing * float64(d-s.observed))
+}
+
+// delivery is the outcome of a request that was waiting.
+type delivery struct {
+	w       *Waiter
+	ticket  *Ticket
+	refusal *Refusal
+}
+
+type deliveries []delivery
+
+func (d deliveries) deliver() {
+	for _, x := range d {
+		x.w.notify(x.ticket, x.refusal)
+	}
+}
--- /dev/null
+++ b/pkg/admission/limit.go
@@ -0,0 +1,66 @@
+package admission
+
+import "time"
+
+const (
+	// adjustInterval is the time between two changes of the limit. It is long enough for a change
+	// to show in the service times of short requests.
+	adjustInterval = 250 * time.Millisecond
+	// minSamples is the number of finished requests that an interval needs for a judgement.
+	minSamples = 5
+	// slowRatio is the mean of observed over declared service time from which the limit is lowered.
+	slowRatio = 2.0
+	// recoveredRatio is the mean below which the limit is raised again. It is lower than slowRatio so
+	// that the limit does not alternate.
+	recoveredRatio = 1.5
+)
+
+// limiter derives the number of usable slots from the declared number and from what is observed.
+// Shed requests prove that the backend server accepts fewer, so they lower the limit down to 1.
+// Slow requests may have other causes than concurrency, for which a lower limit only costs
+// throughput, so they lower it to half of the declared slots at most.
+type limiter struct {
+	declared int
+	limit    int
+	start    time.Time
+	samples  int
+	ratios   float64
+	shed     bool
+}
+
+func newLimiter(declared int, now time.Time) limiter {
+	return limiter{declared: declared, limit: declared, start: now}
+}
+
+// declare changes the declared slots. The part taken away by observation is kept.
+func (l *limiter) declare(slots int) {
+	l.limit = min(max(l.limit+slots-l.declared, 1), slots)
+	l.declared = slots
+}
+
+func (l *limiter) observe(declared, observed time.Duration) {
+	if declared <= 0 || observed <= 0 {
+		return
+	}
+	l.samples++
+	l.ratios += float64(observed) / float64(declared)
+}
+
+// adjust changes the limit by one step if the interval is over.
+func (l *limiter) adjust(now time.Time) {
+	if now.Sub(l.start) < adjustInterval {
+		return
+	}
+	switch {
+	case l.shed:
+		l.limit = max(1, min(l.limit-1, l.limit*3/4))
+	case l.samples >= minSamples && l.mean() > slowRatio:
+		l.limit = min(l.limit, max(l.slowFloor(), l.limit-1))
+	case l.samples < minSamples || l.mean() < recoveredRatio:
+		l.limit = min(l.declared, l.limit+1)
+	}
+	l.start, l.samples, l.ratios, l.shed = now, 0, 0, false
+}
+
+func (l *limiter) mean() float64  { return l.ratios / float64(max(l.samples, 1)) }
+func (l *limiter) slowFloor() int { return (l.declared + 1) / 2 }
--- /dev/null
+++ b/pkg/admission/refusal.go
@@ -0,0 +1,71 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// Reason says why a request was refused.
+type Reason uint8
+
+// The reasons. None of the requests refused for one of them has run or will run.
+const (
+	// ReasonQueueFull means that the queue holds only requests that come first in order.
+	ReasonQueueFull Reason = iota + 1
+	// ReasonEvicted means that the request was waiting and gave way to one that comes first.
+	ReasonEvicted
+	// ReasonDeadline means that the deadline passed, or could not be met after the estimated wait.
+	ReasonDeadline
+	// ReasonDraining means that the instance accepts no new work.
+	ReasonDraining
+	// ReasonCancelled means that the context ended while the request was waiting.
+	ReasonCancelled
+)
+
+var reasonNames = [...]string{
+	ReasonQueueFull: "queue full",
+	ReasonEvicted:   "evicted by more urgent work",
+	ReasonDeadline:  "deadline cannot be met",
+	ReasonDraining:  "draining",
+	ReasonCancelled: "cancelled while waiting",
+}
+
+// String returns the text of r.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) && reasonNames[r] != "" {
+		return reasonNames[r]
+	}
+	return fmt.Sprintf("reason(%d)", uint8(r))
+}
+
+// Refusal is the error of a request that was not admitted. verdict.Of gives verdict.NotRun for it.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is the time after which a new attempt at this instance may succeed. It is zero if
+	// the request should be sent to another instance at once.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.RetryAfter <= 0 {
+		return "request refused: " + r.Reason.String()
+	}
+	return fmt.Sprintf("request refused: %s, retry after %s", r.Reason, r.RetryAfter)
+}
+
+// NotRun returns the refusal as an error of the request path.
+func (r *Refusal) NotRun() *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Err: r}
+}
+
+// As lets errors.As find the verdict of a refusal that was not converted with NotRun.
+func (r *Refusal) As(target any) bool {
+	if e, ok := target.(**verdict.Error); ok {
+		*e = r.NotRun()
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,56 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries that exceed the larger of the share and the minimum rate plus the saved
+// balance, which would multiply the load during an outage.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		b := NewBudget(0.1, 3, func() time.Time { return now })
+		perSecond := rapid.IntRange(1, 500).Draw(t, "requests per second")
+		seconds := rapid.IntRange(1, 20).Draw(t, "seconds")
+		retries := 0
+		for range seconds * perSecond {
+			now = now.Add(time.Second / time.Duration(perSecond))
+			b.Deposit()
+			for range 2 {
+				if b.Withdraw() {
+					retries++
+				}
+			}
+		}
+		rate := max(0.1*float64(perSecond), 3)
+		if limit := rate*float64(seconds) + 3 + 1; float64(retries) > limit {
+			t.Fatalf("%d retries, at most %.1f allowed", retries, limit)
+		}
+	})
+}
+
+// Guards against a service with few requests that may never retry.
+func TestBudgetMinimum(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBudget(0.1, 3, func() time.Time { return now })
+	for range 3 {
+		is.True(b.Withdraw())
+	}
+	is.True(!b.Withdraw())
+	now = now.Add(400 * time.Millisecond)
+	is.True(b.Withdraw())
+}
+
+// Guards against a hop that leaves no time for its own failure response.
+func TestHopTimeout(t *testing.T) {
+	is := is.New(t)
+	is.Equal(HopTimeout(time.Second), 980*time.Millisecond)
+	is.Equal(HopTimeout(10*time.Millisecond), 8*time.Millisecond)
+	is.Equal(HopTimeout(time.Millisecond), time.Duration(0))
+	is.Equal(HopTimeout(-time.Second), time.Duration(0))
+}
--- /dev/null
+++ b/pkg/selection/config.go
@@ -0,0 +1,95 @@
+// Package selection picks the backend server for a request. Readers of the request path load one
+// atomic pointer to an immutable table; the counters of each endpoint are atomics. It holds no
+// goroutines; time and randomness are injected.
+package selection
+
+import (
+	"fmt"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+const (
+	// defaultSubset bounds the connections of a daemon at the target of 16,000 servers.
+	defaultSubset = 20
+	// defaultSpillLoad is the estimated load of the chosen local endpoint from which endpoints of
+	// other failure domains take part. Below it a slot is free, and the local one is nearer.
+	defaultSpillLoad = 0.8
+	// slowStart is the time over which the share of a server that became ready increases.
+	slowStart = 10 * time.Second
+	// minShare is the share at the start of slow start; without any, nothing would warm it up.
+	minShare = 0.1
+	// ejectAfter is the number of consecutive failures that eject an endpoint.
+	ejectAfter = 5
+	// ejectBase is the time of the first ejection; it doubles with each further one up to ejectMax.
+	ejectBase = time.Second
+	ejectMax  = time.Minute
+	// loadHalfLife is the time in which the weight of a returned load halves.
+	loadHalfLife = 500 * time.Millisecond
+	// maxReportedLoad bounds the effect of a returned load, so that a wrong report of an endpoint
+	// cannot shut it out.
+	maxReportedLoad = 4.0
+	// drainingFor is the time for which a draining flag on a response counts. The record that
+	// confirms it takes at most a few seconds to arrive.
+	drainingFor = 10 * time.Second
+)
+
+// Config is the configuration of a Selector.
+type Config struct {
+	// Instance is this daemon; subsets depend on it.
+	Instance endpoint.InstanceID
+	// Domain is the failure domain of this daemon.
+	Domain string
+	// Subset is the largest number of endpoints for each service and domain; zero means 20.
+	Subset int
+	// SpillLoad is the load from which other domains take part; zero means 0.8.
+	SpillLoad float64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Subset <= 0 {
+		c.Subset = defaultSubset
+	}
+	if c.SpillLoad <= 0 {
+		c.SpillLoad = defaultSpillLoad
+	}
+	return c
+}
+
+// NoEndpoint is the error of Pick. The request has not run; verdict.Of gives verdict.NotRun for it.
+type NoEndpoint struct {
+	Service string
+	// Known is the number of ready endpoints of the service, Tried how many of them the request
+	// has already been sent to.
+	Known, Tried int
+}
+
+// Error implements error.
+func (e *NoEndpoint) Error() string {
+	return fmt.Sprintf("no endpoint for service %s: %d ready, %d already tried", e.Service, e.Known, e.Tried)
+}
+
+// As lets errors.As find the verdict of the error.
+func (e *NoEndpoint) As(target any) bool {
+	if v, ok := target.(**verdict.Error); ok {
+		*v = &verdict.Error{Verdict: verdict.NotRun, Err: e}
+		return true
+	}
+	return false
+}
+
+// Result is the outcome of an attempt.
+type Result struct {
+	Verdict verdict.Verdict
+	// Failed means that the endpoint did not answer properly: refused or broken connection, failed
+	// response, timeout. A refusal by admission control is not a failure.
+	Failed bool
+	// Draining is the flag of a refusal by an instance that accepts no new work.
+	Draining bool
+	// Load is the load returned with the response; negative means that none was returned.
+	Load float64
+	// Latency is the time of the attempt; zero means unknown.
+	Latency time.Duration
+}
--- /dev/null
+++ b/pkg/selection/stats.go
@@ -0,0 +1,117 @@
+package selection
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// refusedLoad is the load that a refusal proves, whatever the endpoint reports.
+const refusedLoad = 1.5
+
+// stats holds what this daemon has seen of an endpoint. It survives an Update of the table. Times
+// are Unix nanoseconds.
+type stats struct {
+	inflight atomic.Int64
+	load     atomic.Uint64 // bits of the float64 returned last
+	loadAt   atomic.Int64
+
+	failures      atomic.Int32 // consecutive
+	ejections     atomic.Int32 // consecutive, gives the exponent of the time
+	ejectedUntil  atomic.Int64
+	drainingUntil atomic.Int64
+}
+
+// member is an endpoint of a set. It is immutable except for its stats.
+type member struct {
+	record endpoint.Record
+	slots  float64
+	readyN int64 // Unix nanoseconds
+	stats  *stats
+}
+
+func newMember(r endpoint.Record, s *stats) *member {
+	return &member{
+		record: r,
+		slots:  float64(max(r.Slots, 1)),
+		readyN: r.ReadySinceMS * int64(time.Millisecond),
+		stats:  s,
+	}
+}
+
+func (m *member) draining(now int64) bool { return now < m.stats.drainingUntil.Load() }
+func (m *member) ejected(now int64) bool  { return now < m.stats.ejectedUntil.Load() }
+
+// cost estimates the load of the endpoint after one more request: the requests of this daemon, and
+// the load returned last, weighted down with its age.
+func (m *member) cost(now int64) float64 {
+	own := float64(m.stats.inflight.Load()+1) / m.slots
+	return own + m.reported(now)
+}
+
+func (m *member) reported(now int64) float64 {
+	load := math.Float64frombits(m.stats.load.Load())
+	if load == 0 {
+		return 0
+	}
+	age := float64(max(now-m.stats.loadAt.Load(), 0)) / float64(loadHalfLife)
+	return load * math.Exp2(-age)
+}
+
+// share is the part of its normal share that the endpoint receives during slow start.
+func (m *member) share(now int64) float64 {
+	age := float64(now-m.readyN) / float64(slowStart)
+	return min(max(age, minShare), 1)
+}
+
+func (s *stats) setLoad(load float64, now int64) {
+	s.load.Store(math.Float64bits(min(load, maxReportedLoad)))
+	s.loadAt.Store(now)
+}
+
+// record takes over the outcome of an attempt and reports whether the endpoint has failed often
+// enough to be ejected.
+func (s *stats) record(r Result, now int64) bool {
+	if r.Draining {
+		s.drainingUntil.Store(now + int64(drainingFor))
+		return false
+	}
+	if r.Failed {
+		return s.failures.Add(1) >= ejectAfter && now >= s.ejectedUntil.Load()
+	}
+	switch {
+	case r.Verdict == verdict.NotRun:
+		s.setLoad(max(r.Load, refusedLoad), now)
+	case r.Load >= 0:
+		s.setLoad(r.Load, now)
+	}
+	if r.Verdict == verdict.Ran {
+		s.succeeded(now)
+	}
+	return false
+}
+
+func (s *stats) succeeded(now int64) {
+	if s.failures.Load() != 0 {
+		s.failures.Store(0)
+	}
+	n := s.ejections.Load()
+	if n > 0 && now > s.ejectedUntil.Load()+int64(ejectionTime(n)) {
+		s.ejections.Store(0)
+	}
+}
+
+// eject takes the endpoint out for a time that doubles. One further failure after its return is
+// enough for the next ejection.
+func (s *stats) eject(now int64) {
+	n := s.ejections.Add(1)
+	s.ejectedUntil.Store(now + int64(ejectionTime(n)))
+	s.failures.Store(ejectAfter - 1)
+}
+
+func ejectionTime(n int32) time.Duration {
+	return min(ejectBase<<min(max(n-1, 0), 16), ejectMax)
+}
--- /dev/null
+++ b/pkg/selection/table.go
@@ -0,0 +1,118 @@
+package selection
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// table is an immutable picture of the endpoints that this daemon uses.
+type table struct {
+	sets map[string]*set
+}
+
+// set holds the endpoints of one service. The members of all groups together are in all.
+type set struct {
+	local       []*member // own failure domain
+	remote      []*member // other reachable domains
+	unreachable []*member // last resort
+	all         []*member
+}
+
+// statsKey identifies an endpoint across updates. A server that became ready again starts anew.
+type statsKey struct {
+	service      string
+	instance     endpoint.InstanceID
+	readySinceMS int64
+}
+
+func keyOf(r endpoint.Record) statsKey {
+	return statsKey{service: r.Service, instance: r.Instance, readySinceMS: r.ReadySinceMS}
+}
+
+// buildTable makes the table for v. known gives the stats of the endpoints of the previous table;
+// the result holds those of the new one.
+func buildTable(cfg Config, v *endpoint.View, known map[statsKey]*stats) (*table, map[statsKey]*stats) {
+	t := &table{sets: make(map[string]*set, len(v.ByService))}
+	kept := make(map[statsKey]*stats, len(known))
+	for service, records := range v.ByService {
+		if s := buildSet(cfg, v, records, known, kept); len(s.all) > 0 {
+			t.sets[service] = s
+		}
+	}
+	return t, kept
+}
+
+func buildSet(cfg Config, v *endpoint.View, records []endpoint.Record, known, kept map[statsKey]*stats) *set {
+	s := &set{}
+	for domain, group := range readyByDomain(records) {
+		for _, r := range subset(cfg, group) {
+			key := keyOf(r.Record)
+			st := known[key]
+			if st == nil {
+				st = &stats{}
+			}
+			kept[key] = st
+			s.add(newMember(r.Record, st), domain == cfg.Domain, v.Unreachable[domain])
+		}
+	}
+	s.all = slices.Concat(s.local, s.remote, s.unreachable)
+	return s
+}
+
+func (s *set) add(m *member, local, unreachable bool) {
+	switch {
+	case local:
+		s.local = append(s.local, m)
+	case unreachable:
+		s.unreachable = append(s.unreachable, m)
+	default:
+		s.remote = append(s.remote, m)
+	}
+}
+
+func readyByDomain(records []endpoint.Record) map[string][]endpoint.Record {
+	groups := map[string][]endpoint.Record{}
+	for _, r := range records {
+		if r.State == endpoint.Ready {
+			groups[r.Domain] = append(groups[r.Domain], r)
+		}
+	}
+	return groups
+}
+
+// scored is a record with its rendezvous hash for this daemon.
+type scored struct {
+	endpoint.Record
+	score uint64
+}
+
+// subset returns the endpoints with the highest rendezvous hashes. When one endpoint comes or goes,
+// at most one member of the subset changes.
+func subset(cfg Config, group []endpoint.Record) []scored {
+	list := make([]scored, len(group))
+	for i, r := range group {
+		list[i] = scored{Record: r, score: rendezvous(cfg.Instance, r.Instance)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return 0
+	})
+	return list[:min(len(list), cfg.Subset)]
+}
+
+func rendezvous(daemon, instance endpoint.InstanceID) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(string(daemon))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(string(instance))
+	return h.Sum64()
+}
