Estimate the wait for the first free slot from all running requests

Cause: the wait was estimated as half of the running work divided by the slots. With five planting lists of 400 ms in six slots this gave 167 ms, so pot sizes with a deadline of 100 ms were refused although some slot is free after about 22 ms.

Change: the time until the next slot is free is the inverse of the sum of the finish rates of the running requests.

--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -35,7 +35,10 @@
 	c.mu.Lock()
 	now := c.now()
 	c.running--
-	c.runWork -= t.work
+	c.finishRate -= rateOf(t.work)
+	if c.running == 0 {
+		c.finishRate = 0 // drops rounding errors
+	}
 	if isExcess(t.class) {
 		c.excess--
 	}
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -55,7 +55,8 @@
 	queueLimit int
 	running    int
 	excess     int           // running requests that are excess
-	runWork    time.Duration // expected service times of running requests
+	// finishRate is the expected number of running requests that finish per second.
+	finishRate float64
 	draining   bool
 }
 
@@ -127,7 +128,7 @@
 // start takes a slot for w.
 func (c *Controller) start(w *Waiter) *Ticket {
 	c.running++
-	c.runWork += w.work
+	c.finishRate += rateOf(w.work)
 	if isExcess(w.class) {
 		c.excess++
 	}
@@ -162,16 +163,30 @@
 	c.load.Store(math.Float64bits(load))
 }
 
-// wait estimates the time until w gets a slot. Running requests are half done on average.
+// wait estimates the time until w gets a slot.
 func (c *Controller) wait(w *Waiter) time.Duration {
-	return (c.queue.workBefore(w) + c.runWork/2) / time.Duration(c.limiter.limit)
+	return c.queue.workBefore(w)/time.Duration(c.limiter.limit) + c.nextFree()
+}
+
+// nextFree estimates the time until the next slot is free. A request that comes first needs only one
+// of the slots, so a mean over the running requests would be far too long when most of them are long.
+func (c *Controller) nextFree() time.Duration {
+	if c.running < c.limiter.limit || c.finishRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / c.finishRate)
 }
 
 func (c *Controller) retryAfter() time.Duration {
-	d := (c.queue.totalWork() + c.runWork/2) / time.Duration(c.limiter.limit)
+	d := c.queue.totalWork()/time.Duration(c.limiter.limit) + c.nextFree()
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
+// rateOf returns the requests per second that a slot finishes if each takes d.
+func rateOf(d time.Duration) float64 {
+	return float64(time.Second) / float64(max(d, time.Microsecond))
+}
+
 // shortest is the service time that a deadline must leave. The smaller of declared and observed is
 // used: a phase of slow responses must not lead to the refusal of all requests, because then
 // nothing would be observed that ends it.
