Keep the last free slot from excess work

Cause: one slot was closed to excess work, but once a protected request ran in it, excess work could take every slot that came free. Long requests then held all slots.

--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -39,9 +39,6 @@
 	if c.running == 0 {
 		c.finishRate = 0 // drops rounding errors
 	}
-	if isExcess(t.class) {
-		c.excess--
-	}
 	c.observe(t.kind, o)
 	c.limiter.adjust(now)
 	out := c.dispatch(now, nil)
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -54,7 +54,6 @@
 	queue      queue
 	queueLimit int
 	running    int
-	excess     int           // running requests that are excess
 	// finishRate is the expected number of running requests that finish per second.
 	finishRate float64
 	draining   bool
@@ -115,23 +114,23 @@
 	if c.running >= c.limiter.limit {
 		return false
 	}
-	return !isExcess(class) || c.excess < c.excessLimit()
+	return !isExcess(class) || c.excessMayStart()
 }
 
-func (c *Controller) excessLimit() int {
-	if c.limiter.declared >= reserveFrom {
-		return max(c.limiter.limit-1, 1)
+// excessMayStart reports whether excess work may take a slot now. It never takes the last free one,
+// so that protected work finds a slot even when the other slots are held for long.
+func (c *Controller) excessMayStart() bool {
+	reserved := 0
+	if c.limiter.limit >= reserveFrom {
+		reserved = 1
 	}
-	return c.limiter.limit
+	return c.running+reserved < c.limiter.limit
 }
 
 // start takes a slot for w.
 func (c *Controller) start(w *Waiter) *Ticket {
 	c.running++
 	c.finishRate += rateOf(w.work)
-	if isExcess(w.class) {
-		c.excess++
-	}
 	return &Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
 }
 
@@ -142,7 +141,7 @@
 		out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 	}
 	for c.running < c.limiter.limit {
-		w := c.queue.first(c.excess < c.excessLimit())
+		w := c.queue.first(c.excessMayStart())
 		if w == nil {
 			break
 		}
