Raise the smallest burst of a kind from 5 to 20 requests

Cause: a token bucket of 5 requests marks about one in ten random arrivals at exactly the declared rate as excess, and such requests wait behind all protected work of other kinds.

--- a/pkg/admission/config.go
+++ b/pkg/admission/config.go
@@ -18,9 +18,9 @@
 	queuePerSlot = 32
 	// burstSeconds is the burst headroom of a kind, as seconds of its declared rate.
 	burstSeconds = 0.5
-	// minBurst is the smallest burst in requests. Random arrivals at a low declared rate exceed a
-	// bucket of one or two requests too often.
-	minBurst = 5
+	// minBurst is the smallest burst in requests. Random arrivals at the declared rate exceed a bucket
+	// of n requests about once in 2n; excess work can wait for long behind protected work.
+	minBurst = 20
 )
 
 // Kind is what admission control needs to know about one kind of request.
