Count waiting excess work only up to the slots in the load

Cause: during a flood the queue of excess work is full on every instance, so the returned loads were all at their cap and selection could not tell an instance where protected requests wait from one where none do.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -92,7 +92,8 @@
 	out.deliver()
 }
 
-// Load returns the load for responses: 0 is idle, 1 is all slots busy, above 1 requests wait.
+// Load returns the load for responses: 0 is idle, 1 is all slots busy, above 1 requests wait. All
+// waiting excess work together adds 1 at most.
 func (c *Controller) Load() float64 { return math.Float64frombits(c.load.Load()) }
 
 // Slots returns the number of slots in use at present, which is at most the declared number.
@@ -156,9 +157,12 @@
 	return out
 }
 
-// publish stores the load for readers without the lock.
+// publish stores the load for readers without the lock. Waiting excess work counts for one request
+// per slot at most: during a flood its queue is full on every instance and would hide how many
+// protected requests wait.
 func (c *Controller) publish() {
-	load := float64(c.running+c.queue.size) / float64(c.limiter.limit)
+	excess := min(c.queue.size-c.queue.protected, c.limiter.limit)
+	load := float64(c.running+c.queue.protected+excess) / float64(c.limiter.limit)
 	c.load.Store(math.Float64bits(load))
 }
 
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -53,7 +53,9 @@
 	lanes [classes][]*Waiter
 	work  [classes]time.Duration
 	size  int
-	seq   uint64
+	// protected is the number of protected requests in the queue.
+	protected int
+	seq       uint64
 }
 
 func (q *queue) push(w *Waiter) {
@@ -62,7 +64,14 @@
 	w.queued = true
 	q.lanes[w.class] = slices.Insert(q.lanes[w.class], q.position(w), w)
 	q.work[w.class] += w.work
-	q.size++
+	q.count(w, 1)
+}
+
+func (q *queue) count(w *Waiter, n int) {
+	q.size += n
+	if !isExcess(w.class) {
+		q.protected += n
+	}
 }
 
 // position returns the index of w in its lane, or the index at which it has to be inserted.
@@ -96,7 +105,7 @@
 		q.lanes[class] = slices.Delete(lane, i, i+1)
 	}
 	q.work[class] -= w.work
-	q.size--
+	q.count(w, -1)
 	return w
 }
 
