--- /dev/null
+++ b/agent/administration.go
@@ -0,0 +1,33 @@
+package agent
+
+import (
+	"net/http"
+
+	"kingcupwood.example/kingcupwood/agent/operator"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// administration returns the administration API of this daemon.
+func (d *Daemon) administration() http.Handler {
+	return operator.New(operator.Config{Platform: d.platform, Daemon: daemonState{d}, Burn: d.burn}, d.log)
+}
+
+// daemonState shows the state of a daemon to the administration API.
+type daemonState struct{ d *Daemon }
+
+// Snapshot implements operator.Daemon.
+func (s daemonState) Snapshot() *snapshot.Snapshot { return s.d.store.Load() }
+
+// Endpoints implements operator.Daemon.
+func (s daemonState) Endpoints() *endpoint.View { return s.d.prober.View() }
+
+// LastRefused implements operator.Daemon.
+func (s daemonState) LastRefused() (operator.Refusal, bool) {
+	refusals := s.d.follower.Refusals()
+	if len(refusals) == 0 {
+		return operator.Refusal{}, false
+	}
+	last := refusals[len(refusals)-1]
+	return operator.Refusal{Version: last.Version, Reason: last.Reason, At: last.Time}, true
+}
--- /dev/null
+++ b/agent/caller/attempts.go
@@ -0,0 +1,219 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/retry"
+	"kingcupwood.example/kingcupwood/pkg/selection"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+const (
+	// maxAttempts bounds the sends of one request, so that a service whose servers all refuse is
+	// not asked by every caller on every server.
+	maxAttempts = 4
+	// A fence may take what is left of the deadline within these bounds. The lower one gives a fence
+	// a chance at a daemon that is one round trip away although the deadline has passed.
+	minFenceTimeout = 5 * time.Millisecond
+	maxFenceTimeout = 250 * time.Millisecond
+)
+
+// result is the outcome of a request after its last attempt: a complete response of a backend
+// server, or a refusal.
+type result struct {
+	response *call.Response
+	refusal  *refusal
+	attempts int
+}
+
+// verdict returns what is known about the request as a whole.
+func (r *result) verdict() verdict.Verdict {
+	if r.response != nil {
+		return verdict.Ran
+	}
+	return r.refusal.verdict
+}
+
+// attemptResult is the outcome of one attempt.
+type attemptResult struct {
+	response *call.Response
+	verdict  verdict.Verdict
+	err      error
+}
+
+// run sends e to backend servers until one answers or no further attempt is allowed. It never
+// sends a non-idempotent request again unless the earlier attempt is proved not to have run.
+func (h *Handler) run(ctx context.Context, e *exchange) *result {
+	res := &result{}
+	mayHaveRun := false
+	var tried []endpoint.InstanceID
+	h.config.Budget.Deposit()
+	for {
+		left := retry.HopTimeout(e.deadline.Sub(h.config.Now()))
+		if left <= 0 {
+			res.refusal = timeoutRefusal(mayHaveRun)
+			return res
+		}
+		pick, err := h.config.Selector.Pick(e.service.Name, tried)
+		if err != nil {
+			return res.fail(h.noEndpoint(e, err), mayHaveRun)
+		}
+		res.attempts++
+		a := h.attempt(ctx, e, pick, left)
+		if a.err == nil && !h.retryResponse(e, a.response, res.attempts) {
+			res.response = a.response
+			return res
+		}
+		mayHaveRun = mayHaveRun || a.verdict != verdict.NotRun
+		if !h.mayRetry(ctx, e, &a, res.attempts) {
+			return res.fail(attemptRefusal(&a), mayHaveRun)
+		}
+		tried = append(tried, pick.Record().Instance)
+	}
+}
+
+// fail ends r with refusal f, whose verdict accounts for all attempts.
+func (r *result) fail(f *refusal, mayHaveRun bool) *result {
+	if mayHaveRun {
+		f.verdict = verdict.MayHaveRun
+	}
+	r.refusal = f
+	return r
+}
+
+func timeoutRefusal(mayHaveRun bool) *refusal {
+	f := refuse(http.StatusGatewayTimeout, "the deadline has passed")
+	if mayHaveRun {
+		f.verdict = verdict.MayHaveRun
+	}
+	return f
+}
+
+func (h *Handler) noEndpoint(e *exchange, err error) *refusal {
+	f := refuse(http.StatusServiceUnavailable, "service %s: %v", e.service.Name, err)
+	f.retryAfter = time.Second
+	return f
+}
+
+// attemptRefusal turns a failed attempt into the answer for the caller.
+func attemptRefusal(a *attemptResult) *refusal {
+	f := &refusal{status: http.StatusBadGateway, verdict: a.verdict, reason: a.err.Error()}
+	if a.verdict == verdict.NotRun {
+		f.status = http.StatusServiceUnavailable
+	}
+	if errors.Is(a.err, context.DeadlineExceeded) {
+		f.status = http.StatusGatewayTimeout
+	}
+	if a.response != nil {
+		f.retryAfter = a.response.RetryAfter
+	}
+	return f
+}
+
+// retryResponse reports whether another server may give a better answer than resp: the request is
+// idempotent and the backend server answered that it is unavailable.
+func (h *Handler) retryResponse(e *exchange, resp *call.Response, attempts int) bool {
+	return e.kind.Idempotent && resp.Status == http.StatusServiceUnavailable &&
+		attempts < maxAttempts && h.config.Budget.Withdraw()
+}
+
+// mayRetry reports whether e may be sent again after a. A refusal by a draining daemon is free of
+// charge, since it is no sign of overload.
+func (h *Handler) mayRetry(ctx context.Context, e *exchange, a *attemptResult, attempts int) bool {
+	if a.err == nil {
+		return true // paid for in retryResponse
+	}
+	if attempts >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	if a.verdict != verdict.NotRun && !e.kind.Idempotent {
+		return false
+	}
+	if a.response != nil && a.response.Draining {
+		return true
+	}
+	return h.config.Budget.Withdraw()
+}
+
+// attempt sends e once to the picked endpoint.
+func (h *Handler) attempt(ctx context.Context, e *exchange, pick *selection.Pick, left time.Duration) attemptResult {
+	record := pick.Record()
+	req := e.request
+	req.Attempt = h.nextAttempt()
+	req.Timeout = left
+	started := h.config.Now()
+	sendCtx, cancel := context.WithTimeout(ctx, left)
+	a := classify(h.send(sendCtx, record, &req))
+	cancel()
+	if a.verdict == verdict.MayHaveRun && !e.kind.Idempotent {
+		a.verdict = h.fence(ctx, e, record, req.Attempt)
+	}
+	pick.Done(pickResult(&a, h.config.Now().Sub(started)))
+	return a
+}
+
+func (h *Handler) send(ctx context.Context, record endpoint.Record, req *call.Request) (*call.Response, error) {
+	if record.Instance == h.config.Instance {
+		return h.config.Local.ServeCall(ctx, req), nil
+	}
+	return h.config.Remote.Do(ctx, record.CallAddr, req)
+}
+
+// classify reads the outcome of one send. A response whose verdict is not Ran is a refusal by the
+// receiving daemon or a failure behind it.
+func classify(resp *call.Response, err error) attemptResult {
+	if err != nil {
+		return attemptResult{verdict: verdict.Of(err), err: err}
+	}
+	if resp.Verdict == verdict.Ran && resp.Status != 0 {
+		return attemptResult{response: resp, verdict: verdict.Ran}
+	}
+	return attemptResult{response: resp, verdict: resp.Verdict, err: errors.New(resp.Reason)}
+}
+
+// fence settles an attempt whose outcome is unknown. It uses the time that is left even when the
+// caller has gone, because the answer decides whether the request may be sent again.
+func (h *Handler) fence(ctx context.Context, e *exchange, record endpoint.Record, id fence.AttemptID) verdict.Verdict {
+	if record.Instance == h.config.Instance {
+		return verdict.MayHaveRun
+	}
+	timeout := min(max(e.deadline.Sub(h.config.Now()), minFenceTimeout), maxFenceTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
+	answer := h.config.Remote.Fence(ctx, record.CallAddr, record.RPCAddr, id)
+	h.metrics.fences.Add(1)
+	if answer == fence.NeverWillRun {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
+func (h *Handler) nextAttempt() fence.AttemptID {
+	return fence.AttemptID{Sender: h.config.Incarnation, Seq: h.sequence.Add(1)}
+}
+
+// writeResponse sends the complete response of a backend server to the caller.
+func (h *Handler) writeResponse(w http.ResponseWriter, e *exchange, res *result) {
+	header := w.Header()
+	for name, values := range res.response.Header {
+		header[name] = values
+	}
+	setCommon(header, e, res)
+	header.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
+	w.WriteHeader(res.response.Status)
+	_, _ = w.Write(res.response.Body) // the caller has gone if this fails
+}
+
+func setCommon(header http.Header, e *exchange, res *result) {
+	header.Set(verdict.Header, res.verdict().String())
+	header.Set(HeaderVersion, strconv.FormatUint(uint64(e.snap.Version), 10))
+	header.Set(HeaderAttempts, strconv.Itoa(res.attempts))
+}
--- /dev/null
+++ b/agent/caller/handler.go
@@ -0,0 +1,143 @@
+// Package caller serves the callers of a daemon. It routes each request on the snapshot in force,
+// sends it to a backend server by way of the daemon beside it, retries where that is safe, and
+// tells the caller whether the request may have run.
+package caller
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/retry"
+	"kingcupwood.example/kingcupwood/pkg/selection"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// Remote sends requests to other daemons.
+type Remote interface {
+	// Do sends r to the daemon at addr. Its error carries a verdict.
+	Do(ctx context.Context, addr string, r *call.Request) (*call.Response, error)
+	// Fence settles attempt id at the daemon with these addresses.
+	Fence(ctx context.Context, addr, rpcAddr string, id fence.AttemptID) fence.Answer
+}
+
+// Outcome classes a request for the service-level report.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Good    Outcome = iota // answered without a server error and in time
+	Late                   // answered after the deadline
+	Refused                // not run
+	Lost                   // failed, or may have run without an answer
+)
+
+// Recorder counts the outcomes of requests. It is called on the request path.
+type Recorder interface {
+	Record(service, kind string, rank int, o Outcome)
+}
+
+// Config holds what a Handler works with. All fields are required.
+type Config struct {
+	Instance    endpoint.InstanceID
+	Incarnation uint64
+	// Snapshot returns the snapshot in force, nil while there is none that may be served.
+	Snapshot func() *snapshot.Snapshot
+	// View returns the current endpoints.
+	View     func() *endpoint.View
+	Selector *selection.Selector
+	// Local is the receiving side of this daemon.
+	Local    call.Handler
+	Remote   Remote
+	Budget   *retry.Budget
+	Recorder Recorder
+	Log      *event.Logger
+	Now      func() time.Time
+}
+
+// Handler serves the requests of callers.
+type Handler struct {
+	config   Config
+	sequence atomic.Uint64
+	keys     *keyOwner
+	metrics  metrics
+}
+
+type metrics struct {
+	requests, retries, refusals, fences expvar.Int
+}
+
+// NewHandler returns a Handler for config.
+func NewHandler(config Config) *Handler {
+	h := &Handler{config: config}
+	h.keys = newKeyOwner(h)
+	return h
+}
+
+// Metrics returns the counters of h for publication.
+func (h *Handler) Metrics() expvar.Var {
+	m := new(expvar.Map).Init()
+	m.Set("requests", &h.metrics.requests)
+	m.Set("retries", &h.metrics.retries)
+	m.Set("refusals", &h.metrics.refusals)
+	m.Set("fences", &h.metrics.fences)
+	m.Set("keys", expvar.Func(func() any { return h.keys.table.Len() }))
+	return m
+}
+
+// ServeHTTP serves one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.metrics.requests.Add(1)
+	snap := h.config.Snapshot()
+	if snap == nil {
+		f := refuse(http.StatusServiceUnavailable, "this daemon has no configuration yet")
+		f.retryAfter = time.Second
+		h.refuse(w, f)
+		return
+	}
+	e, err := newExchange(snap, r, h.config.Now())
+	if err != nil {
+		h.refuse(w, asRefusal(err))
+		return
+	}
+	res := h.serve(r.Context(), e)
+	h.config.Recorder.Record(e.service.Name, e.kind.Name, e.kind.Rank, h.outcome(e, res))
+	h.metrics.retries.Add(int64(max(res.attempts-1, 0)))
+	if res.response != nil {
+		h.writeResponse(w, e, res)
+		return
+	}
+	setCommon(w.Header(), e, res)
+	h.refuse(w, res.refusal)
+}
+
+func (h *Handler) serve(ctx context.Context, e *exchange) *result {
+	if e.key != "" && !e.kind.Idempotent {
+		return h.keys.serve(ctx, e)
+	}
+	return h.run(ctx, e)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, f *refusal) {
+	h.metrics.refusals.Add(1)
+	f.write(w)
+}
+
+func (h *Handler) outcome(e *exchange, res *result) Outcome {
+	switch {
+	case res.verdict() == verdict.NotRun:
+		return Refused
+	case res.response == nil || res.response.Status >= http.StatusInternalServerError:
+		return Lost
+	case h.config.Now().After(e.deadline):
+		return Late
+	}
+	return Good
+}
--- /dev/null
+++ b/agent/caller/keys.go
@@ -0,0 +1,203 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/idempotency"
+	"kingcupwood.example/kingcupwood/pkg/retry"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// Bounds of the table of idempotency keys of one daemon. Outcomes are kept for ten minutes; at
+// 40 keyed requests/s that is 24,000 keys, within the memory that a daemon may use.
+const (
+	maxKeys     = 50_000
+	maxKeyBytes = 24 << 20
+)
+
+// keyOutcome is the outcome of a keyed request, as kept in the table and handed over.
+type keyOutcome struct {
+	Verdict verdict.Verdict `cbor:"1,keyasint"`
+	Status  int             `cbor:"2,keyasint"`
+	Header  http.Header     `cbor:"3,keyasint,omitempty"`
+	Body    []byte          `cbor:"4,keyasint,omitempty"`
+	Reason  string          `cbor:"5,keyasint,omitempty"`
+}
+
+// entryOverheadBytes is the size of a table entry beside the body of its outcome.
+const entryOverheadBytes = 400
+
+func (o keyOutcome) size() int { return len(o.Body) + len(o.Reason) + entryOverheadBytes }
+
+// KeyRecord is an outcome that is handed over to the next owner of its key.
+type KeyRecord = idempotency.Record[keyOutcome]
+
+// keyOwner sends keyed requests to the daemon that owns their key, and runs those that this daemon
+// owns.
+type keyOwner struct {
+	handler *Handler
+	table   *idempotency.Table[keyOutcome]
+}
+
+func newKeyOwner(h *Handler) *keyOwner {
+	table := idempotency.NewTable(maxKeys, maxKeyBytes, keyOutcome.size, h.config.Now)
+	return &keyOwner{handler: h, table: table}
+}
+
+// serve runs e at the owner of its key.
+func (k *keyOwner) serve(ctx context.Context, e *exchange) *result {
+	owner, ok := Owner(k.handler.config.View(), e.service.Name, e.key)
+	if !ok {
+		return (&result{}).fail(k.handler.noEndpoint(e, errors.New("no backend server is ready")), false)
+	}
+	if owner.Instance == k.handler.config.Instance {
+		return k.runOwned(ctx, e)
+	}
+	return k.forward(ctx, e, owner)
+}
+
+// Owner returns the record of the daemon that owns key, chosen by rendezvous hash among the
+// instances with a ready backend server of service.
+func Owner(v *endpoint.View, service, key string) (endpoint.Record, bool) {
+	var best endpoint.Record
+	var bestScore uint64
+	found := false
+	for _, r := range v.ByService[service] {
+		if r.State != endpoint.Ready || v.Unreachable[r.Domain] {
+			continue
+		}
+		score := xxhash.Sum64String(string(r.Instance) + "\x00" + key)
+		if !found || score > bestScore {
+			best, bestScore, found = r, score, true
+		}
+	}
+	return best, found
+}
+
+// forward sends e to its owner. No other daemon is tried, because only the owner knows whether the
+// key was used before.
+func (k *keyOwner) forward(ctx context.Context, e *exchange, owner endpoint.Record) *result {
+	h := k.handler
+	req := e.request
+	req.Header = req.Header.Clone()
+	req.Header.Set(headerOwner, e.key)
+	req.Attempt = h.nextAttempt()
+	req.Timeout = retry.HopTimeout(e.deadline.Sub(h.config.Now()))
+	if req.Timeout <= 0 {
+		return (&result{}).fail(timeoutRefusal(false), false)
+	}
+	res := &result{attempts: 1}
+	sendCtx, cancel := context.WithTimeout(ctx, req.Timeout)
+	a := classify(h.config.Remote.Do(sendCtx, owner.CallAddr, &req))
+	cancel()
+	if a.err == nil {
+		res.response = a.response
+		return res
+	}
+	if a.verdict == verdict.MayHaveRun && a.response == nil {
+		a.verdict = h.fence(ctx, e, owner, req.Attempt)
+	}
+	f := attemptRefusal(&a)
+	if a.response != nil && a.response.Status != 0 {
+		f.status = a.response.Status
+	}
+	return res.fail(f, false)
+}
+
+// runOwned runs e unless its key was used before, and returns the outcome kept for the key.
+func (k *keyOwner) runOwned(ctx context.Context, e *exchange) *result {
+	attempts := 0
+	key := idempotency.Key{Service: e.service.Name, Kind: e.kind.Name, Value: e.key}
+	digest := idempotency.DigestOf(e.request.Method+" "+e.request.Target, e.request.Body)
+	wait, cancel := context.WithDeadline(ctx, e.deadline)
+	defer cancel()
+	outcome, err := k.table.Run(wait, key, digest, func() (keyOutcome, bool) {
+		// The run goes on when its caller leaves, so that a second submission gets its outcome.
+		res := k.handler.run(context.WithoutCancel(ctx), e)
+		attempts = res.attempts
+		return toOutcome(res), res.verdict() != verdict.NotRun
+	})
+	if err != nil {
+		return (&result{}).fail(keyRefusal(err), false)
+	}
+	return outcome.result(attempts)
+}
+
+// keyRefusal explains why a submission got no outcome of its key.
+func keyRefusal(err error) *refusal {
+	switch {
+	case errors.Is(err, idempotency.ErrBodyMismatch):
+		return refuse(http.StatusUnprocessableEntity, "%v", err)
+	case errors.Is(err, idempotency.ErrTableFull):
+		f := refuse(http.StatusServiceUnavailable, "%v", err)
+		f.retryAfter = time.Second
+		return f
+	}
+	f := refuse(http.StatusGatewayTimeout, "an earlier submission with this key has not ended: %v", err)
+	f.verdict = verdict.MayHaveRun
+	return f
+}
+
+func toOutcome(res *result) keyOutcome {
+	if res.response != nil {
+		return keyOutcome{Verdict: verdict.Ran, Status: res.response.Status, Header: res.response.Header, Body: res.response.Body}
+	}
+	return keyOutcome{Verdict: res.refusal.verdict, Status: res.refusal.status, Reason: res.refusal.reason}
+}
+
+func (o keyOutcome) result(attempts int) *result {
+	if o.Verdict == verdict.Ran && o.Status != 0 {
+		response := &call.Response{Verdict: verdict.Ran, Status: o.Status, Header: o.Header, Body: o.Body}
+		return &result{response: response, attempts: attempts}
+	}
+	return &result{refusal: &refusal{status: o.Status, verdict: o.Verdict, reason: o.Reason}, attempts: attempts}
+}
+
+// IsOwned reports whether r was sent to this daemon as the owner of an idempotency key.
+func IsOwned(r *call.Request) bool { return r.Header.Get(headerOwner) != "" }
+
+// ServeOwned runs a request that another daemon sent to this one as the owner of its key.
+func (h *Handler) ServeOwned(ctx context.Context, r *call.Request) *call.Response {
+	refused := call.Response{Attempt: r.Attempt, Verdict: verdict.NotRun}
+	snap := h.config.Snapshot()
+	if snap == nil {
+		refused.Reason = "this daemon has no configuration yet"
+		return &refused
+	}
+	service, kind, ok := snap.Match(r.Service, r.Method, pathOf(r.Target))
+	if !ok || kind.Idempotent {
+		refused.Reason = "the kind of the request has changed"
+		return &refused
+	}
+	e := &exchange{
+		snap: snap, service: service, kind: kind, key: r.Header.Get(headerOwner),
+		deadline: h.config.Now().Add(min(r.Timeout, kind.Deadline)), request: *r,
+	}
+	e.request.Header = r.Header.Clone()
+	e.request.Header.Del(headerOwner)
+	e.request.Version = uint64(snap.Version)
+	return toCallResponse(r, h.keys.runOwned(ctx, e))
+}
+
+func toCallResponse(r *call.Request, res *result) *call.Response {
+	if res.response != nil {
+		response := *res.response
+		response.Attempt = r.Attempt
+		return &response
+	}
+	f := res.refusal
+	return &call.Response{Attempt: r.Attempt, Verdict: f.verdict, Status: f.status, Reason: f.reason, RetryAfter: f.retryAfter}
+}
+
+// ExportKeys returns the outcomes of the keys that this daemon owns.
+func (h *Handler) ExportKeys() []KeyRecord { return h.keys.table.Export() }
+
+// ImportKeys adds outcomes which a stopping owner has handed over. It returns how many were new.
+func (h *Handler) ImportKeys(records []KeyRecord) int { return h.keys.table.Import(records) }
--- /dev/null
+++ b/agent/caller/refusal.go
@@ -0,0 +1,50 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// refusal is an answer made by this daemon in place of one from a backend server.
+type refusal struct {
+	status     int
+	verdict    verdict.Verdict
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.reason }
+
+// refuse returns a refusal of a request that has not run.
+func refuse(status int, format string, args ...any) *refusal {
+	return &refusal{status: status, verdict: verdict.NotRun, reason: fmt.Sprintf(format, args...)}
+}
+
+// asRefusal returns err as a refusal; an error of another type may have run.
+func asRefusal(err error) *refusal {
+	var r *refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &refusal{status: http.StatusBadGateway, verdict: verdict.Of(err), reason: err.Error()}
+}
+
+// write sends r to the caller.
+func (r *refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set(verdict.Header, r.verdict.String())
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.retryAfter > 0 {
+		seconds := (r.retryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(r.status)
+	fmt.Fprintln(w, r.reason)
+}
--- /dev/null
+++ b/agent/caller/request.go
@@ -0,0 +1,178 @@
+package caller
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// Request headers of the call path.
+const (
+	// HeaderService names the service when the Host header does not.
+	HeaderService = "Kingcupwood-Service"
+	// HeaderTimeout is the time left for the request in whole milliseconds.
+	HeaderTimeout = "Kingcupwood-Timeout"
+	// HeaderDepth counts the hops between services so far.
+	HeaderDepth = "Kingcupwood-Depth"
+	// HeaderIdempotencyKey makes two submissions of a non-idempotent request run once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// headerOwner marks a request that was sent to the owner of its idempotency key.
+	headerOwner = "Kingcupwood-Key-Owner"
+)
+
+// Response headers of the call path, beside verdict.Header.
+const (
+	HeaderVersion  = "Kingcupwood-Version"
+	HeaderAttempts = "Kingcupwood-Attempts"
+)
+
+// Limits of a request.
+const (
+	// MaxRequestBytes bounds the body of a request.
+	MaxRequestBytes = 1 << 20
+	// MaxDepth bounds a chain of calls between services; a longer one is taken for a loop.
+	MaxDepth = 13
+	// MaxKeyBytes bounds an idempotency key.
+	MaxKeyBytes = 256
+)
+
+// exchange is one request of a caller on its way through the daemon. It keeps the snapshot with
+// which it started until its end.
+type exchange struct {
+	snap     *snapshot.Snapshot
+	service  *snapshot.Service
+	kind     *snapshot.Kind
+	deadline time.Time
+	key      string
+	// request is the template of the attempts; each one gets its own ID and timeout.
+	request call.Request
+}
+
+// newExchange routes r on snap and reads its body. Errors are *refusal.
+func newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
+	name := serviceName(r)
+	service, kind, ok := snap.Match(name, r.Method, r.URL.Path)
+	if !ok {
+		return nil, refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path)
+	}
+	depth, err := readDepth(r)
+	if err != nil {
+		return nil, err
+	}
+	timeout, err := readTimeout(r, kind.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > MaxKeyBytes {
+		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	e := &exchange{snap: snap, service: service, kind: kind, deadline: now.Add(timeout), key: key}
+	e.request = call.Request{
+		Service: service.Name, Kind: kind.Name, Version: uint64(snap.Version), Depth: depth,
+		Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: forwardHeader(r.Header), Body: body,
+	}
+	return e, nil
+}
+
+func serviceName(r *http.Request) string {
+	if name := r.Header.Get(HeaderService); name != "" {
+		return name
+	}
+	if host, _, err := net.SplitHostPort(r.Host); err == nil {
+		return host
+	}
+	return r.Host
+}
+
+func readDepth(r *http.Request) (int, error) {
+	value := r.Header.Get(HeaderDepth)
+	if value == "" {
+		return 1, nil
+	}
+	hops, err := strconv.Atoi(value)
+	if err != nil || hops < 0 {
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", HeaderDepth, value)
+	}
+	if hops >= MaxDepth {
+		return 0, refuse(http.StatusLoopDetected, "the chain of calls is longer than %d", MaxDepth)
+	}
+	return hops + 1, nil
+}
+
+// readTimeout returns the smaller of the deadline of the kind and the time that the caller allows.
+func readTimeout(r *http.Request, deadline time.Duration) (time.Duration, error) {
+	value := r.Header.Get(HeaderTimeout)
+	if value == "" {
+		return deadline, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 32)
+	if err != nil || ms < 0 {
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", HeaderTimeout, value)
+	}
+	return min(deadline, time.Duration(ms)*time.Millisecond), nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength > MaxRequestBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", MaxRequestBytes)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, bodyError(err)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxRequestBytes+1))
+	if len(body) > MaxRequestBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", MaxRequestBytes)
+	}
+	return body, bodyError(err)
+}
+
+func bodyError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return refuse(http.StatusBadRequest, "the request body ended early: %v", errors.Cause(err))
+}
+
+// hopHeaders belong to one connection or are set anew by each daemon, so they are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	HeaderTimeout, HeaderDepth, headerOwner,
+}
+
+// forwardHeader removes from h what must not reach the backend server, and returns h.
+func forwardHeader(h http.Header) http.Header {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	return h
+}
+
+// pathOf returns the path of a request target.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- /dev/null
+++ b/agent/daemon.go
@@ -0,0 +1,218 @@
+// Package agent puts the parts of a daemon together: it starts them in an order in which each finds
+// what it needs, connects them, and stops them without cutting a request.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/caller"
+	"kingcupwood.example/kingcupwood/agent/operator"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/agent/peer/keys"
+	"kingcupwood.example/kingcupwood/agent/peer/probe"
+	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
+	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/admission"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/retry"
+	"kingcupwood.example/kingcupwood/pkg/selection"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// Retry budget of a daemon: the share of its requests that may be retries, and the retries per
+// second that are allowed in any case.
+const (
+	retryRatio        = 0.1
+	retryMinPerSecond = 3
+)
+
+// Daemon is the process of the system on one instance.
+type Daemon struct {
+	settings *Settings
+	log      *event.Logger
+	started  time.Time
+
+	listeners *listeners
+	platform  *platform.Client
+	store     *peersync.Store
+	follower  *peersync.Follower
+	prober    *probe.Prober
+	backend   *backend.Backend
+	receiver  *receiver
+	selector  *selection.Selector
+	calls     *call.Server
+	client    *call.Client
+	callers   *caller.Handler
+	rpc       *rpc.Server
+	burn      *burnRecorder
+	gate      *gate
+
+	// announced is the last state of the backend server put into the endpoint record.
+	record recordKeeper
+}
+
+// New builds a daemon and opens its listeners. Errors: a listener or the platform client cannot be
+// made from the settings.
+func New(s *Settings, log *event.Logger) (*Daemon, error) {
+	l, err := openListeners(s)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, log: log, started: time.Now(), listeners: l}
+	if err := d.build(); err != nil {
+		l.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) build() error {
+	if err := d.buildPlatform(); err != nil {
+		return err
+	}
+	local := d.localRecord()
+	d.prober = probe.New(d.listeners.probes, membership.New(membership.Config{Local: local}, d.started, rand.Uint64()), d.log)
+	d.buildDistribution(local)
+	d.buildRequestPath(local)
+	return d.buildRPC()
+}
+
+func (d *Daemon) buildPlatform() error {
+	p := d.settings.Platform
+	client, err := platform.NewClient(platform.Config{
+		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
+		AccessKey: p.AccessKey, SecretKey: p.SecretKey, Generator: generator(),
+	}, d.log)
+	if err != nil {
+		return errors.Wrap(err, "platform client")
+	}
+	d.platform = client
+	return nil
+}
+
+// localRecord is the record of this instance before its backend server has announced itself.
+func (d *Daemon) localRecord() endpoint.Record {
+	l := d.settings.Listen
+	return endpoint.Record{
+		Instance:    endpoint.InstanceID(d.settings.Daemon.Instance),
+		Incarnation: uint64(d.started.UnixMilli()),
+		Domain:      d.settings.Daemon.FailureDomain,
+		CallAddr:    l.Calls.String(), RPCAddr: l.RPC.String(),
+		ProbeAddr: l.Probes.String(), AdminAddr: l.Administration.String(),
+		State: endpoint.Starting,
+	}
+}
+
+func (d *Daemon) buildDistribution(local endpoint.Record) {
+	d.store = peersync.NewStore(codec{})
+	var seeds []string
+	for _, addr := range d.settings.Peers.Seeds {
+		seeds = append(seeds, addr.String())
+	}
+	d.follower = peersync.NewFollower(peersync.Config{
+		Self: local, Seeds: seeds, Members: d.prober, Store: d.store, Platform: headSource{d.platform},
+		Dial: peersync.DialTCP, Log: d.log, Seed: rand.Uint64(),
+	})
+}
+
+func (d *Daemon) buildRequestPath(local endpoint.Record) {
+	incarnation := rand.Uint64()
+	d.record = recordKeeper{prober: d.prober}
+	d.backend = backend.New(backend.Config{Changed: d.record.backendChanged}, d.log)
+	d.receiver = &receiver{
+		admission: admission.New(admission.Config{Slots: 1}, time.Now),
+		backend:   d.backend,
+		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
+	}
+	d.selector = selection.New(selection.Config{Self: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
+	d.client = call.NewClient(incarnation, d.log)
+	d.calls = call.NewServer(d.receiver, incarnation, d.log)
+	d.burn = newBurnRecorder()
+	d.callers = caller.NewHandler(caller.Config{
+		Instance: local.Instance, Incarnation: incarnation, Snapshot: d.snapshot, View: d.prober.View,
+		Selector: d.selector, Local: d.receiver, Remote: d.client,
+		Budget:   retry.NewBudget(retryRatio, retryMinPerSecond, time.Now),
+		Recorder: d.burn, Log: d.log, Now: time.Now,
+	})
+	d.gate = &gate{next: d.callers}
+}
+
+func (d *Daemon) buildRPC() error {
+	d.rpc = rpc.NewServer()
+	if err := d.calls.RegisterRPC(d.rpc); err != nil {
+		return err
+	}
+	return keys.Register(d.rpc, d.callers)
+}
+
+// snapshot returns the snapshot in force, or nil while this daemon may not serve.
+func (d *Daemon) snapshot() *snapshot.Snapshot {
+	if !d.follower.Ready() {
+		return nil
+	}
+	return d.store.Load()
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns the first error of a part.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Log(event.DaemonStarted, zap.String("instance", d.settings.Daemon.Instance),
+		zap.String("failure_domain", d.settings.Daemon.FailureDomain))
+	// The parts keep running while requests are drained, so they do not end with ctx.
+	parts, endParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer endParts()
+	group, parts := errgroup.WithContext(parts)
+	admin := operator.NewHTTPServer(d.administration())
+	callers := d.callerServer()
+	announcements := &http.Server{Handler: d.backend.Announcements(), ReadHeaderTimeout: headerTimeout}
+	d.serve(group, parts, admin, callers, announcements)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-parts.Done():
+		}
+		d.drain(parts, callers)
+		endParts()
+		_ = admin.Close()
+		_ = announcements.Close()
+		d.backend.Close()
+		d.client.Close()
+		return nil
+	})
+	err := group.Wait()
+	d.platform.Close()
+	d.log.Log(event.DaemonStopped)
+	return err
+}
+
+// serve starts all parts in group.
+func (d *Daemon) serve(group *errgroup.Group, ctx context.Context, admin, callers, announcements *http.Server) {
+	group.Go(func() error { return d.prober.Run(ctx) })
+	group.Go(func() error { return peersync.Serve(ctx, d.listeners.rpc, d.rpcWithSync(ctx)) })
+	group.Go(func() error { return d.follower.Run(ctx) })
+	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
+	group.Go(func() error { d.reconfigure(ctx); return nil })
+	for server, listener := range map[*http.Server]net.Listener{
+		admin: d.listeners.admin, callers: d.listeners.callers, announcements: d.listeners.announcements,
+	} {
+		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, call.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/agent/listeners.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// headerTimeout bounds the time in which a client must send the header of a request.
+const headerTimeout = 10 * time.Second
+
+// listeners holds the sockets of a daemon.
+type listeners struct {
+	callers, announcements, admin, calls, rpc net.Listener
+	probes                                    *net.UDPConn
+}
+
+// openListeners opens all sockets, or none.
+func openListeners(s *Settings) (*listeners, error) {
+	l := &listeners{}
+	for _, item := range []struct {
+		into *net.Listener
+		key  string
+		addr netip.AddrPort
+	}{
+		{&l.callers, "callers", s.Listen.Callers},
+		{&l.announcements, "announcements", s.Listen.Announcements},
+		{&l.admin, "administration", s.Listen.Administration},
+		{&l.calls, "calls", s.Listen.Calls},
+		{&l.rpc, "rpc", s.Listen.RPC},
+	} {
+		listener, err := net.Listen("tcp", item.addr.String())
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "section [listen]: key %q", item.key)
+		}
+		*item.into = listener
+	}
+	probes, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Listen.Probes))
+	if err != nil {
+		l.close()
+		return nil, errors.Wrap(err, `section [listen]: key "probes"`)
+	}
+	l.probes = probes
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.announcements, l.admin, l.calls, l.rpc} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if l.probes != nil {
+		_ = l.probes.Close()
+	}
+}
--- /dev/null
+++ b/agent/receiver.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/caller"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/admission"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	errFenced       = errors.New("the sender has given the request up")
+	errOtherService = errors.New("the backend server of this instance serves another service")
+)
+
+// receiver is the receiving side of a daemon: it admits requests for the backend server on its
+// instance and passes them on.
+type receiver struct {
+	admission *admission.Controller
+	backend   *backend.Backend
+	// owned runs requests whose idempotency key this daemon owns.
+	owned    func(ctx context.Context, r *call.Request) *call.Response
+	draining atomic.Bool
+}
+
+// ServeCall implements call.Handler.
+func (r *receiver) ServeCall(ctx context.Context, req *call.Request) *call.Response {
+	if caller.IsOwned(req) {
+		return r.serveOwned(ctx, req)
+	}
+	status := r.backend.Status()
+	if status.State == endpoint.Gone || status.Service != req.Service {
+		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, errOtherService)))
+	}
+	if status.State == endpoint.Draining || r.draining.Load() {
+		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
+	}
+	ticket, err := r.admission.Acquire(ctx, req.Kind, time.Now().Add(req.Timeout))
+	if err != nil {
+		return r.finish(req, refusalResponse(req, err))
+	}
+	return r.finish(req, r.forward(ctx, req, ticket))
+}
+
+// forward passes an admitted request to the backend server.
+func (r *receiver) forward(ctx context.Context, req *call.Request, ticket *admission.Ticket) *call.Response {
+	started := time.Now()
+	resp, err := r.backend.Do(ctx, req, req.Start)
+	outcome := admission.Outcome{}
+	switch {
+	case err != nil:
+		resp = call.ErrorResponse(req.Attempt, err)
+	case resp.Verdict == verdict.NotRun:
+		outcome.Shed = true
+	default:
+		outcome.ServiceTime = time.Since(started)
+	}
+	ticket.Done(outcome)
+	return resp
+}
+
+func (r *receiver) serveOwned(ctx context.Context, req *call.Request) *call.Response {
+	if !req.Start() {
+		return call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, errFenced))
+	}
+	return r.owned(ctx, req)
+}
+
+// finish adds what every response of this daemon carries.
+func (r *receiver) finish(req *call.Request, resp *call.Response) *call.Response {
+	resp.Attempt = req.Attempt
+	resp.Load = r.admission.Load()
+	resp.Draining = resp.Draining || r.draining.Load()
+	return resp
+}
+
+func refusalResponse(req *call.Request, err error) *call.Response {
+	resp := call.ErrorResponse(req.Attempt, err)
+	var refusal *admission.Refusal
+	if errors.As(err, &refusal) {
+		resp.RetryAfter = refusal.RetryAfter
+		resp.Draining = refusal.Reason == admission.ReasonDraining
+	}
+	return resp
+}
--- /dev/null
+++ b/agent/reconfigure.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/pkg/admission"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// reconfigureInterval is how often a daemon looks for a new snapshot, view or announcement. It adds
+// to the time until a draining server gets no new work, which may be 3 s.
+const reconfigureInterval = 50 * time.Millisecond
+
+// inputs are what selection and admission control are configured from. All pointers are to immutable
+// values, so that a change shows as another pointer.
+type inputs struct {
+	snapshot *snapshot.Snapshot
+	view     *endpoint.View
+	status   backend.Status
+}
+
+// reconfigure keeps selection and admission control in step with their inputs until ctx ends.
+func (d *Daemon) reconfigure(ctx context.Context) {
+	ticker := time.NewTicker(reconfigureInterval)
+	defer ticker.Stop()
+	var last inputs
+	for {
+		next := inputs{snapshot: d.store.Load(), view: d.prober.View(), status: d.backend.Status()}
+		if next.view != last.view {
+			d.selector.Update(next.view)
+		}
+		if next != last {
+			d.configureAdmission(next)
+			last = next
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) configureAdmission(in inputs) {
+	if in.snapshot == nil || in.status.Service == "" {
+		return
+	}
+	service, ok := in.snapshot.Services[in.status.Service]
+	if !ok {
+		return
+	}
+	ready := max(in.view.ReadyCount(service.Name), 1)
+	d.receiver.admission.Configure(admission.ForService(service, in.status.Slots, ready))
+}
--- /dev/null
+++ b/agent/record.go
@@ -0,0 +1,61 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/peer/probe"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+)
+
+// recordKeeper keeps the endpoint record of this instance in step with its backend server.
+type recordKeeper struct {
+	prober *probe.Prober
+	// mu keeps a late announcement from overwriting the draining state.
+	mu       sync.Mutex
+	draining bool
+}
+
+// backendChanged takes over a change of the backend server.
+func (k *recordKeeper) backendChanged(status backend.Status) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.update(func(r *endpoint.Record) {
+		r.Service, r.Slots = status.Service, status.Slots
+		k.setState(r, status.State)
+	})
+}
+
+// drain announces that this instance takes no new work, whatever its backend server says.
+func (k *recordKeeper) drain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.draining = true
+	k.update(func(r *endpoint.Record) { k.setState(r, r.State) })
+}
+
+func (k *recordKeeper) setState(r *endpoint.Record, state endpoint.State) {
+	if k.draining && state != endpoint.Gone {
+		state = endpoint.Draining
+	}
+	if state == endpoint.Ready && r.State != endpoint.Ready {
+		r.ReadySinceMS = time.Now().UnixMilli()
+	}
+	r.State = state
+}
+
+func (k *recordKeeper) update(change func(r *endpoint.Record)) {
+	k.prober.Do(func(now time.Time, s *membership.State) {
+		record := s.Local()
+		change(&record)
+		s.SetLocal(now, record)
+	})
+}
+
+func (k *recordKeeper) instance() endpoint.InstanceID {
+	var id endpoint.InstanceID
+	k.prober.Do(func(_ time.Time, s *membership.State) { id = s.Local().Instance })
+	return id
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap/zapcore"
+
+	"kingcupwood.example/kingcupwood/lib/settings"
+)
+
+// Settings are the settings of a daemon, as read from its INI file.
+type Settings struct {
+	Daemon struct {
+		// Instance is the unique name of the instance, FailureDomain where it runs.
+		Instance      string `key:"instance"`
+		FailureDomain string `key:"failure-domain"`
+		// DrainTime is how long a stopping daemon stays reachable for callers after it has announced
+		// that it is draining; StopTime bounds the wait for requests in flight after that.
+		DrainTime time.Duration `key:"drain-time" default:"2s"`
+		StopTime  time.Duration `key:"stop-time" default:"30s"`
+		LogLevel  string        `key:"log-level" default:"info"`
+	} `section:"daemon"`
+	Listen struct {
+		// Callers takes HTTP requests of callers, Announcements those of the backend server on this
+		// instance, Administration those of operators.
+		Callers        netip.AddrPort `key:"callers"`
+		Announcements  netip.AddrPort `key:"announcements"`
+		Administration netip.AddrPort `key:"administration"`
+		// Calls takes call frames, RPC net/rpc and Probes UDP probes of other daemons.
+		Calls  netip.AddrPort `key:"calls"`
+		RPC    netip.AddrPort `key:"rpc"`
+		Probes netip.AddrPort `key:"probes"`
+	} `section:"listen"`
+	Peers struct {
+		// Seeds are the net/rpc addresses of some daemons, of which at least one should be running.
+		Seeds []netip.AddrPort `key:"seeds" optional:"true"`
+	} `section:"peers"`
+	Platform struct {
+		TableURL  string `key:"table-url"`
+		ObjectURL string `key:"object-url"`
+		Region    string `key:"region" default:"local"`
+		Table     string `key:"table" default:"kingcupwood"`
+		Bucket    string `key:"bucket" default:"kingcupwood"`
+		AccessKey string `key:"access-key"`
+		SecretKey string `key:"secret-key"`
+	} `section:"platform"`
+}
+
+// LoadSettings reads the settings of a daemon. It returns settings.Errors with every fault found.
+func LoadSettings(path string) (*Settings, error) {
+	var s Settings
+	if err := settings.Load(path, &s); err != nil {
+		return nil, err
+	}
+	if err := s.check(path); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) check(path string) error {
+	var faults settings.Errors
+	fail := func(section, key, reason string) {
+		faults = append(faults, &settings.Error{File: path, Section: section, Key: key, Reason: reason})
+	}
+	for key, value := range map[string]string{"instance": s.Daemon.Instance, "failure-domain": s.Daemon.FailureDomain} {
+		if strings.TrimSpace(value) == "" {
+			fail("daemon", key, "must not be empty")
+		}
+	}
+	if _, err := s.logLevel(); err != nil {
+		fail("daemon", "log-level", err.Error())
+	}
+	for key, value := range map[string]string{"table-url": s.Platform.TableURL, "object-url": s.Platform.ObjectURL} {
+		if !strings.HasPrefix(value, "http://") && !strings.HasPrefix(value, "https://") {
+			fail("platform", key, "must start with http:// or https://")
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+func (s *Settings) logLevel() (zapcore.Level, error) {
+	level, err := zapcore.ParseLevel(s.Daemon.LogLevel)
+	return level, errors.Wrap(err, "log level")
+}
--- /dev/null
+++ b/agent/sources.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"context"
+	"net/rpc"
+	"time"
+
+	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
+	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// codec builds snapshots and deltas for the distribution.
+type codec struct{}
+
+// Apply implements peersync.Codec.
+func (codec) Apply(base *snapshot.Snapshot, d *snapshot.Delta) (*snapshot.Snapshot, error) {
+	return base.Apply(d)
+}
+
+// Delta implements peersync.Codec.
+func (codec) Delta(from, to *snapshot.Snapshot) (*snapshot.Delta, error) { return to.DeltaFrom(from) }
+
+// headSource lets the distribution read the platform.
+type headSource struct{ *platform.Client }
+
+// Head implements peersync.Platform.
+func (s headSource) Head(ctx context.Context) (peersync.Head, error) {
+	head, err := s.Client.Head(ctx)
+	return peersync.Head{Version: head.Version, Manifest: head.Manifest}, err
+}
+
+// AcquireLease implements peersync.Platform.
+func (s headSource) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (peersync.Lease, error) {
+	return toLease(s.Client.AcquireLease(ctx, name, holder, ttl))
+}
+
+// RenewLease implements peersync.Platform.
+func (s headSource) RenewLease(ctx context.Context, l peersync.Lease, ttl time.Duration) (peersync.Lease, error) {
+	return toLease(s.Client.RenewLease(ctx, platform.Lease{Name: l.Name, Holder: l.Holder, Token: l.Token}, ttl))
+}
+
+func toLease(l platform.Lease, err error) (peersync.Lease, error) {
+	return peersync.Lease{Name: l.Name, Holder: l.Holder, Token: l.Token}, err
+}
+
+// rpcWithSync adds the distribution service, whose long polls end with ctx.
+func (d *Daemon) rpcWithSync(ctx context.Context) *rpc.Server {
+	if err := peersync.NewServer(d.prober, d.store).Register(ctx, d.rpc); err != nil {
+		panic(err) // the service type is fixed at compile time
+	}
+	return d.rpc
+}
--- /dev/null
+++ b/agent/stop.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/agent/peer/keys"
+	"kingcupwood.example/kingcupwood/lib/event"
+)
+
+// keepAliveIdle closes the connection of a caller that sends nothing for this time.
+const keepAliveIdle = 2 * time.Minute
+
+// handoverTimeout bounds the transfer of idempotency keys to the other owners.
+const handoverTimeout = 5 * time.Second
+
+// gate lets requests of callers through. While the daemon drains, it asks callers to close their
+// connections, so that no request is on its way when the listener closes.
+type gate struct {
+	next     http.Handler
+	draining atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	g.next.ServeHTTP(w, r)
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	return &http.Server{Handler: d.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAliveIdle}
+}
+
+// drain announces that this instance is leaving, refuses new work for its backend server at once,
+// keeps routing requests of callers to other instances for the drain time, and waits for everything
+// in flight.
+func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
+	d.log.Log(event.DaemonStopping)
+	d.receiver.draining.Store(true)
+	d.receiver.admission.Drain()
+	d.record.drain()
+	d.gate.draining.Store(true)
+	wait(ctx, d.settings.Daemon.DrainTime)
+
+	limit, cancel := context.WithTimeout(ctx, d.settings.Daemon.StopTime)
+	defer cancel()
+	if err := callers.Shutdown(limit); err != nil {
+		d.log.Log(event.DrainIncomplete, zap.String("part", "callers"), zap.Error(err))
+	}
+	if err := d.calls.Shutdown(limit); err != nil {
+		d.log.Log(event.DrainIncomplete, zap.String("part", "calls"), zap.Error(err))
+	}
+	d.handOverKeys(ctx)
+}
+
+// handOverKeys gives the outcomes of the idempotency keys of this daemon to their next owners.
+func (d *Daemon) handOverKeys(ctx context.Context) {
+	records := d.callers.ExportKeys()
+	if len(records) == 0 {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	sent, err := keys.HandOver(limit, d.prober.View(), d.record.instance(), records)
+	d.log.Log(event.KeysHandedOver, zap.Int("keys", len(records)), zap.Int("sent", sent), zap.Error(err))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
