--- a/pkg/snapshot/chain.go
+++ b/pkg/snapshot/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -32,57 +31,57 @@
 func (c *checker) checkReferences() {
 	c.kind = nil
 	s := c.service
-	seen := map[string]bool{}
-	for _, name := range s.DependsOn {
+	for i, name := range s.DependsOn {
 		switch {
 		case name == s.Name:
 			c.fail(KeyDependsOn, "other services", "the service depends on itself")
-		case seen[name]:
+		case slices.Contains(s.DependsOn[:i], name):
 			c.fail(KeyDependsOn, "each service once", "%q is listed twice", name)
 		case c.services[name] == nil:
 			c.add(Problem{Key: KeyDependsOn, Reason: fmt.Sprintf("there is no service %q", name),
 				Expected: "names of services", Unknown: name})
 		}
-		seen[name] = true
 	}
 	for i := range s.Kinds {
 		c.kind = &s.Kinds[i]
-		c.checkCalls(seen)
+		c.checkCalls()
 	}
 	c.kind = nil
 }
 
-func (c *checker) checkCalls(dependencies map[string]bool) {
-	seen := map[string]bool{}
-	for _, call := range c.kind.Calls {
-		if seen[call] {
+func (c *checker) checkCalls() {
+	for i, call := range c.kind.Calls {
+		if slices.Contains(c.kind.Calls[:i], call) {
 			c.fail(KeyCalls, "each kind once", "%q is listed twice", call)
 			continue
 		}
-		seen[call] = true
-		service, name, ok := strings.Cut(call, "/")
-		if !ok || !ValidName(service) || !ValidName(name) {
-			c.fail(KeyCalls, "service/kind, such as finder/search", "%q is not a kind of a service", call)
-			continue
-		}
-		if service == c.service.Name {
-			c.fail(KeyCalls, "kinds of other services", "%q is a kind of the service itself", call)
-			continue
-		}
-		if !dependencies[service] {
-			c.fail(KeyCalls, "a service listed in depends-on", "%q calls service %q, which depends-on does not list", call, service)
-		}
-		callee := c.lookup(call)
-		if callee == nil {
-			c.add(Problem{Key: KeyCalls, Reason: fmt.Sprintf("there is no kind %q", call),
-				Expected: "existing kinds of other services", Unknown: call})
-			continue
-		}
-		c.checkDeadlines(call, callee)
+		c.checkCall(call)
 	}
 	c.checkServiceTime()
 }
 
+func (c *checker) checkCall(call string) {
+	service, name, ok := strings.Cut(call, "/")
+	if !ok || !ValidName(service) || !ValidName(name) {
+		c.fail(KeyCalls, "service/kind, such as finder/search", "%q is not a kind of a service", call)
+		return
+	}
+	if service == c.service.Name {
+		c.fail(KeyCalls, "kinds of other services", "%q is a kind of the service itself", call)
+		return
+	}
+	if !slices.Contains(c.service.DependsOn, service) {
+		c.fail(KeyCalls, "a service listed in depends-on", "%q calls service %q, which depends-on does not list", call, service)
+	}
+	callee := c.lookup(call)
+	if callee == nil {
+		c.add(Problem{Key: KeyCalls, Reason: fmt.Sprintf("there is no kind %q", call),
+			Expected: "existing kinds of other services", Unknown: call})
+		return
+	}
+	c.checkDeadlines(call, callee)
+}
+
 func (c *checker) lookup(call string) *Kind {
 	service, name, _ := strings.Cut(call, "/")
 	if s := c.services[service]; s != nil {
@@ -143,7 +142,7 @@
 		path = path[:len(path)-1]
 		marks[name] = finished
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+	for _, name := range c.names {
 		if marks[name] == unvisited {
 			visit(name)
 		}
@@ -153,30 +152,35 @@
 // checkChains reports the kinds whose chain of calls is longer than the request path allows. A cycle
 // of calls is reported through the dependencies that it needs and ends the search here.
 func (c *checker) checkChains() {
-	lengths := map[string]int{}
-	var length func(call string, kind *Kind) int
-	length = func(call string, kind *Kind) int {
-		if known, ok := lengths[call]; ok {
-			return known
-		}
-		lengths[call] = 1
-		longest := 0
-		for _, next := range kind.Calls {
-			if callee := c.lookup(next); callee != nil {
-				longest = max(longest, length(next, callee))
-			}
-		}
-		lengths[call] = longest + 1
-		return longest + 1
-	}
-	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+	lengths := map[*Kind]int{}
+	for _, name := range c.names {
 		c.service = c.services[name]
 		for i := range c.service.Kinds {
 			c.kind = &c.service.Kinds[i]
-			if n := length(name+"/"+c.kind.Name, c.kind); n > MaxChain {
+			if n := c.chainLength(c.kind, lengths); n > MaxChain {
 				c.fail(KeyCalls, fmt.Sprintf("a chain of at most %d calls", MaxChain), "the chain of calls has a length of %d", n)
 			}
 		}
 	}
 	c.kind = nil
 }
+
+// chainLength returns the number of kinds on the longest chain of calls that begins with k. Lengths
+// holds the known ones.
+func (c *checker) chainLength(k *Kind, lengths map[*Kind]int) int {
+	if len(k.Calls) == 0 {
+		return 1
+	}
+	if known, ok := lengths[k]; ok {
+		return known
+	}
+	lengths[k] = 1
+	longest := 0
+	for _, next := range k.Calls {
+		if callee := c.lookup(next); callee != nil {
+			longest = max(longest, c.chainLength(callee, lengths))
+		}
+	}
+	lengths[k] = longest + 1
+	return longest + 1
+}
--- a/pkg/snapshot/validate.go
+++ b/pkg/snapshot/validate.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"math"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -33,11 +32,24 @@
 // Methods lists the request methods that a kind can match.
 var Methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
-// namePattern keeps names valid as a DNS label, since the Host header names the service.
-var namePattern = regexp.MustCompile(`^[a-z]([a-z0-9-]{0,61}[a-z0-9])?$`)
+// maxNameBytes is the limit of a DNS label, since the Host header names the service.
+const maxNameBytes = 63
 
-// ValidName tells whether name is usable for a service, a team or a kind.
-func ValidName(name string) bool { return namePattern.MatchString(name) }
+// ValidName tells whether name is usable for a service, a team or a kind: lower-case letters, digits
+// and hyphens, beginning with a letter and not ending with a hyphen. Every applied version checks all
+// names, where a regular expression took a quarter of the time.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxNameBytes || name[len(name)-1] == '-' {
+		return false
+	}
+	for i := range len(name) {
+		letter := name[i] >= 'a' && name[i] <= 'z'
+		if !letter && (i == 0 || (name[i] != '-' && (name[i] < '0' || name[i] > '9'))) {
+			return false
+		}
+	}
+	return true
+}
 
 // Validate checks the whole configuration and returns nil or Problems.
 func (s *Snapshot) Validate() error {
@@ -50,8 +62,8 @@
 // Check returns every violation of the rules, in order of service name. Values that are out of range
 // are reported once; rules that depend on them are then left out.
 func Check(services map[string]*Service) Problems {
-	c := &checker{services: services}
-	for _, name := range slices.Sorted(maps.Keys(services)) {
+	c := &checker{services: services, names: slices.Sorted(maps.Keys(services))}
+	for _, name := range c.names {
 		c.service = services[name]
 		c.checkService(name)
 		c.checkReferences()
@@ -65,6 +77,7 @@
 // checker collects problems; service and kind are the ones being checked.
 type checker struct {
 	services map[string]*Service
+	names    []string
 	service  *Service
 	kind     *Kind
 	problems Problems
@@ -132,30 +145,35 @@
 }
 
 func (c *checker) checkKinds() {
-	names := map[string]bool{}
-	matches := map[string]string{}
 	for i := range c.service.Kinds {
 		k := &c.service.Kinds[i]
 		c.kind = k
 		if !ValidName(k.Name) {
 			c.fail(KeyName, expectedName, "%q is not a kind name", k.Name)
 		}
-		if names[k.Name] {
-			c.fail(KeyName, "a name used once in the service", "kind %q is declared twice", k.Name)
-		}
-		names[k.Name] = true
+		c.checkDuplicates(c.service.Kinds[:i])
 		c.checkMatch()
-		match := k.Match()
-		if other, ok := matches[match]; ok {
-			c.fail(KeyMatch, "a match that no other kind has", "%q never matches, kind %q has the same match", match, other)
-		} else {
-			matches[match] = k.Name
-		}
 		c.checkValues()
 	}
 	c.kind = nil
 }
 
+func (c *checker) checkDuplicates(earlier []Kind) {
+	k := c.kind
+	for i := range earlier {
+		if earlier[i].Name == k.Name {
+			c.fail(KeyName, "a name used once in the service", "kind %q is declared twice", k.Name)
+			break
+		}
+	}
+	for i := range earlier {
+		if earlier[i].PathPrefix == k.PathPrefix && earlier[i].Method == k.Method {
+			c.fail(KeyMatch, "a match that no other kind has", "%q never matches, kind %q has the same match", k.Match(), earlier[i].Name)
+			break
+		}
+	}
+}
+
 // Match returns the match as written in an answer file: method and path prefix, or only the prefix.
 func (k *Kind) Match() string {
 	if k.Method == "" {
@@ -175,7 +193,7 @@
 	switch {
 	case !strings.HasPrefix(k.PathPrefix, "/"):
 		c.fail(KeyMatch, "a path that begins with /", "no request has the path %q", k.PathPrefix)
-	case strings.ContainsAny(k.PathPrefix, "?#%") || strings.ContainsFunc(k.PathPrefix, notInPath):
+	case strings.ContainsFunc(k.PathPrefix, notInPath):
 		c.fail(KeyMatch, "a decoded path without ? # % and spaces", "no request has the path %q", k.PathPrefix)
 	case strings.Contains(k.PathPrefix, "//") || hasDotSegment(k.PathPrefix):
 		c.fail(KeyMatch, "a path without empty, . and .. segments", "no request has the path %q", k.PathPrefix)
@@ -184,7 +202,7 @@
 	}
 }
 
-func notInPath(r rune) bool { return r <= ' ' || r == 0x7f }
+func notInPath(r rune) bool { return r <= ' ' || r == 0x7f || r == '?' || r == '#' || r == '%' }
 
 func hasDotSegment(path string) bool {
 	for segment := range strings.SplitSeq(path, "/") {
