Add the connections to the backend server beside the daemon

A check before each use finds connections that were closed while idle, so that the request is not reported as may have run. Responses without a declared length are refused, because a cut in them cannot be noticed.

--- /dev/null
+++ b/agent/backend/backend_test.go
@@ -0,0 +1,327 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// generous is a deadline that a test reaches only if it is stuck.
+const generous = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is a backend server that answers each request on a connection through serve, which returns
+// false to close the connection.
+type script struct {
+	listener net.Listener
+	opened   atomic.Int32
+	requests atomic.Int32
+}
+
+func startScript(t testing.TB, serve func(n int32, r *http.Request, w io.Writer) bool) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &script{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			go s.serveConn(c, serve)
+		}
+	}()
+	return s
+}
+
+func (s *script) serveConn(c net.Conn, serve func(int32, *http.Request, io.Writer) bool) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if !serve(s.requests.Add(1), r, c) {
+			return
+		}
+	}
+}
+
+func reply(text string) func(int32, *http.Request, io.Writer) bool {
+	return func(_ int32, _ *http.Request, w io.Writer) bool {
+		_, _ = io.WriteString(w, text)
+		return strings.Contains(text, "keep")
+	}
+}
+
+// keepOK is a complete response on a connection that stays open.
+const keepOK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkeep"
+
+func newBackend(t testing.TB, cfg Config, s *script, slots, connections int) *Backend {
+	t.Helper()
+	b := New(cfg, event.Nop())
+	t.Cleanup(b.Close)
+	announceTo(t, b, s, "ready", slots, connections)
+	return b
+}
+
+func announceTo(t testing.TB, b *Backend, s *script, state string, slots, connections int) {
+	t.Helper()
+	body := fmt.Sprintf(`{"service":"pages","address":%q,"state":%q,"slots":%d,"connections":%d}`, s.listener.Addr(), state, slots, connections)
+	w := httptest.NewRecorder()
+	b.Announcements().ServeHTTP(w, httptest.NewRequest(http.MethodPut, AnnouncePath, strings.NewReader(body)))
+	if w.Code != http.StatusNoContent {
+		t.Fatalf("announcement: %d %s", w.Code, w.Body)
+	}
+}
+
+func within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func request() *call.Request {
+	return &call.Request{
+		Attempt: fence.AttemptID{Sender: 5, Seq: 1}, Depth: 3, Method: "POST", Target: "/pages/a?x=1", Host: "pages",
+		Header: http.Header{"Accept": {"a"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Content-Length": {"99"}}, Body: []byte("body"),
+	}
+}
+
+func start() bool { return true }
+
+// Guards against headers that are lost or that break the framing, and against a missing timeout,
+// depth or attempt header.
+func TestRequestOnTheWire(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan *http.Request, 1)
+	s := startScript(t, func(_ int32, r *http.Request, w io.Writer) bool {
+		seen <- r
+		return reply(keepOK)(0, r, w)
+	})
+	b := newBackend(t, Config{}, s, 1, 2)
+	resp, err := b.Do(within(t, generous), request(), start)
+	is.NoErr(err)
+	is.Equal(resp.Verdict, verdict.Ran)
+	is.Equal(string(resp.Body), "keep")
+	r := <-seen
+	body, _ := io.ReadAll(r.Body)
+	is.Equal(string(body), "body")
+	is.Equal(r.RequestURI, "/pages/a?x=1")
+	is.Equal(r.Host, "pages")
+	is.Equal(r.Header.Get("Accept"), "a")
+	is.Equal(r.Header.Get("X-Hop"), "")
+	is.Equal(r.Header.Get(DepthHeader), "3")
+	is.Equal(r.Header.Get(AttemptHeader), request().Attempt.String())
+	is.True(r.Header.Get(TimeoutHeader) != "")
+}
+
+// Guards against incomplete, oversized, ambiguous or shed responses with a wrong verdict.
+func TestResponses(t *testing.T) {
+	huge := fmt.Sprint(call.MaxResponseBodyBytes + 1)
+	for name, c := range map[string]struct {
+		wire    string
+		err     error
+		verdict verdict.Verdict
+	}{
+		"truncated":       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", ErrTruncated, verdict.Ran},
+		"truncated chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", ErrTruncated, verdict.Ran},
+		"no length":       {"HTTP/1.1 200 OK\r\n\r\nbody", ErrTruncated, verdict.Ran},
+		"oversized":       {"HTTP/1.1 200 OK\r\nContent-Length: " + huge + "\r\n\r\n", ErrResponseTooLarge, verdict.Ran},
+		"no response":     {"", io.ErrUnexpectedEOF, verdict.MayHaveRun},
+		"cut header":      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", io.ErrUnexpectedEOF, verdict.MayHaveRun},
+		"upgrade":         {"HTTP/1.1 101 Switching Protocols\r\n\r\n", ErrBadResponse, verdict.MayHaveRun},
+		"shed":            {"HTTP/1.1 503 x\r\nKingcupwood-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", nil, verdict.NotRun},
+		"failed":          {"HTTP/1.1 500 x\r\nKingcupwood-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", nil, verdict.Ran},
+		"early hints":     {"HTTP/1.1 103 x\r\n\r\n" + keepOK, nil, verdict.Ran},
+		"chunked":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nkeep\r\n0\r\n\r\n", nil, verdict.Ran},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startScript(t, reply(c.wire))
+			b := newBackend(t, Config{}, s, 1, 2)
+			resp, err := b.Do(within(t, generous), request(), start)
+			if c.err != nil {
+				is.True(errors.Is(err, c.err))
+				is.Equal(verdict.Of(err), c.verdict)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(resp.Verdict, c.verdict)
+		})
+	}
+}
+
+// Guards against a request that is sent on a connection which the backend server closed while it was
+// idle, so that it would be reported as may have run.
+func TestConnectionClosedWhileIdle(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := startScript(t, func(n int32, r *http.Request, w io.Writer) bool {
+		_, _ = io.WriteString(w, keepOK)
+		if n == 1 {
+			_ = w.(net.Conn).Close()
+			close(closed)
+		}
+		return n != 1
+	})
+	b := newBackend(t, Config{}, s, 1, 5)
+	for range 2 {
+		_, err := b.Do(within(t, generous), request(), start)
+		is.NoErr(err)
+		<-closed
+	}
+}
+
+// Guards against a request that is sent although it was fenced, and against a connection that is
+// lost by that.
+func TestFencedBeforeFirstByte(t *testing.T) {
+	is := is.New(t)
+	s := startScript(t, reply(keepOK))
+	b := newBackend(t, Config{}, s, 1, 1)
+	_, err := b.Do(within(t, generous), request(), func() bool { return false })
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	_, err = b.Do(within(t, generous), request(), start)
+	is.NoErr(err)
+	is.Equal(s.requests.Load(), int32(1))
+}
+
+// Guards against an exchange that goes on after the caller has left or the deadline has passed.
+func TestCancellationClosesConnection(t *testing.T) {
+	is := is.New(t)
+	arrived, gone := make(chan struct{}, 2), make(chan struct{}, 2)
+	s := startScript(t, func(_ int32, r *http.Request, w io.Writer) bool {
+		arrived <- struct{}{}
+		_, _ = w.(net.Conn).Read(make([]byte, 1)) // returns when the daemon closes the connection
+		gone <- struct{}{}
+		return false
+	})
+	b := newBackend(t, Config{}, s, 1, 5)
+	ctx, cancel := context.WithCancel(within(t, generous))
+	go func() { <-arrived; cancel() }()
+	_, err := b.Do(ctx, request(), start)
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	<-gone
+	_, err = b.Do(within(t, 20*time.Millisecond), request(), start)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	<-gone
+}
+
+// Guards against more connections than declared, and against a request at the limit that never gets
+// the connection which becomes free.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	s := startScript(t, func(_ int32, r *http.Request, w io.Writer) bool {
+		arrived <- struct{}{}
+		<-release
+		return reply(keepOK)(0, r, w)
+	})
+	b := newBackend(t, Config{}, s, 4, 1)
+	results := make(chan error, 2)
+	do := func() {
+		_, err := b.Do(within(t, generous), request(), start)
+		results <- err
+	}
+	go do()
+	<-arrived
+	_, err := b.Do(within(t, 20*time.Millisecond), request(), start)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	go do()
+	close(release)
+	is.NoErr(<-results)
+	is.NoErr(<-results)
+	is.Equal(s.opened.Load(), int32(1))
+}
+
+// Guards against a backend server that stays ready after its announcements end or after it refused a
+// connection, and against a missing report of the change.
+func TestExpiryAndRefusal(t *testing.T) {
+	is := is.New(t)
+	var now atomic.Int64
+	states := make(chan endpoint.State, 10)
+	cfg := Config{
+		Now:     func() time.Time { return time.Unix(0, now.Load()) },
+		Changed: func(s Status) { states <- s.State },
+	}
+	s := startScript(t, reply(keepOK))
+	b := newBackend(t, cfg, s, 1, 2)
+	is.Equal(<-states, endpoint.Ready)
+	now.Add(int64(announcementLifetime) + 1)
+	is.Equal(b.State(), endpoint.Gone)
+	is.Equal(<-states, endpoint.Gone)
+	announceTo(t, b, s, "draining", 1, 2)
+	is.Equal(<-states, endpoint.Draining)
+	_ = s.listener.Close()
+	b.mu.Lock()
+	b.pool.closeIdle()
+	b.mu.Unlock()
+	_, err := b.Do(within(t, generous), request(), start)
+	is.True(errors.Is(err, ErrRefused))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(<-states, endpoint.Gone)
+}
+
+// Guards against requests and announcements that would break the framing or the configuration.
+func TestInvalidInput(t *testing.T) {
+	is := is.New(t)
+	s := startScript(t, reply(keepOK))
+	b := newBackend(t, Config{}, s, 1, 2)
+	for _, change := range []func(*call.Request){
+		func(r *call.Request) { r.Method = "GET /x" },
+		func(r *call.Request) { r.Target = "/a HTTP/1.1\r\nX: y" },
+		func(r *call.Request) { r.Header.Set("A", "b\r\nX: y") },
+		func(r *call.Request) { r.Body = make([]byte, call.MaxRequestBodyBytes+1) },
+	} {
+		r := request()
+		change(r)
+		_, err := b.Do(within(t, generous), r, start)
+		is.Equal(verdict.Of(err), verdict.NotRun)
+	}
+	is.Equal(s.requests.Load(), int32(0))
+	for _, body := range []string{"", `{"service":"p"}`, `{"service":"p","address":"127.0.0.1:1","state":"gone","slots":1,"connections":1}`} {
+		_, err := parseAnnouncement(strings.NewReader(body))
+		is.True(err != nil)
+	}
+}
+
+// Guards against a parser that fails on what a backend server announces.
+func FuzzAnnouncement(f *testing.F) {
+	f.Add(`{"service":"p","address":"127.0.0.1:1","state":"ready","slots":1,"connections":1}`)
+	f.Add(`{"slots":1e99}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		a, err := parseAnnouncement(strings.NewReader(body))
+		if err == nil && (a.Slots < 1 || a.Service == "" || a.state == 0) {
+			t.Fatalf("accepted %+v", a)
+		}
+	})
+}
--- /dev/null
+++ b/agent/backend/exchange.go
@@ -0,0 +1,188 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// Errors of an exchange; Do returns them inside a *verdict.Error.
+var (
+	ErrNotStarted       = errors.New("attempt is fenced")
+	ErrInvalidRequest   = errors.New("request cannot be written as HTTP/1.1")
+	ErrTruncated        = errors.New("response of the backend server is truncated")
+	ErrResponseTooLarge = errors.New("response of the backend server exceeds the limit")
+	ErrBadResponse      = errors.New("backend server sent no valid HTTP response")
+)
+
+// maxResponseBytes bounds what is read for one response, header and chunk framing included.
+const maxResponseBytes = call.MaxResponseBodyBytes + 1<<20
+
+// Do sends r to the backend server and reads the whole response in the calling goroutine. ctx bounds
+// the exchange; when it ends, the connection is closed, which cancels the request on the backend
+// server. started is called immediately before the first byte is sent, and on false nothing is sent.
+// The verdict of a response is not run if the backend server shed the request, otherwise ran. An
+// error is a *verdict.Error: not run before the first byte, may have run until the status line has
+// arrived, ran afterwards.
+func (b *Backend) Do(ctx context.Context, r *call.Request, started func() bool) (*call.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, err)
+	}
+	if len(r.Body) > call.MaxRequestBodyBytes {
+		return nil, verdict.Wrap(verdict.NotRun, call.ErrRequestTooLarge)
+	}
+	if err := checkRequest(r); err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, err)
+	}
+	c, err := b.conn(ctx)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, contextError(ctx, err))
+	}
+	if !started() {
+		b.release(c)
+		return nil, verdict.Wrap(verdict.NotRun, ErrNotStarted)
+	}
+	resp, reusable, err := c.exchange(ctx, r)
+	if reusable {
+		b.release(c)
+	} else {
+		b.discard(c)
+	}
+	if err != nil {
+		return nil, err
+	}
+	resp.Draining = b.State() == endpoint.Draining
+	return resp, nil
+}
+
+// exchange writes r and reads the response. reusable is false if the connection must be closed.
+func (c *conn) exchange(ctx context.Context, r *call.Request) (resp *call.Response, reusable bool, err error) {
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, c.abort)
+		defer func() {
+			if !stop() {
+				reusable = false // abort may still change the deadline
+			}
+		}()
+	}
+	c.out = appendRequest(c.out[:0], r, timeLeft(ctx, r))
+	c.limit.N = maxResponseBytes
+	if n, err := c.write(r.Body); err != nil {
+		v := verdict.MayHaveRun
+		if n == 0 {
+			v = verdict.NotRun
+		}
+		return nil, false, verdict.Wrap(v, errors.Wrap(contextError(ctx, err), "send to backend server"))
+	}
+	head, err := c.readHead(r.Method)
+	if err != nil {
+		return nil, false, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(contextError(ctx, err), "receive from backend server"))
+	}
+	body, err := readBody(head)
+	if err != nil {
+		return nil, false, verdict.Wrap(verdict.Ran, contextError(ctx, err))
+	}
+	return newResponse(r, head, body), !head.Close, nil
+}
+
+// readHead reads the status line and header of the final response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for {
+		head, err := http.ReadResponse(c.in, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if head.StatusCode == http.StatusSwitchingProtocols {
+			return nil, ErrBadResponse
+		}
+		if head.StatusCode >= http.StatusOK {
+			return head, nil
+		}
+	}
+}
+
+// readBody reads the whole body within the limit.
+func readBody(head *http.Response) ([]byte, error) {
+	defer func() { _ = head.Body.Close() }()
+	if head.ContentLength > call.MaxResponseBodyBytes && head.Request.Method != http.MethodHead {
+		return nil, ErrResponseTooLarge
+	}
+	if head.ContentLength >= 0 {
+		return readSized(head)
+	}
+	if !slices.Contains(head.TransferEncoding, "chunked") {
+		// The end of the connection would be the end of the body, so that a cut could not be noticed.
+		return nil, errors.Wrap(ErrTruncated, "length is not declared")
+	}
+	body, err := io.ReadAll(io.LimitReader(head.Body, call.MaxResponseBodyBytes+1))
+	if err != nil {
+		return nil, truncated(err)
+	}
+	if len(body) > call.MaxResponseBodyBytes {
+		return nil, ErrResponseTooLarge
+	}
+	return body, nil
+}
+
+// readSized reads a body of known length into a slice of exactly that length.
+func readSized(head *http.Response) ([]byte, error) {
+	if head.Body == http.NoBody || head.ContentLength == 0 {
+		return nil, nil
+	}
+	body := make([]byte, head.ContentLength)
+	if _, err := io.ReadFull(head.Body, body); err != nil {
+		return nil, truncated(err)
+	}
+	return body, nil
+}
+
+func truncated(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return errors.Wrap(ErrTruncated, err.Error())
+}
+
+func newResponse(r *call.Request, head *http.Response, body []byte) *call.Response {
+	resp := &call.Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: head.StatusCode, Body: body}
+	if head.StatusCode == http.StatusServiceUnavailable && head.Header.Get(verdict.Header) == verdict.NotRun.String() {
+		resp.Verdict = verdict.NotRun
+		resp.Reason = "shed by the backend server"
+		if seconds, err := strconv.Atoi(head.Header.Get("Retry-After")); err == nil && seconds > 0 {
+			resp.RetryAfter = time.Duration(seconds) * time.Second
+		}
+	}
+	removeHopHeaders(head.Header)
+	head.Header.Del(verdict.Header)
+	resp.Header = head.Header
+	return resp
+}
+
+// timeLeft returns the time left for the exchange.
+func timeLeft(ctx context.Context, r *call.Request) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return r.Timeout
+}
+
+// contextError returns the error of ctx if it is the cause of err.
+func contextError(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil {
+		return cause
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return context.DeadlineExceeded // the timer of the connection fired before that of ctx
+	}
+	return err
+}
--- /dev/null
+++ b/agent/backend/request.go
@@ -0,0 +1,161 @@
+package backend
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+)
+
+// Headers of a request to the backend server.
+const (
+	// TimeoutHeader holds the time left in milliseconds.
+	TimeoutHeader = "Kingcupwood-Timeout"
+	// DepthHeader holds the number of daemons that the chain of calls has entered so far.
+	DepthHeader = "Kingcupwood-Depth"
+	// AttemptHeader holds the attempt ID.
+	AttemptHeader = "Kingcupwood-Attempt"
+)
+
+// copyBodyBytes is the size up to which a body is copied behind the header for a single write.
+const copyBodyBytes = 16 << 10
+
+// replacedHeaders are set by the daemon or concern one connection only, so that they are not copied
+// from the caller. The names are canonical.
+var replacedHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Host": true, "Content-Length": true, "Expect": true,
+	TimeoutHeader: true, DepthHeader: true, AttemptHeader: true,
+}
+
+// checkRequest rejects what would break the framing of HTTP/1.1.
+func checkRequest(r *call.Request) error {
+	if !isToken(r.Method) || r.Method == http.MethodConnect {
+		return errors.Wrapf(ErrInvalidRequest, "method %q", r.Method)
+	}
+	if !strings.HasPrefix(r.Target, "/") || !isVisible(r.Target) {
+		return errors.Wrapf(ErrInvalidRequest, "target %q", r.Target)
+	}
+	if !isVisible(r.Host) {
+		return errors.Wrapf(ErrInvalidRequest, "host %q", r.Host)
+	}
+	for name, values := range r.Header {
+		if !isToken(name) {
+			return errors.Wrapf(ErrInvalidRequest, "header name %q", name)
+		}
+		for _, value := range values {
+			if strings.ContainsAny(value, "\r\n\x00") {
+				return errors.Wrapf(ErrInvalidRequest, "value of header %q", name)
+			}
+		}
+	}
+	return nil
+}
+
+// isVisible reports whether s has no spaces or control characters.
+func isVisible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// isToken reports whether s is a token of RFC 9110.
+func isToken(s string) bool {
+	for i := range len(s) {
+		b := s[i]
+		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		if !letter && (b < '0' || b > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// appendRequest appends the head of r in HTTP/1.1. left becomes the timeout header, at least 1 ms.
+func appendRequest(b []byte, r *call.Request, left time.Duration) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendHeader(b, "Host", r.Host)
+	listed := connectionOptions(r.Header)
+	for name, values := range r.Header {
+		canonical := http.CanonicalHeaderKey(name)
+		if replacedHeaders[canonical] || listed[canonical] {
+			continue
+		}
+		for _, value := range values {
+			b = appendHeader(b, name, value)
+		}
+	}
+	b = appendNumber(b, TimeoutHeader, max(left.Milliseconds(), 1))
+	b = appendNumber(b, DepthHeader, int64(r.Depth))
+	b = appendHeader(b, AttemptHeader, r.Attempt.String())
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b = appendNumber(b, "Content-Length", int64(len(r.Body)))
+	}
+	return append(b, "\r\n"...)
+}
+
+func appendHeader(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+func appendNumber(b []byte, name string, value int64) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = strconv.AppendInt(b, value, 10)
+	return append(b, "\r\n"...)
+}
+
+// connectionOptions returns the canonical names listed in the Connection header; nil if there are
+// none.
+func connectionOptions(h http.Header) map[string]bool {
+	var listed map[string]bool
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if listed == nil {
+				listed = map[string]bool{}
+			}
+			listed[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return listed
+}
+
+// removeHopHeaders removes from the header of a response what concerns one connection only. The
+// length stays, because the response to HEAD has one without a body.
+func removeHopHeaders(h http.Header) {
+	for name := range connectionOptions(h) {
+		delete(h, name)
+	}
+	for name := range h {
+		if replacedHeaders[name] && name != "Content-Length" {
+			delete(h, name)
+		}
+	}
+}
+
+// write sends the head in c.out and body, in one system call where possible. It returns the number
+// of bytes that were sent.
+func (c *conn) write(body []byte) (int64, error) {
+	if len(body) <= copyBodyBytes {
+		c.out = append(c.out, body...)
+		n, err := c.Write(c.out)
+		return int64(n), err
+	}
+	buffers := net.Buffers{c.out, body}
+	return buffers.WriteTo(c.Conn)
+}
