--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -12,6 +12,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/retry"
@@ -28,20 +29,9 @@
 	Fence(ctx context.Context, addr, rpcAddr string, id fence.AttemptID) fence.Answer
 }
 
-// Outcome classes a request for the service-level report.
-type Outcome uint8
-
-// The outcomes.
-const (
-	Good    Outcome = iota // answered without a server error and in time
-	Late                   // answered after the deadline
-	Refused                // not run
-	Lost                   // failed, or may have run without an answer
-)
-
 // Recorder counts the outcomes of requests. It is called on the request path.
 type Recorder interface {
-	Record(service, kind string, rank int, o Outcome)
+	Record(s *snapshot.Service, k *snapshot.Kind, o burn.Outcome)
 }
 
 // Config holds what a Handler works with. All fields are required.
@@ -108,7 +98,7 @@
 		return
 	}
 	res := h.serve(r.Context(), e)
-	h.config.Recorder.Record(e.service.Name, e.kind.Name, e.kind.Rank, h.outcome(e, res))
+	h.config.Recorder.Record(e.service, e.kind, h.outcome(e, res))
 	h.metrics.retries.Add(int64(max(res.attempts-1, 0)))
 	if res.response != nil {
 		h.writeResponse(w, e, res)
@@ -130,14 +120,8 @@
 	f.write(w)
 }
 
-func (h *Handler) outcome(e *exchange, res *result) Outcome {
-	switch {
-	case res.verdict() == verdict.NotRun:
-		return Refused
-	case res.response == nil || res.response.Status >= http.StatusInternalServerError:
-		return Lost
-	case h.config.Now().After(e.deadline):
-		return Late
-	}
-	return Good
+func (h *Handler) outcome(e *exchange, res *result) burn.Outcome {
+	late := h.config.Now().After(e.deadline)
+	failed := res.response == nil || res.response.Status >= http.StatusInternalServerError
+	return burn.Classify(res.verdict(), late, failed)
 }
