Draw the legend beside the service-level plot

Rendered to PNG, the legend covered the lines at 100% and the time axis had ticks at odd minutes. The legend moves into the right margin, ticks stand at round times, and the SVG names fallback fonts. Checked by viewing the rendered picture.

--- a/pkg/burn/plot.go
+++ b/pkg/burn/plot.go
@@ -1,14 +1,18 @@
 package burn
 
 import (
+	"bytes"
 	"fmt"
 	"image/color"
 	"io"
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgimg"
@@ -18,6 +22,9 @@
 const (
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 16 * vg.Centimeter
+	// legendWidth is the margin for the legend, which would cover the lines inside the plots.
+	legendWidth = 3.9 * vg.Centimeter
+	plotPadding = 3 * vg.Millimeter
 
 	// maxPlottedBurn cuts the burn rate in the plot. An outage reaches 1,000 at an objective of
 	// 99.9%, and the range in which an operator still has time to act would be flat beside it.
@@ -37,7 +44,13 @@
 	if err := r.draw(canvas); err != nil {
 		return err
 	}
-	_, err := canvas.WriteTo(w)
+	var svg bytes.Buffer
+	if _, err := canvas.WriteTo(&svg); err != nil {
+		return errors.Wrap(err, "write plot")
+	}
+	// Viewers without the font of the plot library would fall back to a serif font of other width.
+	_, err := w.Write(bytes.ReplaceAll(svg.Bytes(), []byte("font-family:Liberation Sans;"),
+		[]byte("font-family:Liberation Sans,Arial,Helvetica,sans-serif;")))
 	return errors.Wrap(err, "write plot")
 }
 
@@ -52,19 +65,18 @@
 }
 
 func (r *Report) draw(canvas vg.CanvasSizer) error {
-	share, burn := r.newPlot(), r.newPlot()
+	legend := newLegend()
+	share, burn := r.newPlot(0, 25, 50, 75, 100), r.newPlot(0, 5, 10, 15, maxPlottedBurn)
 	share.Title.Text = "Service level by rank"
 	share.Y.Label.Text = "good and in time, %"
-	share.Y.Min, share.Y.Max = 0, 100
 	burn.Y.Label.Text = fmt.Sprintf("burn rate (cut at %d)", maxPlottedBurn)
 	burn.X.Label.Text = "UTC"
-	burn.Y.Min, burn.Y.Max = 0, maxPlottedBurn
 	for start := 0; start < len(r.Series); {
 		end := start
 		for end < len(r.Series) && r.Series[end].Rank == r.Series[start].Rank {
 			end++
 		}
-		if err := r.drawRank(share, burn, r.Series[start:end]); err != nil {
+		if err := r.drawRank(share, burn, &legend, r.Series[start:end]); err != nil {
 			return err
 		}
 		start = end
@@ -72,29 +84,71 @@
 	limit := plotter.NewFunction(func(float64) float64 { return SlowBurn })
 	limit.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 	burn.Add(limit)
-	burn.Legend.Add("objective just met", limit)
-	r.arrange(canvas, share, burn)
+	legend.Add("objective met", limit)
+	arrange(draw.New(canvas), legend, share, burn)
 	return nil
 }
 
-// newPlot returns an empty plot whose time axis is the long window.
-func (r *Report) newPlot() *plot.Plot {
+// newPlot returns an empty plot whose time axis is the long window, with ticks at the given values.
+func (r *Report) newPlot(ticks ...float64) *plot.Plot {
 	p := plot.New()
-	p.X.Min = float64(r.Until.Add(-r.Long).Unix())
-	p.X.Max = float64(r.Until.Unix())
-	layout := "15:04"
-	if r.Long < 10*time.Minute {
-		layout = "15:04:05"
+	p.X.Min, p.X.Max = float64(r.Until.Add(-r.Long).Unix()), float64(r.Until.Unix())
+	p.Y.Min, p.Y.Max = ticks[0], ticks[len(ticks)-1]
+	p.X.Tick.Marker = plot.TickerFunc(clockTicks)
+	var marks plot.ConstantTicks
+	for _, value := range ticks {
+		marks = append(marks, plot.Tick{Value: value, Label: strconv.Itoa(int(value))})
+	}
+	p.Y.Tick.Marker = marks
+	for _, style := range []*text.Style{&p.Title.TextStyle, &p.X.Label.TextStyle, &p.Y.Label.TextStyle, &p.X.Tick.Label, &p.Y.Tick.Label} {
+		style.Font.Variant = fontVariant
 	}
-	p.X.Tick.Marker = plot.TimeTicks{Format: layout, Time: plot.UTCUnixTime}
-	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	return p
 }
 
+const fontVariant = "Sans"
+
+func newLegend() plot.Legend {
+	legend := plot.NewLegend()
+	legend.Top, legend.Left = true, true
+	legend.TextStyle.Font.Variant = fontVariant
+	legend.XOffs = plotPadding
+	legend.Padding = vg.Points(2)
+	return legend
+}
+
+// tickSteps are the distances between ticks, of which the first that gives few ticks is used.
+var tickSteps = []time.Duration{time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute,
+	5 * time.Minute, 10 * time.Minute, 30 * time.Minute, time.Hour, 3 * time.Hour, 6 * time.Hour, 24 * time.Hour, 7 * 24 * time.Hour}
+
+const maxTicks = 9
+
+// clockTicks places ticks at round times between two Unix times in seconds.
+func clockTicks(from, to float64) []plot.Tick {
+	step, layout := time.Duration(math.Ceil((to-from)/maxTicks))*time.Second, "2006-01-02"
+	for _, candidate := range tickSteps {
+		if (to-from)/candidate.Seconds() <= maxTicks {
+			step = candidate
+			break
+		}
+	}
+	switch {
+	case step < time.Minute:
+		layout = "15:04:05"
+	case step < 24*time.Hour:
+		layout = "15:04"
+	}
+	var ticks []plot.Tick
+	for at := math.Ceil(from/step.Seconds()) * step.Seconds(); at <= to; at += step.Seconds() {
+		ticks = append(ticks, plot.Tick{Value: at, Label: time.Unix(int64(at), 0).UTC().Format(layout)})
+	}
+	return ticks
+}
+
 // drawRank adds the lines of one rank. Points outside the window, which reports of daemons with
 // differing clocks may contain, are left out.
-func (r *Report) drawRank(share, burn *plot.Plot, points []Point) error {
+func (r *Report) drawRank(share, burn *plot.Plot, legend *plot.Legend, points []Point) error {
 	var good, rates plotter.XYs
 	for _, p := range points {
 		x := (float64(p.Interval) + 0.5) * r.Bucket.Seconds()
@@ -109,34 +163,34 @@
 	if len(good) == 0 {
 		return nil
 	}
-	rank := points[0].Rank
-	if err := addLine(share, good, rank); err != nil {
-		return err
-	}
-	return addLine(burn, rates, rank)
-}
-
-func addLine(p *plot.Plot, points plotter.XYs, rank int) error {
-	line, err := plotter.NewLine(points)
-	if err != nil {
-		return errors.Wrapf(err, "plot rank %d", rank)
+	for p, xys := range map[*plot.Plot]plotter.XYs{share: good, burn: rates} {
+		line, err := plotter.NewLine(xys)
+		if err != nil {
+			return errors.Wrapf(err, "plot rank %d", points[0].Rank)
+		}
+		line.Width = vg.Points(1.5)
+		line.Color = rankColors[(points[0].Rank-1)%len(rankColors)]
+		p.Add(line)
+		if p == share {
+			legend.Add(fmt.Sprintf("rank %d", points[0].Rank), line)
+		}
 	}
-	line.Width = vg.Points(1.5)
-	line.Color = rankColors[(rank-1)%len(rankColors)]
-	p.Add(line)
-	p.Legend.Add(fmt.Sprintf("rank %d", rank), line)
 	return nil
 }
 
-// arrange draws the plots below each other with the same time axis.
-func (r *Report) arrange(canvas vg.CanvasSizer, plots ...*plot.Plot) {
+// arrange draws the plots below each other with the same time axis, and the legend beside them.
+func arrange(canvas draw.Canvas, legend plot.Legend, plots ...*plot.Plot) {
+	canvas.SetColor(color.White)
+	canvas.Fill(canvas.Rectangle.Path())
 	var rows [][]*plot.Plot
 	for _, p := range plots {
 		rows = append(rows, []*plot.Plot{p})
 	}
-	tiles := draw.Tiles{Rows: len(rows), Cols: 1, PadY: vg.Millimeter * 4, PadRight: vg.Millimeter * 4,
-		PadLeft: vg.Millimeter * 2, PadTop: vg.Millimeter * 2, PadBottom: vg.Millimeter * 2}
-	for i, row := range plot.Align(rows, tiles, draw.New(canvas)) {
+	tiles := draw.Tiles{Rows: len(rows), Cols: 1, PadY: plotPadding, PadRight: legendWidth,
+		PadLeft: plotPadding, PadTop: plotPadding, PadBottom: plotPadding}
+	for i, row := range plot.Align(rows, tiles, canvas) {
 		plots[i].Draw(row[0])
 	}
+	margin := draw.Crop(canvas, canvas.Max.X-canvas.Min.X-legendWidth, -plotPadding, 0, -plotPadding)
+	legend.Draw(margin)
 }
