Test the platform client under faults

The design promises that no operator is told "failed" for a write that took effect and that a fenced lease holder cannot write.

--- /dev/null
+++ b/agent/platform/lease_test.go
@@ -0,0 +1,106 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	standin "kingcupwood.example/kingcupwood/standin/platform"
+)
+
+const leaseTTL = 10 * time.Second
+
+// Guards against the writes of a holder that was paused past its lease.
+func TestPausedHolderIsFenced(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	first, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-1", leaseTTL)
+	is.NoErr(err)
+	is.NoErr(h.client.PublishLease(h.ctx, first, "10.0.0.1:7000"))
+	_, err = h.client.AcquireLease(h.ctx, "domain-a/0", "instance-2", leaseTTL)
+	var held *LeaseHeldError
+	is.True(errors.As(err, &held))
+	is.Equal(held.Holder, "instance-1")
+
+	h.clock.Advance(leaseTTL)
+	second, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-2", leaseTTL)
+	is.NoErr(err)
+	is.True(second.Token > first.Token)
+	is.NoErr(h.client.PublishLease(h.ctx, second, "10.0.0.2:7000"))
+
+	var lost *LeaseLostError
+	_, err = h.client.RenewLease(h.ctx, first, leaseTTL)
+	is.True(errors.As(err, &lost))
+	is.True(errors.As(h.client.PublishLease(h.ctx, first, "10.0.0.1:7000"), &lost))
+	is.True(errors.As(h.client.ReleaseLease(h.ctx, first), &lost))
+	leases, err := h.client.Leases(h.ctx, "domain-a/")
+	is.NoErr(err)
+	is.Equal(len(leases), 1)
+	is.Equal(leases[0].Value, "10.0.0.2:7000")
+}
+
+// Guards against a holder that publishes after its lease has expired, even if nobody else has taken
+// it over.
+func TestExpiredHolderMayOnlyRenew(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	lease, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-1", leaseTTL)
+	is.NoErr(err)
+	h.clock.Advance(leaseTTL)
+	var lost *LeaseLostError
+	is.True(errors.As(h.client.PublishLease(h.ctx, lease, "10.0.0.1:7000"), &lost))
+	lease, err = h.client.RenewLease(h.ctx, lease, leaseTTL)
+	is.NoErr(err)
+	is.NoErr(h.client.PublishLease(h.ctx, lease, "10.0.0.1:7000"))
+}
+
+// Guards against a lease write with a lost response that is reported as failed or sent twice.
+func TestLeaseResponseLost(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	lost := standin.Fault{Store: standin.Table, Kind: standin.LoseResponse, Operations: standin.OnlyWrites, Count: 1}
+	h.inject(t, lost)
+	lease, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-1", leaseTTL)
+	is.NoErr(err)
+	h.clock.Advance(leaseTTL / 2)
+	h.inject(t, lost)
+	renewed, err := h.client.RenewLease(h.ctx, lease, leaseTTL)
+	is.NoErr(err)
+	is.Equal(renewed.Token, lease.Token)
+	h.inject(t, lost)
+	is.NoErr(h.client.ReleaseLease(h.ctx, renewed))
+	is.Equal(h.platform.Counts(standin.Table).Writes, uint64(3))
+	next, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-2", leaseTTL)
+	is.NoErr(err)
+	is.Equal(next.Token, lease.Token+1)
+}
+
+// Guards against two holders of a lease that expires while several candidates wait for it.
+func TestLeaseRaceHasOneWinner(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	_, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-0", leaseTTL)
+	is.NoErr(err)
+	h.clock.Advance(leaseTTL)
+	candidates := []string{"instance-1", "instance-2", "instance-3", "instance-4"}
+	results := make(chan error, len(candidates))
+	for _, name := range candidates {
+		go func() {
+			_, err := h.client.AcquireLease(h.ctx, "domain-a/0", name, leaseTTL)
+			results <- err
+		}()
+	}
+	winners := 0
+	for range candidates {
+		err := <-results
+		var held *LeaseHeldError
+		if err == nil {
+			winners++
+		} else if !errors.As(err, &held) {
+			t.Error(err)
+		}
+	}
+	is.Equal(winners, 1)
+}
