--- a/agent/peer/call/serverconn.go
+++ b/agent/peer/call/serverconn.go
@@ -26,6 +26,7 @@
 // and writes the responses.
 type serverConn struct {
 	codec codec
+	check *IdleCheck
 	// limited is set while the connection has a deadline; only its goroutine uses it.
 	limited bool
 
@@ -35,8 +36,13 @@
 	goneAway bool // the go-away frame has been sent
 }
 
+// errAbandoned means that the sender has closed the connection, or has sent more than one request on
+// it, before its request was taken up. The check matters after a pause of the receiver: without it,
+// requests whose senders have long given up would still run.
+var errAbandoned = errors.New("request abandoned by its sender")
+
 func newServerConn(conn net.Conn) *serverConn {
-	return &serverConn{codec: newCodec(conn), active: true}
+	return &serverConn{codec: newCodec(conn), check: NewIdleCheck(conn), active: true}
 }
 
 func (c *serverConn) greet(incarnation uint64) error {
@@ -66,6 +72,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !c.check.OK() {
+		return nil, errAbandoned
+	}
 	r.Body = body
 	return r, nil
 }
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -27,6 +27,7 @@
 
 func commands() []command {
 	return []command{
+		{name: "backend", short: "Run a stand-in backend server", long: "Runs a stand-in for a backend server and announces it to its daemon.", data: &backendCommand{}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 	}
 }
--- /dev/null
+++ b/standin/backend/server.go
@@ -0,0 +1,138 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// Paths of the stand-in itself; all other paths are work.
+const (
+	controlPrefix = "/standin"
+	HealthPath    = controlPrefix + "/health"
+	LoadPath      = controlPrefix + "/load"
+	RunsPath      = controlPrefix + "/runs"
+	DrainPath     = controlPrefix + "/drain"
+)
+
+// Server is a stand-in backend server.
+type Server struct {
+	settings *Settings
+	log      *event.Logger
+	times    []rule[time.Duration]
+	calls    []rule[target]
+	client   *http.Client
+	slots    chan struct{}
+	waiting  atomic.Int32
+	runs     runs
+	readyAt  time.Time
+	history  history
+	address  string // announced; set by Run
+	unused   unusedConns
+
+	drainOnce sync.Once
+	draining  chan struct{}
+}
+
+// NewServer returns a server for checked settings.
+func NewServer(s *Settings, log *event.Logger) (*Server, error) {
+	times, err := parseRules(s.Work.ServiceTimes, time.ParseDuration)
+	if err != nil {
+		return nil, errors.Wrap(err, "service-times")
+	}
+	calls, err := parseRules(s.Work.Calls, parseTarget)
+	if err != nil {
+		return nil, errors.Wrap(err, "calls")
+	}
+	return &Server{
+		settings: s, log: log, times: times, calls: calls,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Server.Slots}},
+		slots:    make(chan struct{}, s.Server.Slots),
+		readyAt:  time.Now().Add(s.Server.ColdStart),
+		draining: make(chan struct{}),
+	}, nil
+}
+
+// Handler returns the HTTP handler of the work and of the control endpoints.
+func (s *Server) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Get(HealthPath, s.health)
+	router.Get(LoadPath, s.load)
+	router.Get(RunsPath, s.reportRuns)
+	router.Post(DrainPath, func(w http.ResponseWriter, _ *http.Request) {
+		s.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	router.NotFound(s.work)
+	router.MethodNotAllowed(s.work)
+	return router
+}
+
+// Drain announces draining and ends Run once the requests in flight are done.
+func (s *Server) Drain() {
+	s.drainOnce.Do(func() {
+		s.log.Log(event.StandinBackendDraining, zap.String("service", s.settings.Server.Service))
+		close(s.draining)
+	})
+}
+
+func (s *Server) state() endpoint.State {
+	select {
+	case <-s.draining:
+		return endpoint.Draining
+	default:
+	}
+	if time.Now().Before(s.readyAt) {
+		return endpoint.Starting
+	}
+	return endpoint.Ready
+}
+
+// Run serves l and announces the server until ctx ends or Drain is called. Then it announces
+// draining, goes on serving for the notice, lets the requests in flight finish and returns nil. It
+// returns an error if the listener fails or the requests take longer than the drain timeout.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	s.address = l.Addr().String()
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Minute, ConnState: s.unused.observe}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- server.Serve(newLimitListener(l, s.settings.Server.Connections, s.settings.Server.ConnectCost))
+	}()
+	background, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { s.announceLoop(background) })
+	group.Go(func() { s.history.sample(background, s.settings.Failures.ReportLag, s.measure) })
+	defer s.client.CloseIdleConnections()
+	defer group.Wait()
+	defer stop()
+	s.log.Log(event.StandinBackendStarted, zap.String("service", s.settings.Server.Service), zap.Stringer("address", l.Addr()))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		s.Drain()
+	case <-s.draining:
+	}
+	return s.finish(server)
+}
+
+func (s *Server) finish(server *http.Server) error {
+	s.announceOnce(context.Background())
+	time.Sleep(s.settings.Server.DrainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Server.DrainTimeout)
+	defer cancel()
+	s.unused.close()
+	err := server.Shutdown(ctx)
+	s.log.Log(event.StandinBackendStopped, zap.String("service", s.settings.Server.Service), zap.Error(err))
+	return err
+}
