--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -30,6 +30,7 @@
 func commands() []command {
 	return []command{
 		{name: "daemon", short: "Run the daemon of an instance", long: "Runs the daemon of an instance until SIGTERM, then stops it without cutting a request.", data: &daemonCommand{}},
+		{name: "backend", short: "Run a stand-in backend server", long: "Runs a stand-in for a backend server and announces it to its daemon.", data: &backendCommand{}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
 		{name: "answers", short: "Work on the answers of a service", long: "Works on the answers to the questionnaire about a service.", sub: answersCommands()},
