Refuse requests that are too late before they take a token

Cause: a request that was retried just before its deadline took a token of its kind and, if a slot was free, ran and was late.

Change: a request whose remaining time is below the smaller of declared and observed service time is refused first, also when a slot is free.

--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -125,12 +125,13 @@
 	}
 	now := c.now()
 	c.limiter.adjust(now)
-	c.classify(w, kind, now)
 	// Requests that waited for a raised limit or behind expired ones come first.
 	out := c.dispatch(now, nil)
-	if !w.deadline.After(now) {
+	w.kind = c.kind(kind)
+	if w.tooLate(now) {
 		return nil, &Refusal{ReasonDeadline, c.retryAfter()}, out
 	}
+	w.classify(now)
 	if c.hasSlot(w.class) {
 		ticket := c.start(w)
 		c.publish()
@@ -141,12 +142,21 @@
 	return nil, refusal, out
 }
 
-// classify takes a token of the kind and sets the class of w.
-func (c *Controller) classify(w *Waiter, kind string, now time.Time) {
-	w.kind = c.kinds[kind]
-	if w.kind == nil {
-		w.kind = c.unknown
+func (c *Controller) kind(name string) *kindState {
+	if k := c.kinds[name]; k != nil {
+		return k
 	}
+	return c.unknown
+}
+
+// tooLate reports whether w would miss its deadline if it started now.
+func (w *Waiter) tooLate(now time.Time) bool {
+	return !w.deadline.After(now) || now.Add(w.kind.shortest()).After(w.deadline)
+}
+
+// classify takes a token of the kind and sets the class of w. Requests that are too late must be
+// refused before, so that they take no token from others.
+func (w *Waiter) classify(now time.Time) {
 	w.class = classOf(w.kind.Rank, w.kind.bucket.AllowN(now, 1))
 	w.work = w.kind.observed
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -147,7 +147,7 @@
 			break
 		}
 		c.queue.remove(w)
-		if now.Add(w.kind.shortest()).After(w.deadline) {
+		if w.tooLate(now) {
 			out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 			continue
 		}
