--- a/tools/bench/flood/world.go
+++ b/tools/bench/flood/world.go
@@ -36,7 +36,8 @@
 type sender struct {
 	domain   string
 	selector *selection.Selector
-	budget   *retry.Budget
+	// budgets holds the retry budget of each kind.
+	budgets map[string]*retry.Budget
 }
 
 // request is a request of a caller.
@@ -69,11 +70,15 @@
 	}
 	for i, domain := range u.domains {
 		cfg := selection.Config{Instance: endpoint.InstanceID(fmt.Sprintf("sender-%d", i)), Domain: domain}
-		w.senders = append(w.senders, &sender{
+		s := &sender{
 			domain:   domain,
 			selector: selection.New(cfg, w.now, w.rng.Uint64),
-			budget:   retry.NewBudget(retryRatio, retryMinimum, w.now),
-		})
+			budgets:  map[string]*retry.Budget{},
+		}
+		for _, k := range u.kinds {
+			s.budgets[k.Name] = retry.NewBudget(retryRatio, retryMinimum, w.now)
+		}
+		w.senders = append(w.senders, s)
 	}
 	w.publish(nil)
 	return w
@@ -112,7 +117,7 @@
 	}
 	r := &request{kind: k, sender: s, at: w.at, deadline: w.at + k.Deadline - k.Caller}
 	w.after(k.Caller, func() {
-		s.budget.Deposit()
+		s.budgets[k.Name].Deposit()
 		w.attempt(r)
 	})
 }
@@ -183,7 +188,7 @@
 		w.tally.add(r, outcomeServed)
 	case res.Verdict == verdict.Ran && !res.Failed:
 		w.tally.add(r, outcomeLate)
-	case w.mayRetry(r, res) && r.sender.budget.Withdraw():
+	case w.mayRetry(r, res) && r.sender.budgets[r.kind.Name].Withdraw():
 		w.attempt(r)
 	case res.Verdict == verdict.NotRun:
 		w.tally.add(r, outcomeRefused)
