Raise the load in proportion when requests take longer than declared

Cause: a server at a quarter of its speed reported the same load as the others, because its slots and the excess queue were full everywhere, so it kept an even share.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -93,7 +93,7 @@
 }
 
 // Load returns the load for responses: 0 is idle, 1 is all slots busy, above 1 requests wait. All
-// waiting excess work together adds 1 at most.
+// waiting excess work together adds 1 at most. Slow requests raise the load in proportion.
 func (c *Controller) Load() float64 { return math.Float64frombits(c.load.Load()) }
 
 // Slots returns the number of slots in use at present, which is at most the declared number.
@@ -162,7 +162,7 @@
 // protected requests wait.
 func (c *Controller) publish() {
 	excess := min(c.queue.size-c.queue.protected, c.limiter.limit)
-	load := float64(c.running+c.queue.protected+excess) / float64(c.limiter.limit)
+	load := float64(c.running+c.queue.protected+excess) / c.limiter.capacity()
 	c.load.Store(math.Float64bits(load))
 }
 
--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -13,6 +13,8 @@
 	// recoveredRatio is the mean below which the limit is raised again. It is lower than slowRatio so
 	// that the limit does not alternate.
 	recoveredRatio = 1.5
+	// maxSlowness bounds the effect of slow requests on the load, as samples may be outliers.
+	maxSlowness = 4.0
 )
 
 // limiter derives the number of usable slots from the declared number and from what is observed.
@@ -26,10 +28,12 @@
 	samples  int
 	ratios   float64
 	shed     bool
+	// slowness is the smoothed ratio of observed to declared service time.
+	slowness float64
 }
 
 func newLimiter(declared int, now time.Time) limiter {
-	return limiter{declared: declared, limit: declared, start: now}
+	return limiter{declared: declared, limit: declared, start: now, slowness: 1}
 }
 
 // declare changes the declared slots. The part taken away by observation is kept.
@@ -42,8 +46,10 @@
 	if declared <= 0 || observed <= 0 {
 		return
 	}
+	ratio := float64(observed) / float64(declared)
 	l.samples++
-	l.ratios += float64(observed) / float64(declared)
+	l.ratios += ratio
+	l.slowness += smoothing * (ratio - l.slowness)
 }
 
 // adjust changes the limit by one step if the interval is over.
@@ -62,5 +68,10 @@
 	l.start, l.samples, l.ratios, l.shed = now, 0, 0, false
 }
 
+// capacity returns the slots, fewer if requests hold them for longer than declared.
+func (l *limiter) capacity() float64 {
+	return float64(l.limit) / min(max(l.slowness, 1), maxSlowness)
+}
+
 func (l *limiter) mean() float64  { return l.ratios / float64(max(l.samples, 1)) }
 func (l *limiter) slowFloor() int { return (l.declared + 1) / 2 }
--- a/pkg/selection/config.go
+++ b/pkg/selection/config.go
@@ -30,7 +30,7 @@
 	loadHalfLife = 500 * time.Millisecond
 	// maxReportedLoad bounds the effect of a returned load, so that a wrong report of an endpoint
 	// cannot shut it out.
-	maxReportedLoad = 4.0
+	maxReportedLoad = 8.0
 	// drainingFor is the time for which a draining flag on a response counts. The record that
 	// confirms it takes at most a few seconds to arrive.
 	drainingFor = 10 * time.Second
