Raise the headroom of the declared rate from 10% to 25%

Cause: when selection avoids a slow or cold server, the others get more than their share of the declared rate, and the surplus of the top rank was excess.

--- a/pkg/admission/config.go
+++ b/pkg/admission/config.go
@@ -19,9 +19,9 @@
 	// queue before this limit does, unless the deadlines are long.
 	queuePerSlot = 32
 	// rateHeadroom multiplies the share of an instance in the declared rate. Requests are not spread
-	// evenly: the local failure domain is preferred and draws are random. At an exact share, about
-	// one request in twelve of a kind at its declared rate was excess on some instance.
-	rateHeadroom = 1.1
+	// evenly: draws are random, and when selection avoids a slow one of five servers, the others get
+	// a quarter more. Without headroom that part would wait behind all protected work.
+	rateHeadroom = 1.25
 	// burstSeconds is the burst headroom of a kind, as seconds of its declared rate.
 	burstSeconds = 0.5
 	// minBurst is the smallest burst in requests. Random arrivals at the declared rate exceed a bucket
