--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -27,14 +27,14 @@
 }
 
 func newKindState(k Kind) *kindState {
-	return &kindState{Kind: k, bucket: rate.NewLimiter(rate.Limit(k.Rate), k.burst()), observed: k.ServiceTime}
+	return &kindState{Kind: k, bucket: rate.NewLimiter(k.limit(), k.burst()), observed: k.ServiceTime}
 }
 
 // reconfigured returns the state of a kind after a change of configuration. The tokens and the
 // observed time stay. Waiting requests keep the old state, which is not changed.
 func (s *kindState) reconfigured(k Kind, now time.Time) *kindState {
 	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
-	next.bucket.SetLimitAt(now, rate.Limit(k.Rate))
+	next.bucket.SetLimitAt(now, k.limit())
 	next.bucket.SetBurstAt(now, k.burst())
 	if k.ServiceTime != s.ServiceTime {
 		next.observed = k.ServiceTime
@@ -93,7 +93,7 @@
 }
 
 // Load returns the load for responses: 0 is idle, 1 is all slots busy, above 1 requests wait. All
-// waiting excess work together adds 1 at most.
+// waiting excess work together adds 1 at most. Slow requests raise the load in proportion.
 func (c *Controller) Load() float64 { return math.Float64frombits(c.load.Load()) }
 
 // Slots returns the number of slots in use at present, which is at most the declared number.
@@ -147,7 +147,7 @@
 			break
 		}
 		c.queue.remove(w)
-		if now.Add(w.kind.shortest()).After(w.deadline) {
+		if w.tooLate(now) {
 			out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 			continue
 		}
@@ -162,7 +162,7 @@
 // protected requests wait.
 func (c *Controller) publish() {
 	excess := min(c.queue.size-c.queue.protected, c.limiter.limit)
-	load := float64(c.running+c.queue.protected+excess) / float64(c.limiter.limit)
+	load := float64(c.running+c.queue.protected+excess) / c.limiter.capacity()
 	c.load.Store(math.Float64bits(load))
 }
 
