--- a/agent/administration.go
+++ b/agent/administration.go
@@ -10,7 +10,7 @@
 
 // administration returns the administration API of this daemon.
 func (d *Daemon) administration() http.Handler {
-	return operator.New(operator.Config{Platform: d.platform, Daemon: daemonState{d}, Burn: d.burn}, d.log)
+	return operator.New(operator.Config{Platform: d.platform, Daemon: daemonState{d}, Burn: burnReport{d.burn}}, d.log)
 }
 
 // daemonState shows the state of a daemon to the administration API.
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -24,6 +24,7 @@
 	"kingcupwood.example/kingcupwood/agent/platform"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/admission"
+	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/retry"
@@ -56,11 +57,9 @@
 	client    *call.Client
 	callers   *caller.Handler
 	rpc       *rpc.Server
-	burn      *burnRecorder
+	burn      *burn.Tracker
 	gate      *gate
-
-	// announced is the last state of the backend server put into the endpoint record.
-	record recordKeeper
+	record    recordKeeper
 }
 
 // New builds a daemon and opens its listeners. Errors: a listener or the platform client cannot be
@@ -139,7 +138,7 @@
 	d.selector = selection.New(selection.Config{Self: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
 	d.client = call.NewClient(incarnation, d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
-	d.burn = newBurnRecorder()
+	d.burn = burn.New(burn.Config{}, time.Now)
 	d.callers = caller.NewHandler(caller.Config{
 		Instance: local.Instance, Incarnation: incarnation, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
--- a/agent/operator/client.go
+++ b/agent/operator/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -83,6 +84,22 @@
 	return reply, err
 }
 
+// Endpoints returns the endpoints that the daemon which answers knows.
+func (c *Client) Endpoints(ctx context.Context) (EndpointsMessage, error) {
+	var reply EndpointsMessage
+	err := c.call(ctx, http.MethodGet, PathEndpoints, nil, &reply)
+	return reply, err
+}
+
+// Burn returns the service-level report of the daemon that answers.
+func (c *Client) Burn(ctx context.Context) (*burn.Report, error) {
+	var reply json.RawMessage
+	if err := c.call(ctx, http.MethodGet, PathBurn, nil, &reply); err != nil {
+		return nil, err
+	}
+	return burn.Decode(reply)
+}
+
 func servicePath(path, service string) string {
 	return strings.Replace(path, "{service}", url.PathEscape(service), 1)
 }
--- a/agent/operator/daemon.go
+++ b/agent/operator/daemon.go
@@ -56,7 +56,7 @@
 		for _, r := range view.Records {
 			message.Endpoints = append(message.Endpoints, EndpointMessage{
 				Instance: string(r.Instance), Domain: r.Domain, Service: r.Service,
-				State: r.State.String(), Slots: r.Slots, CallAddr: r.CallAddr,
+				State: r.State.String(), Slots: r.Slots, CallAddr: r.CallAddr, AdminAddr: r.AdminAddr,
 			})
 		}
 		message.Unreachable = slices.Sorted(maps.Keys(view.Unreachable))
--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -147,6 +147,8 @@
 	State    string `json:"state"`
 	Slots    int    `json:"slots,omitempty"`
 	CallAddr string `json:"call_addr"`
+	// AdminAddr is the address of the administration API of the instance.
+	AdminAddr string `json:"admin_addr"`
 }
 
 // Code is the machine-readable kind of an error.
--- a/agent/peer/keys/keys.go
+++ b/agent/peer/keys/keys.go
@@ -100,4 +100,3 @@
 	}
 	return sent, nil
 }
-
--- a/cli/cmd/administration.go
+++ b/cli/cmd/administration.go
@@ -32,7 +32,8 @@
 	} `section:"administration"`
 }
 
-func (o administrationOptions) client() (*operator.Client, error) {
+// load reads and checks the settings file.
+func (o administrationOptions) load() (*administrationSettings, error) {
 	var s administrationSettings
 	if err := settings.Load(o.Settings, &s); err != nil {
 		return nil, err
@@ -41,6 +42,15 @@
 	if len(a.Addresses) == 0 || a.Token == "" || a.Timeout == 0 {
 		return nil, errors.Errorf("%s: section [administration]: addresses, token and timeout must not be empty", o.Settings)
 	}
+	return &s, nil
+}
+
+func (o administrationOptions) client() (*operator.Client, error) {
+	s, err := o.load()
+	if err != nil {
+		return nil, err
+	}
+	a := s.Administration
 	return operator.NewClient(a.Addresses, a.Token, &http.Client{Timeout: a.Timeout}), nil
 }
 
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -33,6 +33,7 @@
 		{name: "backend", short: "Run a stand-in backend server", long: "Runs a stand-in for a backend server and announces it to its daemon.", data: &backendCommand{}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
+		{name: "report", short: "Print the service-level report", long: "Asks all daemons for the outcomes of requests and prints the service level and its burn rates.", data: &reportCommand{}},
 		{name: "answers", short: "Work on the answers of a service", long: "Works on the answers to the questionnaire about a service.", sub: answersCommands()},
 		{name: "config", short: "Show and change the configuration", long: "Shows, accepts and withdraws configurations through the administration API of a daemon.", sub: configCommands()},
 	}
--- a/standin/backend/runs.go
+++ b/standin/backend/runs.go
@@ -1,6 +1,9 @@
 package backend
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // RequestIDHeader identifies a request of the test or load generator across its attempts.
 const RequestIDHeader = "X-Request-Id"
@@ -13,8 +16,10 @@
 	// Total is the number of runs, Distinct that of the request IDs seen.
 	Total    int `json:"total"`
 	Distinct int `json:"distinct"`
-	// Repeated holds the number of runs of each request ID that has run more than once.
+	// Repeated holds the number of runs of each request ID that has run more than once, Runs that of
+	// every request ID, so that runs on several servers can be added up.
 	Repeated map[string]int `json:"repeated"`
+	Runs     map[string]int `json:"runs"`
 	// Overflow is the number of runs that were not recorded by ID.
 	Overflow int `json:"overflow"`
 }
@@ -53,7 +58,7 @@
 func (r *runs) report() RunReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := RunReport{Total: r.total, Distinct: len(r.byID), Repeated: map[string]int{}, Overflow: r.overflow}
+	report := RunReport{Total: r.total, Distinct: len(r.byID), Repeated: map[string]int{}, Runs: maps.Clone(r.byID), Overflow: r.overflow}
 	for id, n := range r.byID {
 		if n > 1 {
 			report.Repeated[id] = n
