--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -18,7 +18,6 @@
 	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/selection"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
-	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
 // Remote sends requests to other daemons.
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -135,7 +135,7 @@
 		backend:   d.backend,
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
-	d.selector = selection.New(selection.Config{Self: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
+	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
 	d.client = call.NewClient(incarnation, d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
 	d.burn = burn.New(burn.Config{}, time.Now)
