--- a/agent/operator/server.go
+++ b/agent/operator/server.go
@@ -41,6 +41,8 @@
 	Status(ctx context.Context) (platform.Status, error)
 }
 
+var _ Platform = (*platform.Client)(nil)
+
 // Refusal is a version that a daemon refused as a whole.
 type Refusal struct {
 	Version snapshot.Version `json:"version"`
