--- a/agent/operator/changes.go
+++ b/agent/operator/changes.go
@@ -64,6 +64,7 @@
 	}
 	writeJSON(w, http.StatusOK, DiffMessage{
 		Draft: draftMessage(difference.Draft), Seen: difference.Version, Lines: difference.Lines,
+		Reasons: difference.Reasons,
 	})
 }
 
@@ -73,7 +74,7 @@
 		s.fail(w, r, err)
 		return
 	}
-	hash, err := platform.ParseHash(request.Draft)
+	hash, err := snapshot.ParseHash(request.Draft)
 	if err != nil {
 		s.fail(w, r, badRequest("draft: "+err.Error()))
 		return
--- a/agent/operator/daemon.go
+++ b/agent/operator/daemon.go
@@ -25,7 +25,7 @@
 	var status DaemonStatus
 	if current := s.config.Daemon.Snapshot(); current != nil {
 		status.Version = current.Version
-		status.ManifestHash = platform.FormatHash(current.ManifestHash)
+		status.ManifestHash = current.ManifestHash.String()
 		status.Services = len(current.Services)
 	}
 	if refused, ok := s.config.Daemon.LastRefused(); ok {
@@ -37,7 +37,7 @@
 func platformStatus(status platform.Status) PlatformStatus {
 	message := PlatformStatus{Version: status.Head.Version}
 	if status.Head.Version > 0 {
-		message.Manifest = platform.FormatHash(status.Head.Manifest)
+		message.Manifest = status.Head.Manifest.String()
 	}
 	for _, d := range status.Drafts {
 		message.Drafts = append(message.Drafts, draftMessage(d))
--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -99,6 +99,8 @@
 	Draft DraftMessage     `json:"draft"`
 	Seen  snapshot.Version `json:"seen"`
 	Lines []string         `json:"lines"`
+	// Reasons says why the draft would be refused as it is.
+	Reasons []string `json:"reasons,omitempty"`
 }
 
 // StatusMessage describes the configuration as the platform and the asked daemon have it.
@@ -202,7 +204,7 @@
 
 func draftMessage(d platform.Draft) DraftMessage {
 	return DraftMessage{
-		Service: d.Service, File: d.File, Hash: platform.FormatHash(d.Hash),
+		Service: d.Service, File: d.File, Hash: d.Hash.String(),
 		Operator: d.Operator, Submitted: d.Submitted.UTC(),
 	}
 }
@@ -213,7 +215,7 @@
 		To: c.To, Removed: c.Removed, Operator: c.Operator, At: c.At.UTC(),
 	}
 	if !c.Removed {
-		m.Hash = platform.FormatHash(c.Hash)
+		m.Hash = c.Hash.String()
 	}
 	return m
 }
--- a/agent/platform/change.go
+++ b/agent/platform/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"fmt"
 
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
@@ -19,8 +18,6 @@
 // maxTokenBytes bounds a change token, which becomes part of a key of the table.
 const maxTokenBytes = 128
 
-func hashOf(data []byte) snapshot.Hash { return sha256.Sum256(data) }
-
 func tokenPartition(token string) string { return "token#" + token }
 
 func revisionPartition(service string) string { return "revision#" + service }
@@ -51,16 +48,16 @@
 	if err != nil {
 		return nil, err
 	}
-	service, err := c.parse(draft.File, data)
+	service, err := parse(draft.File, data)
 	if err != nil {
 		return nil, err
 	}
-	config, hash, err := c.config.Generator.Encode(service)
+	with, err := newContent(draft.File, data, service)
 	if err != nil {
-		return nil, invalidError(err)
+		return nil, err
 	}
-	change.Hash, change.File = hash, draft.File
-	p, err := c.planContent(ctx, b, change, &content{file: draft.File, answers: data, config: config, hash: hash})
+	change.Hash, change.File = with.hash, draft.File
+	p, err := c.planContent(ctx, b, change, with)
 	if err != nil {
 		return nil, err
 	}
@@ -165,10 +162,13 @@
 }
 
 func (c *Client) prepare(ctx context.Context, seen snapshot.Version, prepare func(base) (*plan, error)) (*plan, error) {
-	b, err := c.load(ctx, seen)
+	b, err := c.load(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if b.head.Version != seen {
+		return nil, c.conflict(ctx, seen, b.head.Version)
+	}
 	return prepare(b)
 }
 
--- a/agent/platform/change_test.go
+++ b/agent/platform/change_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -77,3 +78,28 @@
 	is.NoErr(err)
 	is.Equal(head.Version, snapshot.Version(1))
 }
+
+// Guards against a difference that is not the one between the draft and the configuration in force,
+// and against a service that is shown with another text than the accepted one.
+func TestShowAndDifference(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.accept(t, "pages", 12, 0, "t1")
+	h.submit(t, "pages", 12)
+	same, err := h.client.Difference(h.ctx, "pages")
+	is.NoErr(err)
+	h.submit(t, "pages", 6)
+	other, err := h.client.Difference(h.ctx, "pages")
+	is.NoErr(err)
+	is.Equal(other.Version, snapshot.Version(1))
+	is.Equal(len(other.Reasons), 0)
+	is.True(len(other.Lines) > 0 && !slices.Equal(same.Lines, other.Lines))
+	shown, err := h.client.Service(h.ctx, "pages")
+	is.NoErr(err)
+	is.Equal(string(shown.Answers), string(answersFor("pages", 12)))
+	is.Equal(shown.Config.Slots, 12)
+	status, err := h.client.Status(h.ctx)
+	is.NoErr(err)
+	is.Equal(status.Head.Version, snapshot.Version(1))
+	is.Equal(len(status.Drafts), 1)
+}
--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -44,7 +44,6 @@
 	Attempts int
 	// Backoff is the upper limit of the first random delay; it doubles up to BackoffMax.
 	Backoff, BackoffMax time.Duration
-	Generator           Generator
 	// Now and Rand are replaced in tests. Rand returns a number in [0, n).
 	Now  func() time.Time
 	Rand func(n int64) int64
--- a/agent/platform/draft.go
+++ b/agent/platform/draft.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/pkg/answers"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -51,7 +52,7 @@
 // Submit stores answers as the draft of their service. Errors: InvalidError, ForbiddenError,
 // DraftChangedError if another submission came in between, UnavailableError.
 func (c *Client) Submit(ctx context.Context, op Operator, file string, data []byte) (Draft, error) {
-	service, err := c.parse(file, data)
+	service, err := parse(file, data)
 	if err != nil {
 		return Draft{}, err
 	}
@@ -74,15 +75,15 @@
 }
 
 // parse returns the configuration that a single answer file describes.
-func (c *Client) parse(file string, data []byte) (*snapshot.Service, error) {
+func parse(file string, data []byte) (*snapshot.Service, error) {
 	if len(data) > MaxAnswersBytes {
 		return nil, &InvalidError{Reasons: []string{file + ": the file is larger than 64 KiB"}}
 	}
-	parsed, err := c.config.Generator.Parse(file, data)
-	if err != nil {
-		return nil, invalidError(err)
+	parsed, faults := answers.Parse(file, data)
+	if len(faults) > 0 {
+		return nil, invalidError(faults)
 	}
-	return c.config.Generator.Generate(parsed), nil
+	return answers.Generate(parsed), nil
 }
 
 func (c *Client) draftOrNone(ctx context.Context, service string) (Draft, error) {
--- a/agent/platform/errors.go
+++ b/agent/platform/errors.go
@@ -59,7 +59,7 @@
 
 // Error implements error.
 func (e *DraftChangedError) Error() string {
-	return fmt.Sprintf("not accepted: the draft of %s was replaced by %s with %s", e.Service, e.Current.Operator, FormatHash(e.Current.Hash))
+	return fmt.Sprintf("not accepted: the draft of %s was replaced by %s with %s", e.Service, e.Current.Operator, e.Current.Hash.String())
 }
 
 // InvalidError means that a configuration was refused before anything was written.
--- a/agent/platform/failure_test.go
+++ b/agent/platform/failure_test.go
@@ -135,7 +135,12 @@
 	_, err := h.client.Accept(h.ctx, admin, "pages", hash, 1, "t2")
 	var invalid *InvalidError
 	is.True(errors.As(err, &invalid))
-	is.Equal(invalid.Reasons, []string{"pages depends on unknown service no-such-service"})
+	is.Equal(invalid.Reasons, []string{
+		`pages.ini:7: key "depends-on": there is no service "no-such-service"; expected names of services`,
+	})
+	difference, err := h.client.Difference(h.ctx, "pages")
+	is.NoErr(err)
+	is.Equal(difference.Reasons, invalid.Reasons) // the operator is warned before accepting
 	_, err = h.client.Submit(h.ctx, admin, "pages.ini", []byte("[service"))
 	is.True(errors.As(err, &invalid))
 	is.Equal(h.platform.Counts(standin.Table).Writes, table)
@@ -195,7 +200,7 @@
 	ana, err := h.client.Operator(h.ctx, "secret-ana")
 	is.NoErr(err)
 	is.True(ana.MayRevise("pages") && !ana.MayRevise("finder"))
-	for _, token := range []string{"", "secret", FormatHash(hashOf([]byte("secret-ana")))} {
+	for _, token := range []string{"", "secret", snapshot.HashOf([]byte("secret-ana")).String()} {
 		_, err := h.client.Operator(h.ctx, token)
 		is.True(errors.Is(err, ErrUnknownCredential))
 	}
--- a/agent/platform/harness_test.go
+++ b/agent/platform/harness_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
 	"kingcupwood.example/kingcupwood/lib/event"
@@ -19,66 +18,26 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// answersFor is an answer file in the format of testGenerator.
+// answersFor is an answer file.
 func answersFor(name string, slots int, dependsOn ...string) []byte {
-	data, _ := json.Marshal(snapshot.Service{Name: name, Slots: slots, DependsOn: dependsOn})
-	return data
-}
-
-// testGenerator reads answers in JSON. Its rules: slots are positive and dependencies exist.
-func testGenerator() Generator {
-	return Generator{
-		Parse: func(file string, data []byte) (Answers, error) {
-			s := &snapshot.Service{}
-			if err := json.Unmarshal(data, s); err != nil || s.Name == "" {
-				return nil, errors.Errorf("%s: not answers", file)
-			}
-			if s.Slots <= 0 {
-				return nil, errors.Errorf("%s: slots must be positive", file)
-			}
-			return s, nil
-		},
-		Check: func(all []Answers) error {
-			names := map[string]bool{}
-			for _, a := range all {
-				names[a.(*snapshot.Service).Name] = true
-			}
-			for _, a := range all {
-				for _, d := range a.(*snapshot.Service).DependsOn {
-					if !names[d] {
-						return errors.Errorf("%s depends on unknown service %s", a.(*snapshot.Service).Name, d)
-					}
-				}
-			}
-			return nil
-		},
-		Generate: func(a Answers) *snapshot.Service { return a.(*snapshot.Service) },
-		Encode: func(s *snapshot.Service) ([]byte, snapshot.Hash, error) {
-			data, err := cbor.Marshal(s)
-			return data, hashOf(data), err
-		},
-		Decode: func(data []byte, _ snapshot.Hash) (*snapshot.Service, error) {
-			s := &snapshot.Service{}
-			return s, cbor.Unmarshal(data, s)
-		},
-		EncodeManifest: func(m *snapshot.Manifest) ([]byte, snapshot.Hash, error) {
-			data, err := cbor.Marshal(m)
-			return data, hashOf(data), err
-		},
-		DecodeManifest: func(data []byte, _ snapshot.Hash) (*snapshot.Manifest, error) {
-			m := &snapshot.Manifest{}
-			return m, cbor.Unmarshal(data, m)
-		},
-		Build: func(m *snapshot.Manifest, objects map[snapshot.Hash][]byte) (*snapshot.Snapshot, error) {
-			for _, e := range m.Entries {
-				if hashOf(objects[e.Hash]) != e.Hash {
-					return nil, errors.Errorf("%s: the object is missing", e.Service)
-				}
-			}
-			return &snapshot.Snapshot{Version: m.Version}, nil
-		},
-		Diff: func(_, _ *snapshot.Service) []string { return []string{"changed"} },
-	}
+	return fmt.Appendf(nil, `[service]
+name = %s
+team = wiki
+capacity-slots = %d
+capacity-connections = 100
+servers = 4
+depends-on = %s
+
+[kind view]
+match = GET /
+rank = 2
+idempotent = yes
+deadline = 800ms
+expected-rate = 40/s
+service-time = 5ms
+worth = 1
+objective = 99%%
+`, name, slots, strings.Join(dependsOn, ", "))
 }
 
 // clock is a settable clock.
@@ -114,12 +73,12 @@
 	h := &harness{clock: &clock{now: time.UnixMilli(1_800_000_000_000)}, ctx: t.Context()}
 	h.platform = standin.NewServer(standin.Config{
 		Table: "t", Bucket: "bucket",
-		Operators: []standin.Operator{{Name: "ana", TokenSHA256: FormatHash(hashOf([]byte("secret-ana"))), Services: []string{"pages"}}},
+		Operators: []standin.Operator{{Name: "ana", TokenSHA256: snapshot.HashOf([]byte("secret-ana")).String(), Services: []string{"pages"}}},
 	}, event.Nop())
 	server := httptest.NewServer(h.platform)
 	config := Config{
 		TableURL: server.URL, ObjectsURL: server.URL, Table: "t", Bucket: "bucket", AccessKey: "k", SecretKey: "s",
-		Timeout: testTimeout, Generator: testGenerator(), Now: h.clock.Now, Rand: func(int64) int64 { return 0 },
+		Timeout: testTimeout, Now: h.clock.Now, Rand: func(int64) int64 { return 0 },
 	}
 	for _, c := range change {
 		c(&config)
--- a/agent/platform/head.go
+++ b/agent/platform/head.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.config.Generator.DecodeManifest(data, h)
+	return snapshot.DecodeManifest(data, h)
 }
 
 func changePartition(v snapshot.Version) string { return fmt.Sprintf("change#%d", v) }
--- a/agent/platform/history_test.go
+++ b/agent/platform/history_test.go
@@ -119,13 +119,13 @@
 
 // check compares the configuration in force with the model.
 func (h *history) check(t *rapid.T) {
-	head, err := h.client.Head(h.ctx)
-	if err != nil || head.Version != h.version {
-		t.Fatalf("expected version %d, got %+v, %v", h.version, head, err)
+	b, err := h.client.load(h.ctx)
+	if err != nil || b.head.Version != h.version {
+		t.Fatalf("expected version %d, got %+v, %v", h.version, b.head, err)
 	}
 	found := map[string]int{}
 	for service := range h.revisions {
-		s, err := h.client.inForce(h.ctx, head, service)
+		s, err := h.client.inForce(h.ctx, b, service)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/agent/platform/objects.go
+++ b/agent/platform/objects.go
@@ -28,7 +28,7 @@
 	fetchConcurrency = 8
 )
 
-func objectKey(h snapshot.Hash) string { return "objects/" + FormatHash(h) }
+func objectKey(h snapshot.Hash) string { return "objects/" + h.String() }
 
 // objectCache keeps small objects. They are immutable, so an entry never becomes stale.
 type objectCache struct {
--- a/agent/platform/plan.go
+++ b/agent/platform/plan.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/pkg/answers"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -43,15 +44,21 @@
 	draft *Draft
 }
 
-// load reads the configuration in force, which must be the version that the operator saw.
-func (c *Client) load(ctx context.Context, seen snapshot.Version) (base, error) {
+// newContent encodes a service for its place in a plan.
+func newContent(file string, data []byte, service *snapshot.Service) (*content, error) {
+	config, hash, err := snapshot.Encode(service)
+	if err != nil {
+		return nil, invalidError(err)
+	}
+	return &content{file: file, answers: data, config: config, hash: hash}, nil
+}
+
+// load reads the configuration in force.
+func (c *Client) load(ctx context.Context) (base, error) {
 	head, err := c.Head(ctx)
 	if err != nil {
 		return base{}, err
 	}
-	if head.Version != seen {
-		return base{}, c.conflict(ctx, seen, head.Version)
-	}
 	b := base{head: head}
 	if head.Version == 0 {
 		return b, nil
@@ -115,20 +122,20 @@
 	if err != nil {
 		return err
 	}
-	var all []Answers
+	var all []*answers.Answers
 	for _, s := range sources {
 		data := files[s.Answers]
 		if s.Service == change.Service {
 			data = with.answers
 		}
-		parsed, err := c.config.Generator.Parse(s.File, data)
-		if err != nil {
-			return invalidError(err)
+		parsed, faults := answers.Parse(s.File, data)
+		if len(faults) > 0 {
+			return invalidError(faults)
 		}
 		all = append(all, parsed)
 	}
-	if err := c.config.Generator.Check(all); err != nil {
-		return invalidError(err)
+	if faults := answers.Check(all); len(faults) > 0 {
+		return invalidError(faults)
 	}
 	return nil
 }
@@ -148,7 +155,7 @@
 	if with != nil {
 		objects[with.hash] = with.config
 	}
-	if _, err := c.config.Generator.Build(m, objects); err != nil {
+	if _, err := snapshot.Build(m, objects); err != nil {
 		return invalidError(err)
 	}
 	return nil
@@ -156,7 +163,7 @@
 
 // finish encodes the manifest and the list of answers.
 func (c *Client) finish(p *plan, m *snapshot.Manifest, sources []source) error {
-	manifest, manifestHash, err := c.config.Generator.EncodeManifest(m)
+	manifest, manifestHash, err := snapshot.EncodeManifest(m)
 	if err != nil {
 		return errors.Wrap(err, "encode the manifest")
 	}
@@ -166,6 +173,6 @@
 	}
 	p.objects = append(p.objects, list, manifest)
 	p.change.Version = m.Version
-	p.head = Head{Version: m.Version, Manifest: manifestHash, Sources: hashOf(list), Token: p.change.Token}
+	p.head = Head{Version: m.Version, Manifest: manifestHash, Sources: snapshot.HashOf(list), Token: p.change.Token}
 	return nil
 }
--- a/agent/platform/rows.go
+++ b/agent/platform/rows.go
@@ -33,7 +33,7 @@
 
 func milliseconds(t time.Time) types.AttributeValue { return number(uint64(max(0, t.UnixMilli()))) }
 
-func hashText(h snapshot.Hash) types.AttributeValue { return text(FormatHash(h)) }
+func hashText(h snapshot.Hash) types.AttributeValue { return text(h.String()) }
 
 func (r row) text(name string) string {
 	if v, ok := r[name].(*types.AttributeValueMemberS); ok {
@@ -54,7 +54,7 @@
 
 // hash returns the zero hash if the attribute is missing or malformed.
 func (r row) hash(name string) snapshot.Hash {
-	h, _ := ParseHash(r.text(name))
+	h, _ := snapshot.ParseHash(r.text(name))
 	return h
 }
 
--- a/agent/platform/status.go
+++ b/agent/platform/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -80,7 +82,7 @@
 		return Service{}, err
 	}
 	found.Answers = objects[latest.Answers]
-	found.Config, err = c.config.Generator.Decode(objects[latest.Hash], latest.Hash)
+	found.Config, err = snapshot.Decode(objects[latest.Hash], latest.Hash)
 	return found, err
 }
 
@@ -89,12 +91,15 @@
 	Draft Draft
 	// Version is the version to name as seen when accepting.
 	Version snapshot.Version
-	Lines   []string
+	// Lines describes the change in the terms of the team.
+	Lines []string
+	// Reasons says why the draft would be refused as it is; empty if it is valid.
+	Reasons []string
 }
 
 // Difference compares the draft of a service with the configuration in force.
 func (c *Client) Difference(ctx context.Context, name string) (Difference, error) {
-	head, err := c.Head(ctx)
+	b, err := c.load(ctx)
 	if err != nil {
 		return Difference{}, err
 	}
@@ -106,27 +111,36 @@
 	if err != nil {
 		return Difference{}, err
 	}
-	proposed, err := c.parse(draft.File, data)
+	proposed, err := parse(draft.File, data)
 	if err != nil {
 		return Difference{}, err
 	}
-	current, err := c.inForce(ctx, head, name)
+	current, err := c.inForce(ctx, b, name)
 	if err != nil {
 		return Difference{}, err
 	}
-	return Difference{Draft: draft, Version: head.Version, Lines: c.config.Generator.Diff(current, proposed)}, nil
+	difference := Difference{Draft: draft, Version: b.head.Version, Lines: snapshot.Diff(current, proposed)}
+	difference.Reasons, err = c.reasonsAgainst(ctx, b, draft, data, proposed)
+	return difference, err
 }
 
-// inForce returns the configuration of a service in the version of head, nil if it has none.
-func (c *Client) inForce(ctx context.Context, head Head, name string) (*snapshot.Service, error) {
-	if head.Version == 0 {
-		return nil, nil
-	}
-	manifest, err := c.Manifest(ctx, head.Manifest)
-	if err != nil {
-		return nil, err
-	}
-	entry, exists := base{manifest: *manifest}.entry(name)
+// reasonsAgainst returns why the draft would be refused, nil if it is valid.
+func (c *Client) reasonsAgainst(ctx context.Context, b base, draft Draft, data []byte, proposed *snapshot.Service) ([]string, error) {
+	with, err := newContent(draft.File, data, proposed)
+	if err == nil {
+		change := Change{Action: Accepted, Service: draft.Service, Answers: draft.Hash, Hash: with.hash, Revision: 1}
+		_, err = c.plan(ctx, b, change, with)
+	}
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Reasons, nil
+	}
+	return nil, err
+}
+
+// inForce returns the configuration of a service in b, nil if it has none.
+func (c *Client) inForce(ctx context.Context, b base, name string) (*snapshot.Service, error) {
+	entry, exists := b.entry(name)
 	if !exists {
 		return nil, nil
 	}
@@ -134,5 +148,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.config.Generator.Decode(data, entry.Hash)
+	return snapshot.Decode(data, entry.Hash)
 }
--- a/agent/platform/types.go
+++ b/agent/platform/types.go
@@ -1,13 +1,10 @@
 package platform
 
 import (
-	"encoding/hex"
 	"fmt"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -116,17 +113,3 @@
 	Token string
 	Seen  snapshot.Version
 }
-
-// FormatHash returns h in lower-case hexadecimal.
-func FormatHash(h snapshot.Hash) string { return hex.EncodeToString(h[:]) }
-
-// ParseHash reads a hash written by FormatHash.
-func ParseHash(text string) (snapshot.Hash, error) {
-	var h snapshot.Hash
-	data, err := hex.DecodeString(text)
-	if err != nil || len(data) != len(h) {
-		return h, errors.Errorf("%q is not a SHA-256 in hexadecimal", text)
-	}
-	copy(h[:], data)
-	return h, nil
-}
--- a/cli/cmd/administration_test.go
+++ b/cli/cmd/administration_test.go
@@ -62,6 +62,9 @@
 	for _, c := range []string{"show", "diff", "accept", "withdraw", "status"} {
 		is.Equal(Main([]string{"config", c, "--help"}), exitOK)
 	}
+	for _, c := range []string{"new", "check", "submit"} {
+		is.Equal(Main([]string{"answers", c, "--help"}), exitOK)
+	}
 }
 
 // Guards against a stand-in that does not end when it is told to.
--- a/cli/cmd/config_diff.go
+++ b/cli/cmd/config_diff.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 type configDiffCommand struct {
@@ -26,6 +29,9 @@
 	for _, line := range diff.Lines {
 		fmt.Println("  " + line)
 	}
+	if len(diff.Reasons) > 0 {
+		return errors.New("the draft is invalid and would be refused:\n  " + strings.Join(diff.Reasons, "\n  "))
+	}
 	fmt.Printf("accept it: kingcupwood config accept %s --draft %s --seen %d\n", diff.Draft.Service, diff.Draft.Hash, diff.Seen)
 	return nil
 }
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -29,19 +29,17 @@
 
 func commands() []command {
 	return []command{
-		{name: "answers", short: "Write and check answer files", long: "Writes and checks the files in which teams describe their services.", sub: []command{
-			{name: "new", short: "Write a commented answer file", long: "Writes a commented answer file for a service.", data: &answersNewCommand{}},
-			{name: "check", short: "Check answer files", long: "Checks the answer files of all services together and reports every fault.", data: &answersCheckCommand{}},
-		}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
-		{name: "answers", short: "Work on the answers of a service", long: "Works on the answers to the questionnaire about a service.", sub: answersCommands()},
+		{name: "answers", short: "Write, check and submit answer files", long: "Writes, checks and submits the files in which teams describe their services.", sub: answersCommands()},
 		{name: "config", short: "Show and change the configuration", long: "Shows, accepts and withdraws configurations through the administration API of a daemon.", sub: configCommands()},
 	}
 }
 
 func answersCommands() []command {
 	return []command{
+		{name: "new", short: "Write a commented answer file", long: "Writes a commented answer file for a service.", data: &answersNewCommand{}},
+		{name: "check", short: "Check answer files", long: "Checks the answer files of all services together and reports every fault.", data: &answersCheckCommand{}},
 		{name: "submit", short: "Submit answers as a draft", long: "Submits an answer file as the draft of its service. Nothing changes until the draft is accepted.", data: &answersSubmitCommand{}},
 	}
 }
