--- a/agent/platform/change.go
+++ b/agent/platform/change.go
@@ -48,11 +48,11 @@
 	if err != nil {
 		return nil, err
 	}
-	service, err := parse(draft.File, data)
+	parsed, err := parse(draft.File, data)
 	if err != nil {
 		return nil, err
 	}
-	with, err := newContent(draft.File, data, service)
+	with, err := newContent(parsed)
 	if err != nil {
 		return nil, err
 	}
@@ -91,13 +91,11 @@
 		return c.planContent(ctx, b, change, nil)
 	}
 	change.Hash, change.Answers, change.File = earlier.Hash, earlier.Answers, earlier.File
-	objects, err := c.fetchAll(ctx, []snapshot.Hash{change.Hash, change.Answers})
+	config, err := c.Object(ctx, change.Hash)
 	if err != nil {
 		return nil, err
 	}
-	return c.planContent(ctx, b, change, &content{
-		file: change.File, answers: objects[change.Answers], config: objects[change.Hash], hash: change.Hash,
-	})
+	return c.planContent(ctx, b, change, &content{config: config, hash: change.Hash})
 }
 
 // planContent numbers the revision and validates the result.
--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
 // Defaults of Config. An attempt is far shorter than an operator waits, because the platform may
@@ -44,6 +45,8 @@
 	Attempts int
 	// Backoff is the upper limit of the first random delay; it doubles up to BackoffMax.
 	Backoff, BackoffMax time.Duration
+	// Local returns the snapshot that the daemon has in force, or nil; it saves reads of services.
+	Local func() *snapshot.Snapshot
 	// Now and Rand are replaced in tests. Rand returns a number in [0, n).
 	Now  func() time.Time
 	Rand func(n int64) int64
@@ -65,6 +68,9 @@
 	if c.BackoffMax == 0 {
 		c.BackoffMax = DefaultBackoffMax
 	}
+	if c.Local == nil {
+		c.Local = func() *snapshot.Snapshot { return nil }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/agent/platform/draft.go
+++ b/agent/platform/draft.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/pkg/answers"
-	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
 // MaxAnswersBytes bounds an answer file.
@@ -52,14 +51,15 @@
 // Submit stores answers as the draft of their service. Errors: InvalidError, ForbiddenError,
 // DraftChangedError if another submission came in between, UnavailableError.
 func (c *Client) Submit(ctx context.Context, op Operator, file string, data []byte) (Draft, error) {
-	service, err := parse(file, data)
+	parsed, err := parse(file, data)
 	if err != nil {
 		return Draft{}, err
 	}
-	if err := op.check(service.Name); err != nil {
+	service := parsed.Service.Name
+	if err := op.check(service); err != nil {
 		return Draft{}, err
 	}
-	previous, err := c.draftOrNone(ctx, service.Name)
+	previous, err := c.draftOrNone(ctx, service)
 	if err != nil {
 		return Draft{}, err
 	}
@@ -68,14 +68,14 @@
 		return Draft{}, err
 	}
 	draft := Draft{
-		Service: service.Name, File: file, Hash: hash, Operator: op.Name,
+		Service: service, File: file, Hash: hash, Operator: op.Name,
 		Submitted: c.config.Now(), nonce: rand.Text(),
 	}
 	return draft, c.replaceDraft(ctx, previous, draft)
 }
 
-// parse returns the configuration that a single answer file describes.
-func parse(file string, data []byte) (*snapshot.Service, error) {
+// parse reads a single answer file.
+func parse(file string, data []byte) (*answers.Answers, error) {
 	if len(data) > MaxAnswersBytes {
 		return nil, &InvalidError{Reasons: []string{file + ": the file is larger than 64 KiB"}}
 	}
@@ -83,7 +83,7 @@
 	if len(faults) > 0 {
 		return nil, invalidError(faults)
 	}
-	return answers.Generate(parsed), nil
+	return parsed, nil
 }
 
 func (c *Client) draftOrNone(ctx context.Context, service string) (Draft, error) {
--- a/agent/platform/head.go
+++ b/agent/platform/head.go
@@ -24,7 +24,6 @@
 	return Head{
 		Version:  snapshot.Version(r.number("version")),
 		Manifest: r.hash("manifest"),
-		Sources:  r.hash("sources"),
 		Token:    r.text("token"),
 	}, nil
 }
@@ -32,8 +31,7 @@
 func (h Head) row() row {
 	r := key(headPartition, headSort)
 	r["version"] = number(uint64(h.Version))
-	r["manifest"], r["sources"] = hashText(h.Manifest), hashText(h.Sources)
-	r["token"] = text(h.Token)
+	r["manifest"], r["token"] = hashText(h.Manifest), text(h.Token)
 	return r
 }
 
--- a/agent/platform/plan.go
+++ b/agent/platform/plan.go
@@ -5,31 +5,23 @@
 	"slices"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/pkg/answers"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
-// source names the answers from which the configuration of a service comes.
-type source struct {
-	Service string        `cbor:"1,keyasint"`
-	File    string        `cbor:"2,keyasint"`
-	Answers snapshot.Hash `cbor:"3,keyasint"`
-}
-
-// base is the configuration on which a change builds.
+// base is the configuration on which a change builds. It is not validated as a whole: if an invalid
+// version ever got through, a change that repairs it must still be possible.
 type base struct {
 	head     Head
 	manifest snapshot.Manifest
-	sources  []source
 }
 
-// content is the new configuration of one service; nil removes the service.
+// content is the new configuration of one service.
 type content struct {
-	file    string
-	answers []byte
+	// answers is nil if the configuration comes from an earlier revision.
+	answers *answers.Answers
 	config  []byte
 	hash    snapshot.Hash
 }
@@ -44,35 +36,29 @@
 	draft *Draft
 }
 
-// newContent encodes a service for its place in a plan.
-func newContent(file string, data []byte, service *snapshot.Service) (*content, error) {
-	config, hash, err := snapshot.Encode(service)
+// newContent encodes the configuration that parsed answers describe.
+func newContent(parsed *answers.Answers) (*content, error) {
+	config, hash, err := snapshot.Encode(answers.Generate(parsed))
 	if err != nil {
 		return nil, invalidError(err)
 	}
-	return &content{file: file, answers: data, config: config, hash: hash}, nil
+	return &content{answers: parsed, config: config, hash: hash}, nil
 }
 
-// load reads the configuration in force.
+// load reads the configuration in force. The manifest is read only if the daemon has another one.
 func (c *Client) load(ctx context.Context) (base, error) {
 	head, err := c.Head(ctx)
-	if err != nil {
-		return base{}, err
+	if err != nil || head.Version == 0 {
+		return base{head: head}, err
 	}
-	b := base{head: head}
-	if head.Version == 0 {
-		return b, nil
+	if local := c.config.Local(); local != nil && local.ManifestHash == head.Manifest {
+		return base{head: head, manifest: local.Manifest}, nil
 	}
 	manifest, err := c.Manifest(ctx, head.Manifest)
 	if err != nil {
 		return base{}, err
 	}
-	b.manifest = *manifest
-	data, err := c.Object(ctx, head.Sources)
-	if err != nil {
-		return base{}, err
-	}
-	return b, errors.Wrap(cbor.Unmarshal(data, &b.sources), "decode the list of answers")
+	return base{head: head, manifest: *manifest}, nil
 }
 
 // entry returns the manifest entry of a service in the configuration in force.
@@ -85,94 +71,87 @@
 	return snapshot.ManifestEntry{}, false
 }
 
-// plan validates the whole configuration with the change applied. Nothing is written.
+// plan validates the whole configuration with the change applied; a nil content removes the service.
+// Nothing is written.
 func (c *Client) plan(ctx context.Context, b base, change Change, with *content) (*plan, error) {
-	p := &plan{before: b.head, change: change}
-	manifest := snapshot.Manifest{Version: b.head.Version + 1}
-	manifest.Entries = slices.DeleteFunc(slices.Clone(b.manifest.Entries),
+	others := slices.DeleteFunc(slices.Clone(b.manifest.Entries),
 		func(e snapshot.ManifestEntry) bool { return e.Service == change.Service })
-	sources := slices.DeleteFunc(slices.Clone(b.sources),
-		func(s source) bool { return s.Service == change.Service })
-	if with != nil {
-		manifest.Entries = append(manifest.Entries,
-			snapshot.ManifestEntry{Service: change.Service, Revision: change.Revision, Hash: with.hash})
-		sources = append(sources, source{Service: change.Service, File: with.file, Answers: change.Answers})
-		p.objects = append(p.objects, with.answers, with.config)
-	}
-	slices.SortFunc(manifest.Entries, func(x, y snapshot.ManifestEntry) int { return strings.Compare(x.Service, y.Service) })
-	slices.SortFunc(sources, func(x, y source) int { return strings.Compare(x.Service, y.Service) })
-	if err := c.checkAnswers(ctx, sources, change, with); err != nil {
+	objects, err := c.services(ctx, others)
+	if err != nil {
 		return nil, err
 	}
-	if err := c.checkSnapshot(ctx, &manifest, change, with); err != nil {
-		return nil, err
+	manifest := snapshot.Manifest{Version: b.head.Version + 1, Entries: others}
+	p := &plan{before: b.head, change: change}
+	if with != nil {
+		entry := snapshot.ManifestEntry{Service: change.Service, Revision: change.Revision, Hash: with.hash}
+		manifest.Entries = append(slices.Clone(others), entry)
+		slices.SortFunc(manifest.Entries, func(x, y snapshot.ManifestEntry) int { return strings.Compare(x.Service, y.Service) })
+		objects[with.hash] = with.config
+		p.objects = append(p.objects, with.config)
 	}
-	return p, c.finish(p, &manifest, sources)
-}
-
-// checkAnswers applies the rules that concern several services.
-func (c *Client) checkAnswers(ctx context.Context, sources []source, change Change, with *content) error {
-	var hashes []snapshot.Hash
-	for _, s := range sources {
-		if s.Service != change.Service {
-			hashes = append(hashes, s.Answers)
-		}
+	if _, err := snapshot.Build(&manifest, objects); err != nil {
+		return nil, refusal(err, others, objects, with)
 	}
-	files, err := c.fetchAll(ctx, hashes)
+	encoded, hash, err := snapshot.EncodeManifest(&manifest)
 	if err != nil {
-		return err
+		return nil, errors.Wrap(err, "encode the manifest")
 	}
-	var all []*answers.Answers
-	for _, s := range sources {
-		data := files[s.Answers]
-		if s.Service == change.Service {
-			data = with.answers
-		}
-		parsed, faults := answers.Parse(s.File, data)
-		if len(faults) > 0 {
-			return invalidError(faults)
-		}
-		all = append(all, parsed)
-	}
-	if faults := answers.Check(all); len(faults) > 0 {
-		return invalidError(faults)
-	}
-	return nil
+	p.objects = append(p.objects, encoded)
+	p.change.Version = manifest.Version
+	p.head = Head{Version: manifest.Version, Manifest: hash, Token: change.Token}
+	return p, nil
 }
 
-// checkSnapshot builds the snapshot as every daemon will.
-func (c *Client) checkSnapshot(ctx context.Context, m *snapshot.Manifest, change Change, with *content) error {
-	var hashes []snapshot.Hash
-	for _, e := range m.Entries {
-		if e.Service != change.Service {
-			hashes = append(hashes, e.Hash)
+// services returns the encoded services of the entries. Those that the daemon has in force are not
+// read: an accept on a daemon with an empty cache would otherwise read 1,400 objects.
+func (c *Client) services(ctx context.Context, entries []snapshot.ManifestEntry) (map[snapshot.Hash][]byte, error) {
+	local := map[snapshot.Hash][]byte{}
+	var absent []snapshot.Hash
+	current := c.config.Local()
+	for _, e := range entries {
+		if data, ok := encodeLocal(current, e); ok {
+			local[e.Hash] = data
+		} else {
+			absent = append(absent, e.Hash)
 		}
 	}
-	objects, err := c.fetchAll(ctx, hashes)
+	objects, err := c.fetchAll(ctx, absent)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if with != nil {
-		objects[with.hash] = with.config
+	for h, data := range local {
+		objects[h] = data
 	}
-	if _, err := snapshot.Build(m, objects); err != nil {
-		return invalidError(err)
+	return objects, nil
+}
+
+// encodeLocal returns the encoding of the service of entry e if s holds it. s may be nil.
+func encodeLocal(s *snapshot.Snapshot, e snapshot.ManifestEntry) ([]byte, bool) {
+	if s == nil || s.Services[e.Service] == nil {
+		return nil, false
 	}
-	return nil
+	data, hash, err := snapshot.Encode(s.Services[e.Service])
+	return data, err == nil && hash == e.Hash
 }
 
-// finish encodes the manifest and the list of answers.
-func (c *Client) finish(p *plan, m *snapshot.Manifest, sources []source) error {
-	manifest, manifestHash, err := snapshot.EncodeManifest(m)
-	if err != nil {
-		return errors.Wrap(err, "encode the manifest")
+// refusal states why a configuration is invalid, by file and line of the new answers where the fault
+// lies there.
+func refusal(err error, others []snapshot.ManifestEntry, objects map[snapshot.Hash][]byte, with *content) error {
+	var problems snapshot.Problems
+	if !errors.As(err, &problems) {
+		return errors.Wrap(err, "build the new version")
 	}
-	list, err := cbor.Marshal(sources)
-	if err != nil {
-		return errors.Wrap(err, "encode the list of answers")
+	var all []*answers.Answers
+	if with != nil && with.answers != nil {
+		all = append(all, with.answers)
+	}
+	for _, e := range others {
+		if s, err := snapshot.Decode(objects[e.Hash], e.Hash); err == nil {
+			all = append(all, &answers.Answers{File: e.Service, Service: *s})
+		}
+	}
+	if faults := answers.Check(all); len(faults) > 0 {
+		return invalidError(faults)
 	}
-	p.objects = append(p.objects, list, manifest)
-	p.change.Version = m.Version
-	p.head = Head{Version: m.Version, Manifest: manifestHash, Sources: snapshot.HashOf(list), Token: p.change.Token}
-	return nil
+	return invalidError(problems)
 }
--- a/agent/platform/status.go
+++ b/agent/platform/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/pkg/answers"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -111,7 +112,7 @@
 	if err != nil {
 		return Difference{}, err
 	}
-	proposed, err := parse(draft.File, data)
+	parsed, err := parse(draft.File, data)
 	if err != nil {
 		return Difference{}, err
 	}
@@ -119,14 +120,14 @@
 	if err != nil {
 		return Difference{}, err
 	}
-	difference := Difference{Draft: draft, Version: b.head.Version, Lines: snapshot.Diff(current, proposed)}
-	difference.Reasons, err = c.reasonsAgainst(ctx, b, draft, data, proposed)
+	difference := Difference{Draft: draft, Version: b.head.Version, Lines: snapshot.Diff(current, answers.Generate(parsed))}
+	difference.Reasons, err = c.reasonsAgainst(ctx, b, draft, parsed)
 	return difference, err
 }
 
 // reasonsAgainst returns why the draft would be refused, nil if it is valid.
-func (c *Client) reasonsAgainst(ctx context.Context, b base, draft Draft, data []byte, proposed *snapshot.Service) ([]string, error) {
-	with, err := newContent(draft.File, data, proposed)
+func (c *Client) reasonsAgainst(ctx context.Context, b base, draft Draft, parsed *answers.Answers) ([]string, error) {
+	with, err := newContent(parsed)
 	if err == nil {
 		change := Change{Action: Accepted, Service: draft.Service, Answers: draft.Hash, Hash: with.hash, Revision: 1}
 		_, err = c.plan(ctx, b, change, with)
--- a/agent/platform/types.go
+++ b/agent/platform/types.go
@@ -33,8 +33,6 @@
 type Head struct {
 	Version  snapshot.Version
 	Manifest snapshot.Hash
-	// Sources is the hash of the object that lists the answers of each service.
-	Sources snapshot.Hash
 	// Token is the change token of the accept or withdraw that produced this version.
 	Token string
 }
