--- a/agent/operator/auth.go
+++ b/agent/operator/auth.go
@@ -19,6 +19,9 @@
 	// credentials can cause on one daemon.
 	lookupsPerSecond = 20
 	lookupBurst      = 40
+	// freshFor is how long a credential gives access to the state of the daemon without another
+	// lookup, so that a monitor that asks often costs the platform no reads.
+	freshFor = 5 * time.Second
 	// rememberFor is how long a credential still gives access to the state of the daemon while the
 	// platform is unavailable. It also bounds how long a revoked credential does so.
 	rememberFor = 5 * time.Minute
@@ -56,10 +59,15 @@
 	if !ok {
 		return platform.Operator{}, platform.ErrUnknownCredential
 	}
+	digest := sha256.Sum256([]byte(token))
+	if offline {
+		if known, ok := a.recall(digest, rememberFor-freshFor); ok {
+			return known, nil
+		}
+	}
 	if !a.limiter.Allow() {
 		return platform.Operator{}, &APIError{Status: http.StatusTooManyRequests, Code: CodeTooMany, Message: "too many requests; try again in a second"}
 	}
-	digest := sha256.Sum256([]byte(token))
 	operator, err := a.platform.Operator(r.Context(), token)
 	var unavailable *platform.UnavailableError
 	switch {
@@ -68,7 +76,7 @@
 	case errors.Is(err, platform.ErrUnknownCredential):
 		a.forget(digest)
 	case offline && errors.As(err, &unavailable):
-		if known, ok := a.recall(digest); ok {
+		if known, ok := a.recall(digest, 0); ok {
 			return known, nil
 		}
 	}
@@ -96,11 +104,12 @@
 	delete(a.remembered, digest)
 }
 
-func (a *authenticator) recall(digest [sha256.Size]byte) (platform.Operator, bool) {
+// recall returns a remembered operator whose credential can be used for longer than left.
+func (a *authenticator) recall(digest [sha256.Size]byte, left time.Duration) (platform.Operator, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known, ok := a.remembered[digest]
-	return known.operator, ok && a.now().Before(known.until)
+	return known.operator, ok && a.now().Add(left).Before(known.until)
 }
 
 type operatorKey struct{}
--- a/agent/operator/client.go
+++ b/agent/operator/client.go
@@ -84,6 +84,13 @@
 	return reply, err
 }
 
+// Daemon returns the state of the daemon that answers, without a read from the platform.
+func (c *Client) Daemon(ctx context.Context) (DaemonStatus, error) {
+	var reply DaemonStatus
+	err := c.call(ctx, http.MethodGet, PathDaemon, nil, &reply)
+	return reply, err
+}
+
 // Endpoints returns the endpoints that the daemon which answers knows.
 func (c *Client) Endpoints(ctx context.Context) (EndpointsMessage, error) {
 	var reply EndpointsMessage
--- a/agent/operator/server.go
+++ b/agent/operator/server.go
@@ -41,6 +41,8 @@
 	Status(ctx context.Context) (platform.Status, error)
 }
 
+var _ Platform = (*platform.Client)(nil)
+
 // Refusal is a version that a daemon refused as a whole.
 type Refusal struct {
 	Version snapshot.Version `json:"version"`
@@ -113,6 +115,7 @@
 // daemonRoutes show the state of this daemon, which operators need most during an outage.
 func (s *server) daemonRoutes(r chi.Router) {
 	r.Get(PathStatus, s.authenticated(true, s.status))
+	r.Get(PathDaemon, s.authenticated(true, s.daemon))
 	r.Get(PathEndpoints, s.authenticated(true, s.endpoints))
 	r.Get(PathVars, s.authenticated(true, expvar.Handler().ServeHTTP))
 	if s.config.Burn != nil {
--- a/cli/cmd/backend.go
+++ b/cli/cmd/backend.go
@@ -14,12 +14,12 @@
 )
 
 type backendCommand struct {
-	Config string `long:"config" required:"true" value-name:"FILE" description:"settings file of the stand-in backend server"`
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file"`
 }
 
 // Execute runs the stand-in backend server until SIGTERM, SIGINT or a request to drain.
 func (c *backendCommand) Execute([]string) error {
-	settings, err := backend.Load(c.Config)
+	settings, err := backend.Load(c.Settings)
 	if err != nil {
 		return err
 	}
--- a/lib/event/event.go
+++ b/lib/event/event.go
@@ -54,8 +54,20 @@
 	if entry == nil {
 		return
 	}
+	for n, f := range fields {
+		fields[n] = withoutStack(f)
+	}
 	entry.Write(append(fields, zap.Int("event", int(e.ID)))...)
 }
 
+// withoutStack replaces an error field by its message. zap would add the stack that pkg/errors
+// records, several kilobytes for each line.
+func withoutStack(f zap.Field) zap.Field {
+	if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+		return zap.String(f.Key, err.Error())
+	}
+	return f
+}
+
 // Sync flushes buffered log lines.
 func (l *Logger) Sync() { _ = l.zap.Sync() }
--- a/tools/fleet/client.go
+++ b/tools/fleet/client.go
@@ -77,8 +77,8 @@
 
 // Version returns the configuration version in force on the daemon of i.
 func (i *Instance) Version(ctx context.Context) (snapshot.Version, error) {
-	status, err := i.AdminClient().Status(ctx)
-	return status.Daemon.Version, err
+	status, err := i.AdminClient().Daemon(ctx)
+	return status.Version, err
 }
 
 // WaitVersion waits until every given daemon has version v in force, and returns how long it took.
