Add the delta codec, bound references, test the answers commands

Deltas get a deterministic encoding with a size limit, so that the sync transport need not define one. Lists of dependencies and calls are bounded, because validation compares their items with each other. The commands answers new and check are tested for exit codes and for leaving files unchanged.

--- /dev/null
+++ b/cli/cmd/answers_test.go
@@ -0,0 +1,29 @@
+package cmd
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a script that submits answers because a failed check exits with zero, and against a
+// command that overwrites or changes the answers of a team.
+func TestAnswersCommands(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "shop.ini")
+	is.Equal(Main([]string{"answers", "new", "-o", path, "shop"}), exitOK)
+	is.Equal(Main([]string{"answers", "new", "-o", path, "shop"}), exitFailed)
+	is.Equal(Main([]string{"answers", "new", "No Name"}), exitFailed)
+	is.Equal(Main([]string{"answers", "new"}), exitUsage)
+	is.Equal(Main([]string{"answers", "check", path}), exitOK)
+	is.Equal(Main([]string{"answers", "check", path + ".absent"}), exitFailed)
+
+	broken := []byte("[service]\nname = shop\n")
+	is.NoErr(os.WriteFile(path, broken, 0o600))
+	is.Equal(Main([]string{"answers", "check", path}), exitFailed)
+	after, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(after, broken)
+}
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -259,3 +260,32 @@
 		}
 	})
 }
+
+// BenchmarkSize reports the resident size, in bytes, of the counters of all kinds of the target and
+// the size of their report.
+func BenchmarkSize(b *testing.B) {
+	const services, kinds = 1400, 5
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := heap()
+		tracker := New(Config{}, newClock().now)
+		for i := range services {
+			s := &snapshot.Service{Name: fmt.Sprintf("service-%04d", i)}
+			for j := range kinds {
+				tracker.Record(s, &snapshot.Kind{Name: fmt.Sprintf("kind-%d", j), Rank: j + 1, Objective: 0.999, Worth: 1}, Good)
+			}
+		}
+		b.ReportMetric(float64(heap()-before), "tracker-bytes")
+		var data bytes.Buffer
+		if err := tracker.Report().WriteJSON(&data); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(data.Len()), "report-bytes")
+		runtime.KeepAlive(tracker)
+	}
+}
--- a/pkg/snapshot/bench_test.go
+++ b/pkg/snapshot/bench_test.go
@@ -16,7 +16,7 @@
 	return m.HeapAlloc
 }
 
-// BenchmarkSize reports the encoded size of a service and of a manifest and the resident size of a
+// BenchmarkSize reports the encoded size of a service, a manifest and a complete delta, and the resident size of a
 // snapshot at the target, each in bytes.
 func BenchmarkSize(b *testing.B) {
 	for b.Loop() {
@@ -31,6 +31,15 @@
 		if err != nil {
 			b.Fatal(err)
 		}
+		complete, err := s.DeltaFrom(nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		delta, err := EncodeDelta(complete)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(delta)), "delta-bytes")
 		b.ReportMetric(float64(len(object)), "service-bytes")
 		b.ReportMetric(float64(len(manifest)), "manifest-bytes")
 		b.ReportMetric(float64(resident), "snapshot-bytes")
--- a/pkg/snapshot/chain.go
+++ b/pkg/snapshot/chain.go
@@ -33,6 +33,9 @@
 	s := c.service
 	for i, name := range s.DependsOn {
 		switch {
+		case i == MaxReferences:
+			c.fail(KeyDependsOn, fmt.Sprintf("at most %d services", MaxReferences), "%d services are listed", len(s.DependsOn))
+		case i > MaxReferences:
 		case name == s.Name:
 			c.fail(KeyDependsOn, "other services", "the service depends on itself")
 		case slices.Contains(s.DependsOn[:i], name):
@@ -51,6 +54,10 @@
 
 func (c *checker) checkCalls() {
 	for i, call := range c.kind.Calls {
+		if i == MaxReferences {
+			c.fail(KeyCalls, fmt.Sprintf("at most %d kinds", MaxReferences), "%d kinds are listed", len(c.kind.Calls))
+			break
+		}
 		if slices.Contains(c.kind.Calls[:i], call) {
 			c.fail(KeyCalls, "each kind once", "%q is listed twice", call)
 			continue
--- a/pkg/snapshot/codec.go
+++ b/pkg/snapshot/codec.go
@@ -15,6 +15,8 @@
 	MaxObjectBytes = 64 << 10
 	// MaxManifestBytes bounds an encoded manifest. 1,400 services take about 80 KB.
 	MaxManifestBytes = 4 << 20
+	// MaxDeltaBytes bounds an encoded delta. A complete one of 1,400 services takes about 530 KB.
+	MaxDeltaBytes = 32 << 20
 
 	maxArrayElements = 65536
 	maxMapPairs      = 64
@@ -122,6 +124,22 @@
 	return m, nil
 }
 
+// EncodeDelta returns the deterministic encoding of d. It fails if it exceeds MaxDeltaBytes.
+func EncodeDelta(d *Delta) ([]byte, error) {
+	data, _, err := encode(d, MaxDeltaBytes)
+	return data, err
+}
+
+// DecodeDelta returns the delta encoded in data, or fails with ErrFormat. Whether its content is valid
+// is decided by Apply.
+func DecodeDelta(data []byte) (*Delta, error) {
+	d := new(Delta)
+	if err := decode(data, HashOf(data), MaxDeltaBytes, d); err != nil {
+		return nil, errors.WithMessage(err, "decode delta")
+	}
+	return d, nil
+}
+
 func encode(value any, limit int) ([]byte, Hash, error) {
 	data, err := encoder.Marshal(value)
 	if err != nil {
--- a/pkg/snapshot/codec_test.go
+++ b/pkg/snapshot/codec_test.go
@@ -34,6 +34,9 @@
 	manifest, _, _ := EncodeManifest(&Manifest{Version: 1, Entries: []ManifestEntry{{Service: "pages", Revision: 1}}})
 	f.Add(service)
 	f.Add(manifest)
+	complete, _ := largeSnapshot(f, 2).DeltaFrom(nil)
+	delta, _ := EncodeDelta(complete)
+	f.Add(delta)
 	f.Add([]byte{0xa1, 0x01, 0x60})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if s, err := Decode(data, HashOf(data)); err == nil {
@@ -51,5 +54,10 @@
 				t.Fatalf("decoded manifest has another encoding: %v", err)
 			}
 		}
+		if d, err := DecodeDelta(data); err == nil {
+			if s, err := (*Snapshot)(nil).Apply(d); err == nil && s.Validate() != nil {
+				t.Fatal("applied an invalid delta")
+			}
+		}
 	})
 }
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -28,6 +28,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			encoded, err := EncodeDelta(delta)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if delta, err = DecodeDelta(encoded); err != nil {
+				t.Fatal(err)
+			}
 			before := fingerprint(t, old)
 			got, err := old.Apply(delta)
 			if err != nil {
--- a/pkg/snapshot/validate.go
+++ b/pkg/snapshot/validate.go
@@ -15,6 +15,9 @@
 	MaxRank = 9
 	// MaxKinds bounds the kinds of a service, because routing compares a request with each of them.
 	MaxKinds = 64
+	// MaxReferences bounds the services in depends-on and the kinds in calls, which are compared
+	// with each other.
+	MaxReferences = 64
 	// MaxServers is the number of servers of the target, MaxSlots and MaxConnections are per server.
 	MaxServers     = 16000
 	MaxSlots       = 65536
