Do not believe a load that a refusal contradicts

Cause: a server that always reports no load attracted more requests than the others, and its refusals counted as a load of 1.5 where honest servers reported 2 and more during a flood.

Change: after a refusal with a reported load below 1, the endpoint counts for 10 s with 1.1 times the smoothed load of its service.

--- a/pkg/selection/selection_test.go
+++ b/pkg/selection/selection_test.go
@@ -179,3 +179,21 @@
 	}
 	is.True(changed <= 1)
 }
+
+// Guards against an endpoint that attracts all requests by reporting no load while it refuses them.
+func TestContradictedReportIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("a", "a", "a", "a")
+	lied := 0
+	for range 2000 {
+		p, err := f.Pick(service, nil)
+		is.NoErr(err)
+		r := Result{Verdict: verdict.Ran, Load: 2}
+		if p.Record().Instance == "a0" {
+			lied++
+			r = Result{Verdict: verdict.NotRun, Load: 0}
+		}
+		p.Done(r)
+	}
+	is.True(lied < 1000) // an even share is 500
+}
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -21,7 +21,7 @@
 	current atomic.Pointer[table]
 
 	mu    sync.Mutex // serialises Update and ejections; not taken by Pick
-	stats map[statsKey]*stats
+	known known
 }
 
 // New returns a Selector without endpoints. rng returns uniform random numbers and must be safe for
@@ -37,8 +37,8 @@
 func (s *Selector) Update(v *endpoint.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next, kept := buildTable(s.cfg, v, s.stats)
-	s.stats = kept
+	next, kept := buildTable(s.cfg, v, s.known)
+	s.known = kept
 	s.current.Store(next)
 }
 
@@ -60,7 +60,7 @@
 	st := p.member.stats
 	st.inflight.Add(-1)
 	now := p.selector.now().UnixNano()
-	if st.record(r, now) {
+	if st.record(r, p.member.level, now) {
 		p.selector.eject(p.member, now)
 	}
 }
--- a/pkg/selection/stats.go
+++ b/pkg/selection/stats.go
@@ -9,8 +9,17 @@
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
-// refusedLoad is the load that a refusal proves, whatever the endpoint reports.
-const refusedLoad = 1.5
+const (
+	// refusedLoad is the load that a refusal proves, whatever the endpoint reports.
+	refusedLoad = 1.5
+	// distrustFor is the time for which the loads of an endpoint are replaced by those of its set.
+	distrustFor = 10 * time.Second
+	// distrustFactor makes such an endpoint count somewhat more loaded than its set, as it is the one
+	// that refused.
+	distrustFactor = 1.1
+	// levelSmoothing is the weight of a new report in the load of the set.
+	levelSmoothing = 0.05
+)
 
 // stats holds what this daemon has seen of an endpoint. It survives an Update of the table. Times
 // are Unix nanoseconds.
@@ -23,6 +32,19 @@
 	ejections     atomic.Int32 // consecutive, gives the exponent of the time
 	ejectedUntil  atomic.Int64
 	drainingUntil atomic.Int64
+	// distrustUntil is set by a refusal that contradicts the returned load.
+	distrustUntil atomic.Int64
+}
+
+// level is a smoothed load of a service, from the reports that are trusted.
+type level struct{ bits atomic.Uint64 }
+
+func (l *level) get() float64 { return math.Float64frombits(l.bits.Load()) }
+
+// add takes over a report. Concurrent calls may lose one of them, which a smoothed value tolerates.
+func (l *level) add(load float64) {
+	old := l.get()
+	l.bits.Store(math.Float64bits(old + levelSmoothing*(load-old)))
 }
 
 // member is an endpoint of a set. It is immutable except for its stats.
@@ -31,10 +53,12 @@
 	slots  float64
 	readyN int64 // Unix nanoseconds
 	stats  *stats
+	level  *level // of the service
 }
 
-func newMember(r endpoint.Record, s *stats) *member {
+func newMember(r endpoint.Record, s *stats, l *level) *member {
 	return &member{
+		level:  l,
 		record: r,
 		slots:  float64(max(r.Slots, 1)),
 		readyN: r.ReadySinceMS * int64(time.Millisecond),
@@ -67,6 +91,28 @@
 	return min(max(age, minShare), 1)
 }
 
+// report takes over a returned load. An endpoint that refuses work while it reports free slots is
+// not believed for a while; it then counts like the others, so that a wrong report neither attracts
+// nor repels requests.
+func (s *stats) report(r Result, set *level, now int64) {
+	refused := r.Verdict == verdict.NotRun
+	if refused && r.Load >= 0 && r.Load < 1 {
+		s.distrustUntil.Store(now + int64(distrustFor))
+	}
+	load := r.Load
+	if refused {
+		load = max(load, refusedLoad)
+	}
+	if now < s.distrustUntil.Load() {
+		load = max(load, distrustFactor*set.get())
+	} else if load >= 0 {
+		set.add(min(load, maxReportedLoad))
+	}
+	if load >= 0 {
+		s.setLoad(load, now)
+	}
+}
+
 func (s *stats) setLoad(load float64, now int64) {
 	s.load.Store(math.Float64bits(min(load, maxReportedLoad)))
 	s.loadAt.Store(now)
@@ -74,7 +120,7 @@
 
 // record takes over the outcome of an attempt and reports whether the endpoint has failed often
 // enough to be ejected.
-func (s *stats) record(r Result, now int64) bool {
+func (s *stats) record(r Result, set *level, now int64) bool {
 	if r.Draining {
 		s.drainingUntil.Store(now + int64(drainingFor))
 		return false
@@ -82,12 +128,7 @@
 	if r.Failed {
 		return s.failures.Add(1) >= ejectAfter && now >= s.ejectedUntil.Load()
 	}
-	switch {
-	case r.Verdict == verdict.NotRun:
-		s.setLoad(max(r.Load, refusedLoad), now)
-	case r.Load >= 0:
-		s.setLoad(r.Load, now)
-	}
+	s.report(r, set, now)
 	if r.Verdict == verdict.Ran {
 		s.succeeded(now)
 	}
--- a/pkg/selection/table.go
+++ b/pkg/selection/table.go
@@ -29,36 +29,47 @@
 	readySinceMS int64
 }
 
+// known holds what outlives a table: the stats of its endpoints and the levels of its services.
+type known struct {
+	stats  map[statsKey]*stats
+	levels map[string]*level
+}
+
+func keep[K comparable, V any](from, to map[K]*V, key K) *V {
+	value := from[key]
+	if value == nil {
+		value = new(V)
+	}
+	to[key] = value
+	return value
+}
+
 func keyOf(r endpoint.Record) statsKey {
 	return statsKey{service: r.Service, instance: r.Instance, readySinceMS: r.ReadySinceMS}
 }
 
-// buildTable makes the table for v. known gives the stats of the endpoints of the previous table;
-// the result holds those of the new one.
-func buildTable(cfg Config, v *endpoint.View, known map[statsKey]*stats) (*table, map[statsKey]*stats) {
+// buildTable makes the table for v. old holds what is known of the endpoints of the previous table;
+// the second result is the part of it that the new table uses.
+func buildTable(cfg Config, v *endpoint.View, old known) (*table, known) {
 	t := &table{sets: make(map[string]*set, len(v.ByService))}
-	kept := make(map[statsKey]*stats, len(known))
-	for service, records := range v.ByService {
-		if s := buildSet(cfg, v, records, known, kept); len(s.all) > 0 {
+	kept := known{stats: map[statsKey]*stats{}, levels: map[string]*level{}}
+	for service := range v.ByService {
+		if s := buildSet(cfg, v, service, old, kept); len(s.all) > 0 {
 			t.sets[service] = s
 		}
 	}
 	return t, kept
 }
 
-func buildSet(cfg Config, v *endpoint.View, records []endpoint.Record, known, kept map[statsKey]*stats) *set {
+func buildSet(cfg Config, v *endpoint.View, service string, old, kept known) *set {
 	s := &set{}
-	groups := readyByDomain(records)
+	groups := readyByDomain(v.ByService[service])
+	l := keep(old.levels, kept.levels, service)
 	// Sorted domains make a seeded run repeatable.
 	for _, domain := range slices.Sorted(maps.Keys(groups)) {
 		for _, r := range subset(cfg, groups[domain]) {
-			key := keyOf(r.Record)
-			st := known[key]
-			if st == nil {
-				st = &stats{}
-			}
-			kept[key] = st
-			s.add(newMember(r.Record, st), domain == cfg.Domain, v.Unreachable[domain])
+			st := keep(old.stats, kept.stats, keyOf(r.Record))
+			s.add(newMember(r.Record, st, l), domain == cfg.Domain, v.Unreachable[domain])
 		}
 	}
 	s.all = slices.Concat(s.local, s.remote, s.unreachable)
