Count protected arrivals in the estimated wait of excess work

Cause: excess requests were admitted to the queue with an estimate that ignored protected work arriving later. They expired at the end of the queue, when it was too late to try another instance.

Change: the estimate for excess work is divided by the share of the slots that the declared rates leave.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -17,6 +17,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry hint of a refusal.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// maxProtectedShare bounds the estimate for excess work when the declared rates need all slots.
+	maxProtectedShare = 0.9
 )
 
 // kindState is the state of one kind. Its fields are guarded by the lock of the Controller.
@@ -53,7 +55,9 @@
 	limiter    limiter
 	queue      queue
 	queueLimit int
-	running    int
+	// declaredSlots is the number of slots that the declared rates keep busy.
+	declaredSlots float64
+	running       int
 	// finishRate is the expected number of running requests that finish per second.
 	finishRate float64
 	draining   bool
@@ -85,6 +89,10 @@
 		}
 	}
 	c.kinds = kinds
+	c.declaredSlots = 0
+	for _, k := range cfg.Kinds {
+		c.declaredSlots += k.Rate * k.ServiceTime.Seconds()
+	}
 	c.queueLimit = cfg.queueLimit()
 	c.limiter.declare(cfg.slots())
 	out := c.dispatch(now, nil)
@@ -166,9 +174,19 @@
 	c.load.Store(math.Float64bits(load))
 }
 
-// wait estimates the time until w gets a slot.
+// wait estimates the time until w gets a slot. Excess work is overtaken by the protected work that
+// arrives in the meantime, so only the remaining part of the slots serves it.
 func (c *Controller) wait(w *Waiter) time.Duration {
-	return c.queue.workBefore(w)/time.Duration(c.limiter.limit) + c.nextFree()
+	d := c.queue.workBefore(w)/time.Duration(c.limiter.limit) + c.nextFree()
+	if isExcess(w.class) {
+		d = time.Duration(float64(d) / (1 - c.protectedShare()))
+	}
+	return d
+}
+
+// protectedShare returns the share of the slots that the declared rates need.
+func (c *Controller) protectedShare() float64 {
+	return min(c.declaredSlots/float64(c.limiter.limit), maxProtectedShare)
 }
 
 // nextFree estimates the time until the next slot is free. A request that comes first needs only one
