flood: add the service finder and declared rates close to the capacity

Purpose: in the fleets so far the most urgent kind declares a small share, so headroom for it cost nothing. In finder, search declares 58% of the slots; the tight scenario scales the declared rates to 85%.

--- a/tools/bench/flood/main.go
+++ b/tools/bench/flood/main.go
@@ -35,7 +35,7 @@
 // report prints the rows of all selected runs and returns the number of bounds passed.
 func report(opts options) (int, error) {
 	over := 0
-	for _, u := range []*user{association(), nilufer()} {
+	for _, u := range users() {
 		for _, sc := range scenarios {
 			for _, policy := range policies {
 				if opts.skips(sc.name, policy) {
--- a/tools/bench/flood/scenario.go
+++ b/tools/bench/flood/scenario.go
@@ -14,6 +14,8 @@
 	// coldFactor is the slowdown of a server that has just started; it falls to 1 over coldTime.
 	coldFactor = 8.0
 	coldTime   = 8 * time.Second
+	// tightShare is a share of the capacity at which the declared rates just about fit.
+	tightShare = 0.85
 	// slowFactor is the lasting slowdown of a slow server.
 	slowFactor = 4.0
 )
@@ -23,12 +25,15 @@
 type scenario struct {
 	name      string
 	floodMost bool // flood of the most urgent kind, otherwise of the least urgent one
-	begin     func(w *world)
+	// declared changes the declared rates to this share of the capacity, unless it is zero.
+	declared float64
+	begin    func(w *world)
 }
 
 var scenarios = []scenario{
 	{name: "flood-least"},
 	{name: "flood-most", floodMost: true},
+	{name: "flood-most-tight", floodMost: true, declared: tightShare},
 	{name: "cold-server", begin: coldServer},
 	{name: "slow-server", begin: func(w *world) {
 		w.servers[0].slowdown = func(time.Duration) float64 { return slowFactor }
@@ -59,6 +64,9 @@
 
 // runScenario runs sc for u and returns what was measured.
 func runScenario(u *user, sc scenario, policy string, seed uint64) *tally {
+	if sc.declared > 0 {
+		u = u.scaled(sc.declared / u.declaredShare())
+	}
 	w := newWorld(u, policy, seed)
 	w.tally.from, w.tally.to = warmUp, warmUp+measured
 	flood := u.leastUrgent()
--- a/tools/bench/flood/users.go
+++ b/tools/bench/flood/users.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"kingcupwood.example/kingcupwood/pkg/admission"
@@ -28,16 +29,18 @@
 	kinds   []kind // most urgent first
 }
 
+func users() []*user { return []*user{pages(), finder(), catalogue()} }
+
 const (
 	domainLatency = time.Millisecond       // one way, between failure domains
 	localLatency  = 100 * time.Microsecond // one way, inside a failure domain
 )
 
-// association is the service pages of Association: 61% of the slots are declared.
-func association() *user {
+// pages is the service pages of Association: 61% of the slots are declared.
+func pages() *user {
 	const caller = time.Millisecond
 	return &user{
-		name:    "association",
+		name:    "pages",
 		domains: []string{"a", "a", "a", "b", "b", "b", "c", "c", "c"},
 		servers: []string{"a", "a", "b", "c"},
 		slots:   12,
@@ -49,12 +52,28 @@
 	}
 }
 
-// nilufer is the service catalogue of Nilufer Su Bahcesi: 60% of the slots are declared. The
+// finder is the service finder of Association: 75% of the slots are declared, most of them by the
+// most urgent kind, so that a flood of it has the largest protected part.
+func finder() *user {
+	const caller = time.Millisecond
+	return &user{
+		name:    "finder",
+		domains: []string{"a", "a", "a", "b", "b", "b", "c", "c", "c"},
+		servers: []string{"a", "a", "b", "b", "c"},
+		slots:   12,
+		kinds: []kind{
+			{"search", 2, 1400, true, 25 * time.Millisecond, 600 * time.Millisecond, caller},
+			{"listing", 5, 200, true, 50 * time.Millisecond, 2 * time.Second, caller},
+		},
+	}
+}
+
+// catalogue is the service catalogue of Nilufer Su Bahcesi: 60% of the slots are declared. The
 // packing line is an internal caller with a short deadline; planting lists hold a slot for long.
-func nilufer() *user {
+func catalogue() *user {
 	const caller = 8 * time.Millisecond
 	return &user{
-		name:    "nilufer",
+		name:    "catalogue",
 		domains: []string{"a", "a", "a", "a", "b", "b", "b", "c", "c", "c"},
 		servers: []string{"a", "a", "b", "b", "c"},
 		slots:   6,
@@ -67,6 +86,25 @@
 	}
 }
 
+// declaredShare returns the share of the capacity that the declared rates need.
+func (u *user) declaredShare() float64 {
+	slots := 0.0
+	for _, k := range u.kinds {
+		slots += k.Rate * k.ServiceTime.Seconds()
+	}
+	return slots / float64(u.slots*len(u.servers))
+}
+
+// scaled returns the user with other declared rates.
+func (u *user) scaled(factor float64) *user {
+	scaled := *u
+	scaled.kinds = slices.Clone(u.kinds)
+	for i := range scaled.kinds {
+		scaled.kinds[i].Rate *= factor
+	}
+	return &scaled
+}
+
 func (u *user) serverCount() int { return len(u.servers) }
 
 // admission returns the configuration of one server.
