--- /dev/null
+++ b/agent/peer/probe/probe.go
@@ -0,0 +1,148 @@
+// Package probe drives the membership state machine with a UDP socket and a ticker.
+package probe
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+)
+
+// receiveRetryPause separates attempts after an error of the socket, such as exhausted buffers.
+const receiveRetryPause = 10 * time.Millisecond
+
+// Conn is the part of *net.UDPConn that a Prober uses.
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, addr netip.AddrPort) (int, error)
+	Close() error
+}
+
+// Stats counts the traffic of a Prober, without IP and UDP headers.
+type Stats struct {
+	SentPackets, SentBytes         uint64
+	ReceivedPackets, ReceivedBytes uint64
+}
+
+// Prober owns a membership.State. All access to the State goes through it.
+type Prober struct {
+	conn  Conn
+	log   *event.Logger
+	state *membership.State
+	// mu guards state. It is never held during a system call.
+	mu sync.Mutex
+
+	sentPackets, sentBytes         atomic.Uint64
+	receivedPackets, receivedBytes atomic.Uint64
+}
+
+// New returns a Prober that sends and receives over conn and closes it when Run ends.
+func New(conn Conn, state *membership.State, log *event.Logger) *Prober {
+	return &Prober{conn: conn, state: state, log: log}
+}
+
+// Run receives packets and ticks until ctx is done. It then announces that this daemon leaves,
+// closes the socket and returns nil, or returns the error that ended it early.
+func (p *Prober) Run(ctx context.Context) error {
+	received := make(chan error, 1)
+	go func() { received <- p.receive(ctx) }()
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.deliver(p.leave())
+			_ = p.conn.Close()
+			<-received
+			return nil
+		case err := <-received:
+			_ = p.conn.Close()
+			return err
+		case <-ticker.C:
+			p.deliver(p.tick())
+		}
+	}
+}
+
+func (p *Prober) receive(ctx context.Context) error {
+	buf := make([]byte, membership.MaxPacketBytes+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "probe socket")
+		case err != nil:
+			p.log.Log(event.ProbeReceiveFailed, zap.Error(err))
+			time.Sleep(receiveRetryPause)
+			continue
+		}
+		p.receivedPackets.Add(1)
+		p.receivedBytes.Add(uint64(n))
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		p.deliver(p.handle(from, buf[:n]))
+	}
+}
+
+func (p *Prober) handle(from netip.AddrPort, data []byte) []membership.Packet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Receive(time.Now(), from, data)
+}
+
+func (p *Prober) tick() []membership.Packet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Tick(time.Now())
+}
+
+func (p *Prober) leave() []membership.Packet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Leave(time.Now())
+}
+
+func (p *Prober) deliver(packets []membership.Packet) {
+	for _, packet := range packets {
+		if _, err := p.conn.WriteToUDPAddrPort(packet.Data, packet.To); err != nil {
+			p.log.Log(event.ProbeSendFailed, zap.Stringer("to", packet.To), zap.Error(err))
+			continue
+		}
+		p.sentPackets.Add(1)
+		p.sentBytes.Add(uint64(len(packet.Data)))
+	}
+}
+
+// Do runs f with exclusive access to the State. f must not block.
+func (p *Prober) Do(f func(now time.Time, s *membership.State)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(time.Now(), p.state)
+}
+
+// SetLocal announces a change of the local instance.
+func (p *Prober) SetLocal(r endpoint.Record) {
+	p.Do(func(now time.Time, s *membership.State) { s.SetLocal(now, r) })
+}
+
+// View returns the current picture of all endpoints.
+func (p *Prober) View() *endpoint.View { return p.state.View() }
+
+// Stats returns the traffic so far.
+func (p *Prober) Stats() Stats {
+	return Stats{
+		SentPackets: p.sentPackets.Load(), SentBytes: p.sentBytes.Load(),
+		ReceivedPackets: p.receivedPackets.Load(), ReceivedBytes: p.receivedBytes.Load(),
+	}
+}
--- /dev/null
+++ b/lib/event/peer.go
@@ -0,0 +1,21 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the probes and of the synchronization between daemons.
+var (
+	ProbeReceiveFailed  = Event{4101, zapcore.WarnLevel, "probe socket: receiving failed"}
+	ProbeSendFailed     = Event{4102, zapcore.DebugLevel, "probe socket: sending failed"}
+	DomainReachability  = Event{4103, zapcore.WarnLevel, "reachability of a failure domain changed"}
+	PeerJoined          = Event{4201, zapcore.InfoLevel, "joined the membership"}
+	PeerJoinFailed      = Event{4202, zapcore.WarnLevel, "joining the membership failed, will be retried"}
+	PeerRepairFailed    = Event{4203, zapcore.DebugLevel, "anti-entropy exchange with a member failed"}
+	VersionApplied      = Event{5101, zapcore.InfoLevel, "configuration version is in force"}
+	VersionRefused      = Event{5102, zapcore.ErrorLevel, "configuration version was refused"}
+	VersionFloorKnown   = Event{5103, zapcore.InfoLevel, "version floor determined"}
+	VersionFloorUnknown = Event{5104, zapcore.WarnLevel, "version floor unknown, nobody answered"}
+	LeaseAcquired       = Event{5105, zapcore.InfoLevel, "lease of the failure domain acquired"}
+	LeaseLost           = Event{5106, zapcore.WarnLevel, "lease of the failure domain lost"}
+	ParentFailed        = Event{5107, zapcore.DebugLevel, "long poll at the parent failed, trying the next one"}
+	HeadReadFailed      = Event{5108, zapcore.WarnLevel, "reading the head from the platform failed"}
+)
--- /dev/null
+++ b/pkg/membership/config.go
@@ -0,0 +1,102 @@
+// Package membership is a SWIM state machine: it turns ticks and received packets into packets to
+// send and into a view of all endpoint records. It performs no I/O, starts no goroutines and takes
+// the time as an argument, so that many instances can be run in virtual time.
+//
+// A State must be used by one goroutine at a time; only View may be called concurrently.
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// Protocol constants. The traffic and CPU bounds of the design page apply to their product.
+const (
+	// MaxPacketBytes keeps a packet below the usual MTU, so that it is never fragmented.
+	MaxPacketBytes = 1200
+	// TickInterval is the interval at which Tick is expected to be called.
+	TickInterval = 100 * time.Millisecond
+	// ProbeInterval separates two probes of members of the own failure domain.
+	ProbeInterval = time.Second
+	// ProbeTimeout is how long a direct probe waits for its ack. It must exceed the largest
+	// round-trip time between regions.
+	ProbeTimeout = 400 * time.Millisecond
+	// DeadRetention is how long the record of a dead member is kept, so that late packets that
+	// still call it alive are recognized as outdated.
+	DeadRetention = 10 * time.Minute
+	// PublishInterval is the shortest time between two views. Building one costs a copy of the
+	// record map.
+	PublishInterval = 250 * time.Millisecond
+
+	// remoteEvery is the number of probe rounds for each probe into another failure domain.
+	remoteEvery = 3
+	// indirectProbes is the number of members asked to probe one that did not answer.
+	indirectProbes = 3
+	// unreachableAfter is the number of distinct members of a domain that must fail in a row.
+	unreachableAfter = 3
+	// hintFanout is the number of members told at once about a change of reachability or a leave.
+	hintFanout = 4
+	// recheckPause is how long a domain that just answered is not checked again on a hint.
+	recheckPause = 2 * time.Second
+	// lateTick is the gap between ticks above which this daemon considers itself paused: packets
+	// may have waited in the socket for longer than ProbeTimeout.
+	lateTick = 300 * time.Millisecond
+	// maxHealth bounds the multiplier of the timeouts to 1+maxHealth.
+	maxHealth = 7
+	// suspicionFactor multiplies log10 of the size of the domain; in probe intervals.
+	suspicionFactor = 3
+	// transmitFactor multiplies log10 of the number of members; with transmitBase added it is the
+	// number of transmissions of an update by each member. A member misses an update with
+	// probability exp(-transmissions); anti-entropy repairs that.
+	transmitFactor = 3
+	transmitBase   = 4
+	// maxQueued bounds the updates that wait to be sent; anti-entropy repairs what is dropped.
+	maxQueued = 2048
+	// maxRelays bounds the indirect probes run for others at a time.
+	maxRelays = 64
+	// maxAhead bounds the list of peers known to hold a higher configuration version.
+	maxAhead = 8
+	// mergeGossip is the number of changed records of one anti-entropy exchange that are passed
+	// on with the probes. More than these would crowd out new changes.
+	mergeGossip = 32
+	// maxFieldBytes bounds each text field of a record, so that every record fits in a packet.
+	maxFieldBytes = 64
+)
+
+// Config is the configuration of a State.
+type Config struct {
+	// Local is the record of this instance: identity, failure domain, incarnation (start time in
+	// milliseconds) and addresses.
+	Local endpoint.Record
+}
+
+// Packet is a datagram to be sent to a member.
+type Packet struct {
+	To   netip.AddrPort
+	Data []byte
+}
+
+// Status is the state of a member as seen by this daemon.
+type Status uint8
+
+// The states of a member.
+const (
+	Alive Status = iota
+	Suspect
+	Dead
+)
+
+// String returns the name of s.
+func (s Status) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/pkg/membership/message.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+type messageKind uint8
+
+const (
+	kindPing     messageKind = iota + 1 // answered with kindAck
+	kindAck                             // answer to kindPing, also relayed for an indirect probe
+	kindIndirect                        // asks the receiver to ping Target
+	kindNack                            // the receiver of kindIndirect is alive, Target did not answer it
+	kindPush                            // carries updates only, is not answered
+)
+
+// message is the content of a packet.
+type message struct {
+	_    struct{} `cbor:",toarray"`
+	Kind messageKind
+	Seq  uint64
+	From endpoint.InstanceID
+	// Incarnation and Counter are the version of the sender's own record.
+	Incarnation uint64
+	Counter     uint64
+	// Version is the sender's configuration in force, Highest the highest version it has heard of.
+	Version snapshot.Version
+	Highest snapshot.Version
+	// Target is the member meant by a ping, so that an instance on a reused address does not
+	// answer for another, or the member to be pinged by kindIndirect.
+	Target endpoint.InstanceID
+	// Want asks the receiver to send its own record.
+	Want    bool
+	Updates []cbor.RawMessage
+}
+
+type updateKind uint8
+
+const (
+	updateRecord updateKind = iota + 1
+	updateSuspect
+	updateDead
+	updateCut    // the sender found Domain unreachable
+	updateBack   // the sender found Domain reachable again
+	updateHolder // Instance holds lease Slot of Domain under the fencing token Incarnation
+)
+
+// update is one piece of disseminated information.
+type update struct {
+	Kind        updateKind          `cbor:"1,keyasint"`
+	Record      *endpoint.Record    `cbor:"2,keyasint,omitempty"`
+	Instance    endpoint.InstanceID `cbor:"3,keyasint,omitempty"`
+	Incarnation uint64              `cbor:"4,keyasint,omitempty"`
+	Domain      string              `cbor:"5,keyasint,omitempty"`
+	Slot        int                 `cbor:"6,keyasint,omitempty"`
+}
+
+var decMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options above are constant
+	}
+	return mode
+}()
+
+func mustEncode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // only types without custom encoders are passed
+	}
+	return data
+}
+
+func decodeMessage(data []byte) (*message, error) {
+	if len(data) > MaxPacketBytes {
+		return nil, errors.Errorf("packet of %d bytes exceeds %d", len(data), MaxPacketBytes)
+	}
+	var m message
+	if err := decMode.Unmarshal(data, &m); err != nil {
+		return nil, errors.Wrap(err, "decode packet")
+	}
+	if m.Kind < kindPing || m.Kind > kindPush || m.From == "" || len(m.From) > maxFieldBytes {
+		return nil, errors.Errorf("packet of kind %d from %q is malformed", m.Kind, m.From)
+	}
+	return &m, nil
+}
+
+func decodeUpdate(data []byte) (update, error) {
+	var u update
+	if err := decMode.Unmarshal(data, &u); err != nil {
+		return u, errors.Wrap(err, "decode update")
+	}
+	if u.Kind == updateRecord {
+		if u.Record == nil {
+			return u, errors.New("update without record")
+		}
+		return u, Validate(*u.Record)
+	}
+	if len(u.Domain) > maxFieldBytes || len(u.Instance) > maxFieldBytes {
+		return u, errors.New("update with an oversized field")
+	}
+	return u, nil
+}
+
+// Validate reports why a record that came from another daemon cannot be used, or nil.
+func Validate(r endpoint.Record) error {
+	if r.Instance == "" || r.Domain == "" || r.Incarnation == 0 {
+		return errors.Errorf("record of %q in domain %q lacks its identity", r.Instance, r.Domain)
+	}
+	if r.State < endpoint.Starting || r.State > endpoint.Gone {
+		return errors.Errorf("record of %q has unknown state %d", r.Instance, r.State)
+	}
+	for _, field := range []string{string(r.Instance), r.Domain, r.CallAddr, r.RPCAddr, r.ProbeAddr, r.AdminAddr, r.Service} {
+		if len(field) > maxFieldBytes {
+			return errors.Errorf("record of %q has a field of %d bytes", r.Instance, len(field))
+		}
+	}
+	if _, err := netip.ParseAddrPort(r.ProbeAddr); err != nil {
+		return errors.Wrapf(err, "record of %q", r.Instance)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/membership/probing.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// probe is a ping that waits for its ack.
+type probe struct {
+	seq    uint64
+	target *member
+	// remote tells that the target is in another failure domain; its failure concerns the domain.
+	remote   bool
+	indirect bool
+	deadline time.Time
+	// end is the time at which an indirect probe has failed.
+	end time.Time
+}
+
+// relay is a ping sent for another member.
+type relay struct {
+	seq       uint64
+	origin    netip.AddrPort
+	originSeq uint64
+	remote    bool
+	deadline  time.Time
+}
+
+// Tick advances the protocol to now and returns the packets to send. It is expected every
+// TickInterval; a late call is taken as a sign that this daemon was paused.
+func (s *State) Tick(now time.Time) []Packet {
+	s.noticePause(now)
+	s.expireRelays(now)
+	s.expireProbes(now)
+	s.expireSuspects(now)
+	s.forgetDead(now)
+	if !now.Before(s.nextProbe) && !s.leaving {
+		s.nextProbe = s.nextProbe.Add(ProbeInterval)
+		if s.nextProbe.Before(now) {
+			s.nextProbe = now.Add(ProbeInterval)
+		}
+		s.probeRound(now)
+	}
+	s.publish(now)
+	return s.take()
+}
+
+// noticePause drops the evidence gathered before a pause of this daemon: acks may have been lost or
+// may still wait in the socket, and refutations were not received.
+func (s *State) noticePause(now time.Time) {
+	gap := now.Sub(s.lastTick)
+	s.lastTick = now
+	if gap <= lateTick {
+		return
+	}
+	s.trusted = false
+	s.raiseHealth()
+	s.probes, s.relays = nil, nil
+	for _, d := range s.sorted {
+		d.failed, d.checking = nil, false
+	}
+	for _, m := range s.suspects {
+		if !m.suspectUntil.IsZero() {
+			m.suspectUntil = m.suspectUntil.Add(gap)
+		}
+	}
+}
+
+func (s *State) probeRound(now time.Time) {
+	s.round++
+	own := s.domainOf(s.local.record.Domain)
+	if m := own.nextTarget(s.rng.IntN); m != nil {
+		s.startProbe(now, m)
+	}
+	if s.round%remoteEvery == 0 {
+		s.probeRemote(now, func(d *domain) bool { return !d.unreachable })
+	}
+	s.probeRemote(now, func(d *domain) bool { return d.unreachable })
+}
+
+// probeRemote probes the next member of a random other domain that is wanted.
+func (s *State) probeRemote(now time.Time, wanted func(*domain) bool) {
+	var list []*domain
+	for _, d := range s.sorted {
+		if s.remote(d.name) && len(d.order) > 0 && wanted(d) {
+			list = append(list, d)
+		}
+	}
+	if len(list) > 0 {
+		s.startProbe(now, list[s.rng.IntN(len(list))].nextTarget(s.rng.IntN))
+	}
+}
+
+func (s *State) startProbe(now time.Time, m *member) {
+	s.seq++
+	p := &probe{seq: s.seq, target: m, remote: s.remote(m.record.Domain)}
+	p.deadline = now.Add(s.scaled(ProbeTimeout))
+	p.end = now.Add(s.scaled(ProbeInterval))
+	if p.remote {
+		s.domainOf(m.record.Domain).checking = true
+	}
+	s.probes = append(s.probes, p)
+	s.sendTo(m, message{Kind: kindPing, Seq: p.seq, Target: m.record.Instance})
+}
+
+func (s *State) expireProbes(now time.Time) {
+	waiting := s.probes
+	s.probes = nil
+	for _, p := range waiting {
+		switch {
+		case now.Before(p.deadline):
+			s.probes = append(s.probes, p)
+		case p.remote:
+			s.remoteFailed(now, p)
+		case !p.indirect && now.Before(p.end):
+			s.probeIndirectly(p)
+			s.probes = append(s.probes, p)
+		default:
+			s.probeFailed(now, p)
+		}
+	}
+}
+
+func (s *State) probeIndirectly(p *probe) {
+	p.indirect = true
+	p.deadline = p.end
+	for _, helper := range s.sample(s.domainOf(p.target.record.Domain), indirectProbes, p.target) {
+		s.sendTo(helper, message{Kind: kindIndirect, Seq: p.seq, Target: p.target.record.Instance})
+	}
+}
+
+// probeFailed accuses the target of a probe if this daemon has reason to trust its own state.
+func (s *State) probeFailed(now time.Time, p *probe) {
+	accuse := s.trusted
+	s.trusted = false
+	s.raiseHealth()
+	if accuse && s.members[p.target.record.Instance] == p.target && p.target.status == Alive {
+		s.suspect(now, p.target, p.target.record.Incarnation)
+	}
+}
+
+// acked ends the probe with the given sequence number and reports whether there was one.
+func (s *State) acked(now time.Time, seq uint64) bool {
+	at := slices.IndexFunc(s.probes, func(p *probe) bool { return p.seq == seq })
+	if at < 0 {
+		return false
+	}
+	p := s.probes[at]
+	s.probes = slices.Delete(s.probes, at, at+1)
+	s.trusted = true
+	s.health = max(0, s.health-1)
+	if p.remote {
+		s.domainAnswered(now, s.domainOf(p.target.record.Domain))
+	}
+	return true
+}
+
+func (s *State) addRelay(now time.Time, from netip.AddrPort, m *message) {
+	target := s.members[m.Target]
+	if target == nil || target == s.local || len(s.relays) >= maxRelays {
+		return
+	}
+	s.seq++
+	r := &relay{seq: s.seq, origin: from, originSeq: m.Seq, remote: s.remoteSender(m), deadline: now.Add(ProbeTimeout)}
+	s.relays = append(s.relays, r)
+	s.sendTo(target, message{Kind: kindPing, Seq: r.seq, Target: m.Target})
+}
+
+func (s *State) relayed(seq uint64) {
+	at := slices.IndexFunc(s.relays, func(r *relay) bool { return r.seq == seq })
+	if at < 0 {
+		return
+	}
+	r := s.relays[at]
+	s.relays = slices.Delete(s.relays, at, at+1)
+	s.send(r.origin, r.remote, message{Kind: kindAck, Seq: r.originSeq})
+}
+
+func (s *State) expireRelays(now time.Time) {
+	waiting := s.relays
+	s.relays = nil
+	for _, r := range waiting {
+		if now.Before(r.deadline) {
+			s.relays = append(s.relays, r)
+			continue
+		}
+		s.send(r.origin, r.remote, message{Kind: kindNack, Seq: r.originSeq})
+	}
+}
--- /dev/null
+++ b/pkg/membership/reach.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// remoteFailed handles a probe into another domain that got no ack. The next member of the domain
+// is probed at once, so that a partition is noticed within a few probe timeouts. A member of
+// another domain is never accused alone; its own domain does that.
+func (s *State) remoteFailed(now time.Time, p *probe) {
+	d := s.domainOf(p.target.record.Domain)
+	d.checking = false
+	if d.unreachable {
+		return
+	}
+	if id := p.target.record.Instance; !slices.Contains(d.failed, id) {
+		d.failed = append(d.failed, id)
+	}
+	if len(d.failed) >= max(1, min(unreachableAfter, len(d.order))) {
+		s.setReachable(d, false)
+		return
+	}
+	s.checkDomain(now, d)
+}
+
+// checkDomain probes a member of d that has not failed since the last ack.
+func (s *State) checkDomain(now time.Time, d *domain) {
+	for range len(d.order) {
+		m := d.nextTarget(s.rng.IntN)
+		if !slices.Contains(d.failed, m.record.Instance) {
+			s.startProbe(now, m)
+			return
+		}
+	}
+}
+
+func (s *State) domainAnswered(now time.Time, d *domain) {
+	d.failed, d.checking = nil, false
+	d.quietUntil = now.Add(recheckPause)
+	if d.unreachable {
+		s.setReachable(d, true)
+	}
+}
+
+// setReachable records that a domain became reachable or unreachable, and hints at it to the own
+// domain, whose members then check for themselves.
+func (s *State) setReachable(d *domain, reachable bool) {
+	d.unreachable = !reachable
+	d.failed = nil
+	s.reachDirty = true
+	kind := updateCut
+	if reachable {
+		kind = updateBack
+	}
+	s.queueUpdate("domain:"+d.name, update{Kind: kind, Domain: d.name}, true)
+	s.fanOut()
+}
+
+// hinted handles a hint of another member about the reachability of a domain.
+func (s *State) hinted(now time.Time, name string, cut bool) {
+	d := s.domains[name]
+	if d == nil || !s.remote(name) || d.checking || d.unreachable == cut || len(d.order) == 0 {
+		return
+	}
+	if cut && now.Before(d.quietUntil) {
+		return
+	}
+	s.checkDomain(now, d)
+}
+
+// heardFrom checks an unreachable domain as soon as a packet arrives from it. Only an ack proves
+// that both directions work.
+func (s *State) heardFrom(now time.Time, from *member) {
+	d := s.domainOf(from.record.Domain)
+	if d.unreachable && !d.checking {
+		s.startProbe(now, from)
+	}
+}
+
+// Reachable reports whether a failure domain can be reached.
+func (s *State) Reachable(name string) bool {
+	d := s.domains[name]
+	return d != nil && !d.unreachable
+}
+
+// MaxHolders is the number of leases of a failure domain.
+const MaxHolders = 2
+
+// Holder is a member that holds a lease of the own failure domain.
+type Holder struct {
+	Slot     int
+	Instance endpoint.InstanceID
+	// Token is the fencing token of the lease; a higher one replaces a lower one.
+	Token uint64
+}
+
+// SetHolder records the holder of a lease slot of the own domain and disseminates it there. Older
+// tokens are ignored.
+func (s *State) SetHolder(h Holder) {
+	if h.Slot < 0 || h.Slot >= MaxHolders || h.Instance == "" {
+		return
+	}
+	if old, ok := s.holders[h.Slot]; ok && old.Token >= h.Token {
+		return
+	}
+	s.holders[h.Slot] = h
+	s.queueUpdate("holder:"+string(rune('0'+h.Slot)), update{
+		Kind: updateHolder, Instance: h.Instance, Incarnation: h.Token, Domain: s.local.record.Domain, Slot: h.Slot,
+	}, true)
+}
+
+// Holders returns the known lease holders of the own domain in order of slot.
+func (s *State) Holders() []Holder {
+	var list []Holder
+	for slot := range MaxHolders {
+		if h, ok := s.holders[slot]; ok {
+			list = append(list, h)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/membership/receive.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// Receive handles a packet and returns the packets to send. Malformed packets are ignored.
+func (s *State) Receive(now time.Time, from netip.AddrPort, data []byte) []Packet {
+	m, err := decodeMessage(data)
+	if err != nil || m.From == s.self {
+		return nil
+	}
+	s.noteVersion(now, m)
+	for _, raw := range m.Updates {
+		if u, err := decodeUpdate(raw); err == nil {
+			s.apply(now, u)
+		}
+	}
+	sender := s.members[m.From]
+	if sender != nil && sender.status != Dead && sender.addr == from {
+		s.heardFrom(now, sender)
+	}
+	s.handle(now, from, m, sender)
+	s.publish(now)
+	return s.take()
+}
+
+func (s *State) handle(now time.Time, from netip.AddrPort, m *message, sender *member) {
+	want := s.wants(m, sender)
+	switch m.Kind {
+	case kindPing:
+		if m.Target == s.self {
+			s.reply(from, sender, m, message{Kind: kindAck, Seq: m.Seq, Want: want})
+		}
+	case kindAck:
+		if !s.acked(now, m.Seq) {
+			s.relayed(m.Seq)
+		}
+		if want {
+			s.reply(from, sender, m, message{Kind: kindPush, Want: true})
+		}
+	case kindIndirect:
+		s.addRelay(now, from, m)
+	case kindNack:
+		// The helper answered, so the network of this daemon works.
+		s.trusted = true
+	}
+	if m.Want {
+		local := s.local.record
+		s.send(from, s.remoteSender(m), message{Kind: kindPush}, update{Kind: updateRecord, Record: &local})
+	}
+}
+
+// wants tells whether the sender has a newer record of itself than this daemon.
+func (s *State) wants(m *message, sender *member) bool {
+	return sender == nil || endpoint.Record{Incarnation: m.Incarnation, Counter: m.Counter}.Newer(sender.record)
+}
+
+// reply answers a packet. A sender that is accused in its present incarnation is told about it.
+func (s *State) reply(to netip.AddrPort, sender *member, m *message, answer message) {
+	var first []update
+	if sender != nil && sender.statusInc >= m.Incarnation {
+		if u, ok := accusation(sender); ok {
+			first = append(first, u)
+		}
+	}
+	s.send(to, s.remoteSender(m), answer, first...)
+}
+
+// remoteSender reports whether the sender of m is in another domain or unknown.
+func (s *State) remoteSender(m *message) bool {
+	sender := s.members[m.From]
+	return sender == nil || s.remote(sender.record.Domain)
+}
+
+// Ahead is a peer that holds a higher configuration version than this daemon.
+type Ahead struct {
+	Instance endpoint.InstanceID
+	Version  snapshot.Version
+	// Since is the time at which the peer was first seen with a version above the local one.
+	Since time.Time
+}
+
+// SetVersion sets the configuration version in force, which is sent with each probe. A version
+// below the present one is ignored.
+func (s *State) SetVersion(v snapshot.Version) {
+	s.version = max(s.version, v)
+	s.highest = max(s.highest, v)
+	s.ahead = slices.DeleteFunc(s.ahead, func(a Ahead) bool { return a.Version <= s.version })
+}
+
+// NoteHighest records a configuration version that is known to exist.
+func (s *State) NoteHighest(v snapshot.Version) { s.highest = max(s.highest, v) }
+
+// Highest returns the highest configuration version seen in any message.
+func (s *State) Highest() snapshot.Version { return s.highest }
+
+// Ahead returns peers that hold a higher configuration version, longest known first.
+func (s *State) Ahead() []Ahead { return slices.Clone(s.ahead) }
+
+func (s *State) noteVersion(now time.Time, m *message) {
+	s.highest = max(s.highest, m.Highest, m.Version)
+	if m.Version <= s.version {
+		return
+	}
+	for i := range s.ahead {
+		if s.ahead[i].Instance == m.From {
+			s.ahead[i].Version = max(s.ahead[i].Version, m.Version)
+			return
+		}
+	}
+	if len(s.ahead) < maxAhead {
+		s.ahead = append(s.ahead, Ahead{Instance: m.From, Version: m.Version, Since: now})
+	}
+}
--- /dev/null
+++ b/pkg/membership/state.go
@@ -0,0 +1,259 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// State is the membership of one daemon.
+type State struct {
+	self    endpoint.InstanceID
+	local   *member
+	members map[endpoint.InstanceID]*member
+	domains map[string]*domain
+	// sorted lists the domains by name; iteration over it is deterministic.
+	sorted []*domain
+	// dead lists dead members in order of diedAt.
+	dead     []*member
+	suspects []*member
+	strings  map[string]string
+
+	rng       *rand.Rand
+	queue     *queue
+	out       []Packet
+	seq       uint64
+	probes    []*probe
+	relays    []*relay
+	nextProbe time.Time
+	round     uint64
+	lastTick  time.Time
+
+	// health counts missed acks and late ticks; timeouts are multiplied by 1+health.
+	health int
+	// trusted is false from a missed ack or a late tick until the next successful probe. Only a
+	// trusted daemon accuses others, so that one that was paused does not.
+	trusted bool
+	leaving bool
+
+	version snapshot.Version
+	highest snapshot.Version
+	ahead   []Ahead
+	holders map[int]Holder
+
+	view        atomic.Pointer[endpoint.View]
+	changed     map[endpoint.InstanceID]struct{}
+	reachDirty  bool
+	lastPublish time.Time
+}
+
+// New returns a State that knows only the local instance. The same seed and the same events give
+// the same packets.
+func New(cfg Config, now time.Time, seed uint64) *State {
+	s := &State{
+		self:    cfg.Local.Instance,
+		members: map[endpoint.InstanceID]*member{},
+		domains: map[string]*domain{},
+		strings: map[string]string{},
+		rng:     rand.New(rand.NewPCG(seed, seed>>1)),
+		queue:   newQueue(),
+		trusted: true,
+		holders: map[int]Holder{},
+		changed: map[endpoint.InstanceID]struct{}{},
+	}
+	record := cfg.Local
+	if record.State == 0 {
+		record.State = endpoint.Starting
+	}
+	s.local = &member{record: record, place: -1}
+	s.members[s.self] = s.local
+	s.lastTick = now
+	s.nextProbe = now.Add(time.Duration(s.rng.Int64N(int64(ProbeInterval))))
+	s.localChanged()
+	s.publish(now)
+	return s
+}
+
+// SetLocal announces a change of the local instance. Identity, domain, incarnation and counter are
+// kept; a record without any change is ignored.
+func (s *State) SetLocal(now time.Time, r endpoint.Record) {
+	old := s.local.record
+	r.Instance, r.Domain = old.Instance, old.Domain
+	r.Incarnation, r.Counter = old.Incarnation, old.Counter
+	if r == old || s.leaving {
+		return
+	}
+	r.Counter++
+	s.local.record = r
+	s.localChanged()
+	s.publish(now)
+}
+
+// Local returns the record of the local instance.
+func (s *State) Local() endpoint.Record { return s.local.record }
+
+func (s *State) localChanged() {
+	s.domainOf(s.local.record.Domain).refresh(s.local)
+	s.changed[s.self] = struct{}{}
+	s.queueRecord(s.local)
+}
+
+// Leave announces that this daemon stops and returns the packets that tell a few members at once.
+func (s *State) Leave(now time.Time) []Packet {
+	s.leaving = true
+	s.local.record.State = endpoint.Gone
+	s.local.record.Counter++
+	s.localChanged()
+	s.queueUpdate("status:"+string(s.self), update{Kind: updateDead, Instance: s.self, Incarnation: s.local.record.Incarnation}, false)
+	s.fanOut()
+	s.publish(now)
+	return s.take()
+}
+
+// View returns the current picture of all endpoints. It may be called concurrently with all other
+// methods.
+func (s *State) View() *endpoint.View { return s.view.Load() }
+
+// Size returns the number of known members that are not dead, including this one.
+func (s *State) Size() int { return len(s.members) - len(s.dead) }
+
+// Health returns the number by which local faults raise the timeouts, 0 when healthy.
+func (s *State) Health() int { return s.health }
+
+// StatusOf returns the status of a member and whether it is known.
+func (s *State) StatusOf(id endpoint.InstanceID) (Status, bool) {
+	m, ok := s.members[id]
+	if !ok {
+		return Dead, false
+	}
+	return m.status, true
+}
+
+// RecordOf returns the record of a member and whether it is known.
+func (s *State) RecordOf(id endpoint.InstanceID) (endpoint.Record, bool) {
+	m, ok := s.members[id]
+	if !ok {
+		return endpoint.Record{}, false
+	}
+	return m.record, true
+}
+
+// intern returns a shared copy of a text that many records have in common.
+func (s *State) intern(text string) string {
+	if shared, ok := s.strings[text]; ok {
+		return shared
+	}
+	s.strings[text] = text
+	return text
+}
+
+func (s *State) scaled(d time.Duration) time.Duration { return d * time.Duration(1+s.health) }
+
+func (s *State) raiseHealth() { s.health = min(s.health+1, maxHealth) }
+
+// logSize is the decimal logarithm of n+1, at least 1.
+func logSize(n int) float64 { return math.Max(1, math.Log10(float64(n+1))) }
+
+func (s *State) transmitLimit() int {
+	return int(math.Ceil(transmitBase + transmitFactor*logSize(s.Size())))
+}
+
+func (s *State) suspicionTimeout(d *domain) time.Duration {
+	base := time.Duration(suspicionFactor * logSize(len(d.order)+1) * float64(ProbeInterval))
+	return s.scaled(base)
+}
+
+func (s *State) queueUpdate(key string, u update, local bool) {
+	s.queue.put(key, mustEncode(u), local)
+}
+
+func (s *State) queueRecord(m *member) {
+	record := m.record
+	s.queueUpdate("record:"+string(record.Instance), update{Kind: updateRecord, Record: &record}, false)
+}
+
+// send adds a packet to addr; the rest of the packet is filled with updates.
+func (s *State) send(addr netip.AddrPort, remote bool, m message, first ...update) {
+	if !addr.IsValid() {
+		return
+	}
+	m.From = s.self
+	m.Incarnation, m.Counter = s.local.record.Incarnation, s.local.record.Counter
+	m.Version, m.Highest = s.version, s.highest
+	m.Updates = []cbor.RawMessage{}
+	for _, u := range first {
+		m.Updates = append(m.Updates, mustEncode(u))
+	}
+	// The header of the update array grows by up to 2 bytes.
+	budget := MaxPacketBytes - len(mustEncode(m)) - 2
+	m.Updates = append(m.Updates, s.queue.take(budget, s.transmitLimit(), remote)...)
+	s.out = append(s.out, Packet{To: addr, Data: mustEncode(m)})
+}
+
+func (s *State) remote(d string) bool { return d != s.local.record.Domain }
+
+// sendTo sends m to a member. A member that others accuse is told, so that it can refute.
+func (s *State) sendTo(to *member, m message) {
+	var first []update
+	if u, ok := accusation(to); ok {
+		first = append(first, u)
+	}
+	s.send(to.addr, s.remote(to.record.Domain), m, first...)
+}
+
+func accusation(m *member) (update, bool) {
+	switch m.status {
+	case Suspect:
+		return update{Kind: updateSuspect, Instance: m.record.Instance, Incarnation: m.statusInc}, true
+	case Dead:
+		return update{Kind: updateDead, Instance: m.record.Instance, Incarnation: m.statusInc}, true
+	}
+	return update{}, false
+}
+
+// fanOut sends the newest updates to a few members of the own domain at once.
+func (s *State) fanOut() {
+	own := s.domainOf(s.local.record.Domain)
+	for _, m := range s.sample(own, hintFanout, nil) {
+		s.sendTo(m, message{Kind: kindPush})
+	}
+}
+
+// sample returns up to n distinct random members of d other than except.
+func (s *State) sample(d *domain, n int, except *member) []*member {
+	var chosen []*member
+	if len(d.order) == 0 {
+		return nil
+	}
+	start := s.rng.IntN(len(d.order))
+	stride := len(d.order)/(n+1) + 1
+	for i := 0; i < len(d.order) && len(chosen) < n; i++ {
+		m := d.order[(start+i*stride)%len(d.order)]
+		if m != except && !contains(chosen, m) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+func contains(list []*member, m *member) bool {
+	for _, other := range list {
+		if other == m {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) take() []Packet {
+	out := s.out
+	s.out = nil
+	return out
+}
--- /dev/null
+++ b/pkg/membership/view.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// publish replaces the view if anything changed and the last one is older than PublishInterval.
+// Lists of services without a change are shared with the previous view.
+func (s *State) publish(now time.Time) {
+	if len(s.changed) == 0 && !s.reachDirty {
+		return
+	}
+	if !s.lastPublish.IsZero() && now.Sub(s.lastPublish) < PublishInterval {
+		return
+	}
+	s.lastPublish = now
+	old := s.view.Load()
+	if old == nil {
+		old = &endpoint.View{}
+	}
+	next := &endpoint.View{Records: old.Records, ByService: old.ByService, Unreachable: map[string]bool{}}
+	for _, d := range s.sorted {
+		if d.unreachable {
+			next.Unreachable[d.name] = true
+		}
+	}
+	if len(s.changed) > 0 {
+		s.updateRecords(old, next)
+	}
+	clear(s.changed)
+	s.reachDirty = false
+	s.view.Store(next)
+}
+
+func (s *State) updateRecords(old, next *endpoint.View) {
+	next.Records = make(map[endpoint.InstanceID]endpoint.Record, s.Size())
+	maps.Copy(next.Records, old.Records)
+	next.ByService = maps.Clone(old.ByService)
+	if next.ByService == nil {
+		next.ByService = map[string][]endpoint.Record{}
+	}
+	added := map[string][]endpoint.Record{}
+	for id := range s.changed {
+		if was, ok := old.Records[id]; ok && added[was.Service] == nil {
+			added[was.Service] = []endpoint.Record{}
+		}
+		m := s.members[id]
+		if m == nil || m.status == Dead {
+			delete(next.Records, id)
+			continue
+		}
+		next.Records[id] = m.record
+		added[m.record.Service] = append(added[m.record.Service], m.record)
+	}
+	for service, records := range added {
+		if service != "" {
+			s.updateService(next.ByService, service, records)
+		}
+	}
+}
+
+// updateService replaces the list of one service: changed records are taken out of the old list
+// and the present ones are added.
+func (s *State) updateService(byService map[string][]endpoint.Record, service string, added []endpoint.Record) {
+	list := make([]endpoint.Record, 0, len(byService[service])+len(added))
+	for _, r := range byService[service] {
+		if _, changed := s.changed[r.Instance]; !changed {
+			list = append(list, r)
+		}
+	}
+	list = append(list, added...)
+	if len(list) == 0 {
+		delete(byService, service)
+		return
+	}
+	slices.SortFunc(list, func(a, b endpoint.Record) int {
+		return strings.Compare(string(a.Instance), string(b.Instance))
+	})
+	byService[service] = list
+}
