--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -41,6 +41,9 @@
 	// mu guards state. It is never held during a system call.
 	mu sync.Mutex
 
+	// reported is the set of unreachable domains last logged; only Run uses it.
+	reported map[string]bool
+
 	sentPackets, sentBytes         atomic.Uint64
 	receivedPackets, receivedBytes atomic.Uint64
 }
@@ -69,8 +72,25 @@
 			return err
 		case <-ticker.C:
 			p.deliver(p.tick())
+			p.logReachability()
+		}
+	}
+}
+
+// logReachability logs the domains whose reachability changed since the last call.
+func (p *Prober) logReachability() {
+	unreachable := p.View().Unreachable
+	for domain := range unreachable {
+		if !p.reported[domain] {
+			p.log.Log(event.DomainReachability, zap.String("domain", domain), zap.Bool("reachable", false))
+		}
+	}
+	for domain := range p.reported {
+		if !unreachable[domain] {
+			p.log.Log(event.DomainReachability, zap.String("domain", domain), zap.Bool("reachable", true))
 		}
 	}
+	p.reported = unreachable
 }
 
 func (p *Prober) receive(ctx context.Context) error {
--- /dev/null
+++ b/agent/peer/probe/probe_test.go
@@ -0,0 +1,87 @@
+package probe
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+)
+
+// deadline is generous; only a lost packet of the loopback interface delays the test.
+const deadline = time.Minute
+
+func start(t *testing.T, i int) (*Prober, endpoint.Record, func()) {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := endpoint.Record{
+		Instance: endpoint.InstanceID(fmt.Sprintf("instance-%d", i)), Domain: "domain-0", Incarnation: 1000,
+		ProbeAddr: conn.LocalAddr().String(), State: endpoint.Ready,
+	}
+	p := New(conn, membership.New(membership.Config{Local: r}, time.Now(), uint64(i)), event.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	return p, r, func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func eventually(t *testing.T, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(deadline); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not within the deadline")
+		}
+	}
+}
+
+// Guards against a socket that does not carry records between daemons, a leave that is not
+// announced, and goroutines or sockets left behind by Run.
+func TestProbersOverLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	a, recordA, stopA := start(t, 1)
+	b, _, stopB := start(t, 2)
+	c, recordC, stopC := start(t, 3)
+	for _, p := range []*Prober{b, c} {
+		p.Do(func(now time.Time, s *membership.State) { s.Merge(now, []membership.Entry{{Record: recordA}}) })
+	}
+	eventually(t, func() bool {
+		return len(a.View().Records) == 3 && len(b.View().Records) == 3 && len(c.View().Records) == 3
+	})
+	recordC.State = endpoint.Draining
+	c.SetLocal(recordC)
+	eventually(t, func() bool { return a.View().Records[recordC.Instance].State == endpoint.Draining })
+	stopC()
+	eventually(t, func() bool { return len(a.View().Records) == 2 && len(b.View().Records) == 2 })
+	stopB()
+	stopA()
+	is.True(a.Stats().SentBytes > 0 && a.Stats().ReceivedPackets > 0)
+}
+
+// Guards against a Run that hangs or reports success when its socket is closed by something else.
+func TestRunReportsClosedSocket(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	is.NoErr(err)
+	r := endpoint.Record{Instance: "instance-1", Domain: "domain-0", Incarnation: 1000, ProbeAddr: conn.LocalAddr().String()}
+	p := New(conn, membership.New(membership.Config{Local: r}, time.Now(), 1), event.Nop())
+	is.NoErr(conn.Close())
+	is.True(p.Run(context.Background()) != nil)
+}
--- /dev/null
+++ b/agent/peer/sync/client.go
@@ -0,0 +1,65 @@
+package sync
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// dialTimeout bounds the setup of a connection; a cut path drops packets without an answer.
+const dialTimeout = time.Second
+
+// Dialer opens a connection to the net/rpc address of a daemon.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// DialTCP is the Dialer for real networks.
+func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// session is a connection to one daemon.
+type session struct {
+	addr string
+	rpc  *rpc.Client
+}
+
+func open(ctx context.Context, dial Dialer, addr string) (*session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", addr)
+	}
+	return &session{addr: addr, rpc: rpc.NewClient(deadlineConn{conn})}, nil
+}
+
+// call runs a method and waits for at most timeout. After an error the session must be closed.
+func (s *session) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	running := s.rpc.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case done := <-running.Done:
+		return errors.Wrapf(done.Error, "%s at %s", method, s.addr)
+	case <-timer.C:
+		return errors.Errorf("%s at %s: no answer within %v", method, s.addr, timeout)
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "%s at %s", method, s.addr)
+	}
+}
+
+func (s *session) close() { _ = s.rpc.Close() }
+
+// callOnce runs a method over a connection of its own.
+func callOnce(ctx context.Context, dial Dialer, addr string, timeout time.Duration, method string, args, reply any) error {
+	s, err := open(ctx, dial, addr)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	return s.call(ctx, timeout, method, args, reply)
+}
--- /dev/null
+++ b/agent/peer/sync/cluster_test.go
@@ -0,0 +1,307 @@
+package sync
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// gatePoll is the virtual time between two looks at a failure that blocks a daemon or a path.
+const gatePoll = 20 * time.Millisecond
+
+// cluster runs daemons over an in-memory network in the time of testing/synctest.
+type cluster struct {
+	t        *testing.T
+	platform *fakePlatform
+	codec    *fakeCodec
+	mu       sync.Mutex
+	daemons  []*daemon
+	byAddr   map[string]*daemon // by net/rpc and by probe address
+	cut      map[string]bool    // domains cut off from the others
+}
+
+type daemon struct {
+	*Follower
+	c      *cluster
+	record endpoint.Record
+	store  *Store
+	ln     *pipeListener
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	frozen atomic.Bool
+	// mu guards the rest.
+	mu      sync.Mutex
+	state   *membership.State
+	stopped bool
+	applied []snapshot.Version
+}
+
+func newCluster(t *testing.T, head snapshot.Version) *cluster {
+	return &cluster{
+		t: t, codec: &fakeCodec{refuse: map[snapshot.Version]bool{}},
+		platform: &fakePlatform{head: head, cut: map[endpoint.InstanceID]bool{}, leases: map[string]fakeLease{}, broken: map[snapshot.Hash]bool{}},
+		byAddr:   map[string]*daemon{}, cut: map[string]bool{},
+	}
+}
+
+// start starts instance i in a domain, replacing an earlier run of it. Instance 0 is the seed, and
+// so is instance 1 for it.
+func (c *cluster) start(i int, domain string) *daemon {
+	r := endpoint.Record{
+		Instance: endpoint.InstanceID(fmt.Sprintf("instance-%02d", i)), Domain: domain, Incarnation: uint64(time.Now().UnixMilli()),
+		RPCAddr: fmt.Sprintf("10.0.0.%d:7001", i), ProbeAddr: fmt.Sprintf("10.0.0.%d:7002", i), State: endpoint.Ready,
+	}
+	d := &daemon{c: c, record: r, store: NewStore(c.codec)}
+	d.ln = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	d.state = membership.New(membership.Config{Local: r}, time.Now(), uint64(i)+1)
+	d.Follower = NewFollower(Config{
+		Self: r, Seeds: []string{"10.0.0.0:7001", "10.0.0.1:7001"}, Members: d, Store: d.store,
+		Platform: platformOf{c.platform, r.Instance, d.wait}, Dial: d.dial, Log: event.Nop(), Seed: uint64(i) + 1, OnApply: d.onApply,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	server := rpc.NewServer()
+	if err := NewServer(d, d.store).Register(ctx, server); err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	if i < len(c.daemons) {
+		c.daemons[i] = d
+	} else {
+		c.daemons = append(c.daemons, d)
+	}
+	c.byAddr[r.RPCAddr], c.byAddr[r.ProbeAddr] = d, d
+	c.mu.Unlock()
+	d.done.Go(func() { _ = Serve(ctx, d.ln, server) })
+	d.done.Go(func() { _ = d.Run(ctx) })
+	d.done.Go(func() { d.tick(ctx) })
+	return d
+}
+
+// kill ends a daemon without notice to others.
+func (d *daemon) kill() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	d.frozen.Store(false)
+	d.stop()
+	d.done.Wait()
+}
+
+func (c *cluster) stop() {
+	for _, d := range c.daemons {
+		d.kill()
+	}
+}
+
+func (c *cluster) setCut(domain string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[domain] = cut
+}
+
+func (c *cluster) separated(a, b *daemon) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return a.record.Domain != b.record.Domain && (c.cut[a.record.Domain] || c.cut[b.record.Domain])
+}
+
+func (d *daemon) isStopped() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopped
+}
+
+// wait blocks while d is frozen.
+func (d *daemon) wait() {
+	for d.frozen.Load() {
+		time.Sleep(gatePoll)
+	}
+}
+
+func (d *daemon) onApply(s *snapshot.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := len(d.applied); n > 0 && d.applied[n-1] >= s.Version {
+		d.c.t.Errorf("%s: version %d after %d", d.record.Instance, s.Version, d.applied[n-1])
+	}
+	d.applied = append(d.applied, s.Version)
+}
+
+// Do implements Members.
+func (d *daemon) Do(f func(now time.Time, s *membership.State)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(time.Now(), d.state)
+}
+
+// View implements Members.
+func (d *daemon) View() *endpoint.View { return d.state.View() }
+
+func (d *daemon) tick(ctx context.Context) {
+	for pause(ctx, membership.TickInterval) {
+		d.wait()
+		d.mu.Lock()
+		packets := d.state.Tick(time.Now())
+		d.mu.Unlock()
+		d.deliver(packets)
+	}
+}
+
+func (d *daemon) deliver(packets []membership.Packet) {
+	for _, p := range packets {
+		d.c.mu.Lock()
+		to := d.c.byAddr[p.To.String()]
+		d.c.mu.Unlock()
+		if to == nil || d.c.separated(d, to) {
+			continue
+		}
+		time.AfterFunc(time.Millisecond, func() {
+			if to.isStopped() || to.frozen.Load() {
+				return
+			}
+			to.mu.Lock()
+			answers := to.state.Receive(time.Now(), netip.MustParseAddrPort(d.record.ProbeAddr), p.Data)
+			to.mu.Unlock()
+			to.deliver(answers)
+		})
+	}
+}
+
+// dial implements Dialer.
+func (d *daemon) dial(ctx context.Context, addr string) (net.Conn, error) {
+	d.wait()
+	d.c.mu.Lock()
+	to := d.c.byAddr[addr]
+	d.c.mu.Unlock()
+	if to == nil || to.isStopped() {
+		return nil, errDown
+	}
+	if d.c.separated(d, to) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	select {
+	case to.ln.conns <- newPipeConn(far, to, d):
+		return newPipeConn(near, d, to), nil
+	case <-to.ln.closed:
+	case <-ctx.Done():
+	}
+	_ = near.Close()
+	return nil, errDown
+}
+
+// pipeConn is one end of a connection. It transfers nothing while its owner is frozen or the path
+// is cut, and stays open like a TCP connection does.
+type pipeConn struct {
+	net.Conn
+	owner, peer *daemon
+	closed      chan struct{}
+	once        sync.Once
+}
+
+func newPipeConn(c net.Conn, owner, peer *daemon) *pipeConn {
+	return &pipeConn{Conn: c, owner: owner, peer: peer, closed: make(chan struct{})}
+}
+
+func (c *pipeConn) hold() {
+	for c.owner.frozen.Load() || c.owner.c.separated(c.owner, c.peer) {
+		select {
+		case <-c.closed:
+			return
+		case <-time.After(gatePoll):
+		}
+	}
+}
+
+func (c *pipeConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.hold()
+	return n, err
+}
+
+func (c *pipeConn) Write(b []byte) (int, error) {
+	c.hold()
+	return c.Conn.Write(b)
+}
+
+func (c *pipeConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// until waits until done holds for all daemons of list and returns the time taken, or fails.
+func (c *cluster) until(what string, limit time.Duration, list []*daemon, done func(*daemon) bool) time.Duration {
+	c.t.Helper()
+	begin := time.Now()
+	for {
+		missing := 0
+		for _, d := range list {
+			if !d.isStopped() && !done(d) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(begin)
+		}
+		if time.Since(begin) > limit {
+			for _, d := range list {
+				if d.isStopped() || done(d) {
+					continue
+				}
+				c.t.Logf("%s in %s: version %d, ready %v, leading %v, refusals %v", d.record.Instance, d.record.Domain, d.store.Version(), d.Ready(), d.Leading(), d.Refusals())
+			}
+			c.t.Fatalf("%s: %d daemons not within %v", what, missing, limit)
+		}
+		time.Sleep(gatePoll)
+	}
+}
+
+// at tells whether a daemon has a version in force.
+func at(v snapshot.Version) func(*daemon) bool {
+	return func(d *daemon) bool { return d.store.Version() == v }
+}
+
+func (c *cluster) inDomain(domain string, inside bool) []*daemon {
+	var list []*daemon
+	for _, d := range c.daemons {
+		if (d.record.Domain == domain) == inside {
+			list = append(list, d)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/agent/peer/sync/follow.go
@@ -0,0 +1,231 @@
+package sync
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// pollWait is how long a parent holds back its answer. It bounds how long a daemon stays with
+	// a parent that is no longer the preferred one.
+	pollWait = 20 * time.Second
+	// pollGrace is added to pollWait for the transfer of a complete delta.
+	pollGrace = 5 * time.Second
+	// pullTimeout bounds a pull from a peer.
+	pullTimeout = 5 * time.Second
+	// pullInterval separates two looks at the versions of peers.
+	pullInterval = 100 * time.Millisecond
+	// retryBase and retryMax bound the exponential backoff towards peers. retryMax keeps a daemon
+	// within the 5 s in which a change must be in force.
+	retryBase = 100 * time.Millisecond
+	retryMax  = 2 * time.Second
+	// idlePause separates two checks whether a daemon without a parent has one now.
+	idlePause = 500 * time.Millisecond
+)
+
+// busyError is the answer of a daemon that runs as many full syncs as it allows.
+type busyError struct{ retryAfter time.Duration }
+
+// Error implements error.
+func (e *busyError) Error() string { return "peer is busy, retry after " + e.retryAfter.String() }
+
+// errRefused tells that a peer offered a version that this daemon refused.
+var errRefused = errors.New("the offered version was refused")
+
+// follow keeps a long poll open at the parent in the tree while this daemon does not lead.
+func (f *Follower) follow(ctx context.Context) {
+	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
+	var s *session
+	defer func() { closeSession(s) }()
+	var last []endpoint.InstanceID
+	for next := 0; ctx.Err() == nil; {
+		parents := f.parents()
+		if !slices.Equal(parents, last) {
+			last, next = parents, 0
+		}
+		if f.leading.Load() || len(parents) == 0 {
+			closeSession(s)
+			s = nil
+			pause(ctx, idlePause)
+			continue
+		}
+		id := parents[next%len(parents)]
+		var err error
+		if s, err = f.pollParent(ctx, s, id); err == nil {
+			backoff.Reset()
+			continue
+		}
+		closeSession(s)
+		s = nil
+		next++
+		f.cfg.Log.Log(event.ParentFailed, zap.String("parent", string(id)), zap.Error(err))
+		if next >= len(parents) || !isConnection(err) {
+			pause(ctx, f.retryPause(&backoff, err))
+		}
+	}
+}
+
+func closeSession(s *session) {
+	if s != nil {
+		s.close()
+	}
+}
+
+// isConnection reports whether the peer did not answer, so that the next parent is tried at once.
+func isConnection(err error) bool {
+	var busy *busyError
+	return !errors.As(err, &busy) && !errors.Is(err, errRefused)
+}
+
+func (f *Follower) retryPause(backoff *distribution.Backoff, err error) time.Duration {
+	var busy *busyError
+	switch {
+	case errors.As(err, &busy):
+		return f.jitter(busy.retryAfter)
+	case errors.Is(err, errRefused):
+		return f.jitter(refusedPause)
+	}
+	return backoff.Next(f.random)
+}
+
+// parents returns the daemons to poll in order of preference.
+func (f *Follower) parents() []endpoint.InstanceID {
+	return distribution.Parents(f.cfg.Self.Instance, f.cfg.Self.Domain, f.holders(), f.domainMembers())
+}
+
+// pollParent polls once over s, or over a new connection if s is nil or leads elsewhere. It returns
+// the connection for the next poll.
+func (f *Follower) pollParent(ctx context.Context, s *session, id endpoint.InstanceID) (*session, error) {
+	addr := f.cfg.Members.View().Records[id].RPCAddr
+	if s == nil || s.addr != addr {
+		closeSession(s)
+		var err error
+		if s, err = open(ctx, f.cfg.Dial, addr); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.watchParent(ctx, cancel, id)
+	began, have := time.Now(), f.cfg.Store.Version()
+	err := f.poll(ctx, s, pollWait)
+	if err == nil && f.cfg.Store.Version() == have && time.Since(began) < pollWait/2 {
+		// A daemon that is stopping answers polls at once; the pause avoids a busy loop.
+		pause(ctx, retryBase)
+	}
+	return s, err
+}
+
+// watchParent ends a poll when the parent is no longer a live member, as a frozen daemon leaves its
+// connections open without an answer.
+func (f *Follower) watchParent(ctx context.Context, cancel context.CancelFunc, id endpoint.InstanceID) {
+	for pause(ctx, idlePause) {
+		if _, live := f.cfg.Members.View().Records[id]; !live {
+			cancel()
+			return
+		}
+	}
+}
+
+// poll asks for a higher version and puts it in force.
+func (f *Follower) poll(ctx context.Context, s *session, wait time.Duration) error {
+	have := f.cfg.Store.Version()
+	err := f.pollFor(ctx, s, PollArgs{Have: have, Full: have == 0, Wait: wait, Domain: f.cfg.Self.Domain})
+	if errors.Is(err, ErrOtherBase) || (errors.Is(err, errRefused) && have != 0) {
+		// The delta does not fit what is in force here; a complete one always does.
+		err = f.pollFor(ctx, s, PollArgs{Have: have, Full: true})
+	}
+	return err
+}
+
+func (f *Follower) pollFor(ctx context.Context, s *session, args PollArgs) error {
+	var reply PollReply
+	if err := s.call(ctx, args.Wait+pollGrace, "Poll", args, &reply); err != nil {
+		return err
+	}
+	f.cfg.Members.Do(func(_ time.Time, m *membership.State) {
+		m.NoteHighest(reply.Highest)
+		for _, h := range reply.Holders {
+			m.SetHolder(h)
+		}
+	})
+	if reply.RetryAfter > 0 {
+		return &busyError{reply.RetryAfter}
+	}
+	if len(reply.Delta) == 0 {
+		return nil
+	}
+	d, err := decodeDelta(reply.Delta)
+	if err != nil {
+		f.refuse(reply.Highest, s.addr, err)
+		return errors.Wrap(errRefused, err.Error())
+	}
+	return f.offer(d, s.addr)
+}
+
+func (f *Follower) offer(d *snapshot.Delta, source string) error {
+	err := f.apply(d, source)
+	if err == nil || errors.Is(err, ErrOtherBase) {
+		return err
+	}
+	return errors.Wrap(errRefused, err.Error())
+}
+
+// pull fetches from peers that hold a higher version for longer than the tree should take.
+func (f *Follower) pull(ctx context.Context) {
+	// blocked holds the time until which a peer is left alone after a failure.
+	blocked := map[endpoint.InstanceID]time.Time{}
+	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
+	for pause(ctx, pullInterval) {
+		now := time.Now()
+		peer, ok := distribution.PullFrom(now, f.cfg.Store.Version(), f.candidates(now, blocked))
+		if !ok || f.recentlyRefused(now, peer.Version) {
+			continue
+		}
+		if err := f.pullFrom(ctx, f.cfg.Members.View().Records[peer.Instance].RPCAddr); err != nil {
+			blocked[peer.Instance] = time.Now().Add(f.retryPause(&backoff, err))
+			continue
+		}
+		backoff.Reset()
+	}
+}
+
+// candidates returns the peers known to be ahead that are not blocked.
+func (f *Follower) candidates(now time.Time, blocked map[endpoint.InstanceID]time.Time) []distribution.Candidate {
+	for id, until := range blocked {
+		if !now.Before(until) {
+			delete(blocked, id)
+		}
+	}
+	var list []distribution.Candidate
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
+		for _, a := range s.Ahead() {
+			if _, wait := blocked[a.Instance]; !wait {
+				list = append(list, distribution.Candidate(a))
+			}
+		}
+	})
+	return list
+}
+
+// pullFrom fetches the present version of one peer.
+func (f *Follower) pullFrom(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	s, err := open(ctx, f.cfg.Dial, addr)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	return f.poll(ctx, s, 0)
+}
--- /dev/null
+++ b/agent/peer/sync/follower.go
@@ -0,0 +1,223 @@
+package sync
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// maxRefusals is the number of refusals kept for the status.
+const maxRefusals = 16
+
+// Head is the current version as the platform states it.
+type Head struct {
+	Version  snapshot.Version
+	Manifest snapshot.Hash
+}
+
+// Lease is a lease of the platform's table.
+type Lease struct {
+	Name   string
+	Holder string
+	// Token is the fencing token; it grows with each change of holder.
+	Token uint64
+}
+
+// Platform is the part of the platform that a Follower uses.
+type Platform interface {
+	// Head returns the current version with a consistent read.
+	Head(ctx context.Context) (Head, error)
+	Manifest(ctx context.Context, h snapshot.Hash) (*snapshot.Manifest, error)
+	Object(ctx context.Context, h snapshot.Hash) ([]byte, error)
+	// AcquireLease returns an error if another holder has the lease.
+	AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (Lease, error)
+	// RenewLease extends a lease and returns an error if it is no longer held.
+	RenewLease(ctx context.Context, l Lease, ttl time.Duration) (Lease, error)
+}
+
+// Config is the configuration of a Follower.
+type Config struct {
+	// Self is the record of this instance; identity, domain and RPCAddr are used.
+	Self endpoint.Record
+	// Seeds are the net/rpc addresses of daemons to join.
+	Seeds   []string
+	Members Members
+	Store   *Store
+	// Platform may be nil if there is none.
+	Platform Platform
+	Dial     Dialer
+	Log      *event.Logger
+	// OnApply is called after each version put in force, in order of version; it may be nil.
+	OnApply func(*snapshot.Snapshot)
+	// Seed seeds the jitter of the timers.
+	Seed uint64
+}
+
+// Refusal is a version that this daemon did not put in force, and why.
+type Refusal struct {
+	Time    time.Time
+	Version snapshot.Version
+	Source  string
+	Reason  string
+}
+
+// Follower keeps the snapshot of one daemon up to date.
+type Follower struct {
+	cfg    Config
+	floor  distribution.Floor
+	joined chan struct{}
+	// leading tells that this daemon holds a lease and reads the head itself.
+	leading atomic.Bool
+
+	// mu guards rng and refusals.
+	mu       sync.Mutex
+	rng      *rand.Rand
+	refusals []Refusal
+	// applyMu keeps calls of OnApply in order of version.
+	applyMu sync.Mutex
+}
+
+// NewFollower returns a Follower that does nothing until Run.
+func NewFollower(cfg Config) *Follower {
+	return &Follower{cfg: cfg, joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+}
+
+// Run joins the membership, determines the version floor and keeps the snapshot up to date until
+// ctx is done.
+func (f *Follower) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, loop := range []func(context.Context){f.join, f.determineFloor, f.lead, f.follow, f.pull, f.repair} {
+		g.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// Ready reports whether this daemon may serve: it holds a snapshot at or above the version floor.
+func (f *Follower) Ready() bool { return f.floor.MayServe(f.cfg.Store.Version()) }
+
+// Floor returns the version floor and whether it is known.
+func (f *Follower) Floor() (snapshot.Version, bool) { return f.floor.Value() }
+
+// Leading reports whether this daemon holds a lease of its failure domain.
+func (f *Follower) Leading() bool { return f.leading.Load() }
+
+// Refusals returns the latest refused versions, oldest first.
+func (f *Follower) Refusals() []Refusal {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.refusals)
+}
+
+// apply puts d in force or reports why not. It returns ErrOtherBase if a complete delta is needed.
+func (f *Follower) apply(d *snapshot.Delta, source string) error {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	next, err := f.cfg.Store.Apply(d)
+	if errors.Is(err, ErrOtherBase) {
+		return err
+	}
+	if err != nil {
+		f.refuse(d.Version, source, err)
+		return err
+	}
+	if next == nil {
+		return nil
+	}
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { s.SetVersion(next.Version) })
+	f.cfg.Log.Log(event.VersionApplied, zap.Uint64("version", uint64(next.Version)), zap.String("source", source))
+	if f.cfg.OnApply != nil {
+		f.cfg.OnApply(next)
+	}
+	return nil
+}
+
+// refuse records a refusal; a repetition of the last one only renews its time.
+func (f *Follower) refuse(v snapshot.Version, source string, reason error) {
+	r := Refusal{Time: time.Now(), Version: v, Source: source, Reason: reason.Error()}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.refusals); n > 0 {
+		if last := &f.refusals[n-1]; last.Version == v && last.Source == source && last.Reason == r.Reason {
+			last.Time = r.Time
+			return
+		}
+	}
+	f.refusals = append(f.refusals, r)
+	if len(f.refusals) > maxRefusals {
+		f.refusals = slices.Delete(f.refusals, 0, 1)
+	}
+	f.cfg.Log.Log(event.VersionRefused, zap.Uint64("version", uint64(v)), zap.String("source", source), zap.Error(reason))
+}
+
+// recentlyRefused reports whether v was refused within refusedPause, so that a version which nobody
+// can use is not fetched from one peer after the other.
+func (f *Follower) recentlyRefused(now time.Time, v snapshot.Version) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.refusals, func(r Refusal) bool {
+		return r.Version == v && now.Sub(r.Time) < refusedPause
+	})
+}
+
+// random returns a value in [0, n); it is safe for concurrent use.
+func (f *Follower) random(n int64) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Int64N(n)
+}
+
+// jitter returns a time between d and 1.5 d.
+func (f *Follower) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(f.random(int64(d)/2+1))
+}
+
+// pause waits for d and reports whether ctx is still live.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// domainMembers returns the live members of the own failure domain, including this one.
+func (f *Follower) domainMembers() []endpoint.InstanceID {
+	var live []endpoint.InstanceID
+	for id, r := range f.cfg.Members.View().Records {
+		if r.Domain == f.cfg.Self.Domain {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// holders returns the known lease holders of the own failure domain.
+func (f *Follower) holders() []endpoint.InstanceID {
+	var list []endpoint.InstanceID
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
+		for _, h := range s.Holders() {
+			list = append(list, h.Instance)
+		}
+	})
+	return list
+}
--- /dev/null
+++ b/agent/peer/sync/follower_test.go
@@ -0,0 +1,278 @@
+package sync
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// changeLimit is the time within which an accepted version must be in force (section 9).
+const changeLimit = 5 * time.Second
+
+// startLimit bounds the start of a cluster: join, leases and the first version.
+const startLimit = 30 * time.Second
+
+// run starts n daemons in three domains at version head and runs f in virtual time.
+func run(t *testing.T, n int, head snapshot.Version, f func(is *is.I, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, head)
+		defer c.stop()
+		for i := range n {
+			c.start(i, fmt.Sprintf("domain-%d", i%3))
+		}
+		c.until("start", startLimit, c.daemons, func(d *daemon) bool {
+			return d.store.Version() == head && d.Ready() && len(d.View().Records) == n
+		})
+		time.Sleep(2 * time.Second) // lease holders become known in their domains
+		f(is.New(t), c)
+	})
+}
+
+func (c *cluster) accept(v snapshot.Version) {
+	c.platform.set(func() { c.platform.head = v })
+}
+
+func (c *cluster) setDown(down bool) { c.platform.set(func() { c.platform.down = down }) }
+
+// leaders returns the daemons that hold a lease.
+func (c *cluster) leaders() []*daemon {
+	var list []*daemon
+	for _, d := range c.daemons {
+		if !d.isStopped() && d.Leading() {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// Guards against changes that do not reach every daemon in time, and against more than the two
+// allowed readers of the head in a domain or more requests to the platform than planned.
+func TestChangeReachesAll(t *testing.T) {
+	run(t, 30, 3, func(is *is.I, c *cluster) {
+		is.Equal(len(c.leaders()), 6)
+		for v := snapshot.Version(4); v < 10; v++ {
+			c.accept(v)
+			c.until("change", changeLimit, c.daemons, at(v))
+		}
+		reads := 0
+		c.platform.set(func() { c.platform.reads = 0 })
+		time.Sleep(10 * time.Second)
+		c.platform.set(func() { reads = c.platform.reads })
+		is.True(reads < 10*(3*2*4+3*2+3*leaseCandidates)) // heads, renewals, attempts for leases
+	})
+}
+
+// Guards against daemons that wait for a dead parent or a dead lease holder: both holders of a
+// domain and a tenth of the others are killed at the moment of a change.
+func TestChangeWithKilledDaemons(t *testing.T) {
+	run(t, 30, 3, func(_ *is.I, c *cluster) {
+		for _, d := range c.leaders() {
+			if d.record.Domain == "domain-1" {
+				d.kill()
+			}
+		}
+		for _, d := range c.daemons[12:14] {
+			d.kill()
+		}
+		c.accept(4)
+		c.until("change", changeLimit, c.daemons, at(4))
+	})
+}
+
+// Guards against daemons that stay with a parent which is frozen or behind: half of a domain is
+// frozen, with connections left open, and the rest must follow; the frozen half follows afterwards.
+func TestChangeWithFrozenDaemons(t *testing.T) {
+	run(t, 24, 3, func(_ *is.I, c *cluster) {
+		var live, frozen []*daemon
+		for i, d := range c.daemons {
+			if i%6 == 1 {
+				d.frozen.Store(true)
+				frozen = append(frozen, d)
+			} else {
+				live = append(live, d)
+			}
+		}
+		c.accept(4)
+		c.until("change", changeLimit, live, at(4))
+		time.Sleep(10 * time.Second)
+		c.accept(5)
+		c.until("next change", changeLimit, live, at(5))
+		for _, d := range frozen {
+			d.frozen.Store(false)
+		}
+		c.until("resumed", changeLimit, frozen, at(5))
+	})
+}
+
+// Guards against a lease holder that was paused past its lease and then acts as one still, and
+// against an old head that it read before the pause.
+func TestPausedLeaseHolder(t *testing.T) {
+	run(t, 9, 3, func(is *is.I, c *cluster) {
+		paused := c.leaders()[0]
+		paused.frozen.Store(true)
+		time.Sleep(6 * time.Second)
+		c.accept(4)
+		live := slices.DeleteFunc(slices.Clone(c.daemons), func(d *daemon) bool { return d == paused })
+		c.until("change", changeLimit, live, at(4))
+		paused.frozen.Store(false)
+		c.until("resumed", changeLimit, c.daemons, at(4))
+		time.Sleep(10 * time.Second)
+		perDomain := map[string]int{}
+		for _, d := range c.leaders() {
+			perDomain[d.record.Domain]++
+		}
+		is.Equal(perDomain, map[string]int{"domain-0": 2, "domain-1": 2, "domain-2": 2})
+	})
+}
+
+// Guards against daemons that stop serving during an outage of the platform, or that follow late
+// after it.
+func TestPlatformOutage(t *testing.T) {
+	run(t, 12, 3, func(is *is.I, c *cluster) {
+		c.setDown(true)
+		time.Sleep(time.Minute)
+		for _, d := range c.daemons {
+			is.True(d.Ready())
+			is.True(!d.Leading())
+		}
+		c.accept(4)
+		c.setDown(false)
+		c.until("after the outage", changeLimit, c.daemons, at(4))
+	})
+}
+
+// Guards against a version that stops spreading when the platform fails right after one domain has
+// read it: the others take it from peers.
+func TestPlatformOutageWithPeersAhead(t *testing.T) {
+	run(t, 12, 3, func(_ *is.I, c *cluster) {
+		c.platform.set(func() {
+			for _, d := range c.inDomain("domain-2", false) {
+				c.platform.cut[d.record.Instance] = true
+			}
+		})
+		c.accept(4)
+		c.until("first domain", changeLimit, c.inDomain("domain-2", true), at(4))
+		c.setDown(true)
+		c.until("other domains", 2*changeLimit, c.daemons, at(4))
+	})
+}
+
+// Guards against a restarted daemon that serves an older version than it may have served before,
+// with the platform available or not, and against one that never serves again.
+func TestRestartTakesFloor(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		run(t, 9, 3, func(is *is.I, c *cluster) {
+			c.accept(4)
+			c.until("change", changeLimit, c.daemons, at(4))
+			c.daemons[4].kill()
+			c.setDown(down)
+			d := c.start(4, "domain-1")
+			c.until("ready", changeLimit, []*daemon{d}, (*daemon).Ready)
+			floor, known := d.Floor()
+			is.True(known)
+			is.Equal(floor, snapshot.Version(4))
+			is.Equal(d.store.Version(), snapshot.Version(4))
+		})
+	}
+}
+
+// Guards against a restart in a domain that is cut off from the platform and the other domains:
+// it must serve the highest version known inside, and follow when the partition ends.
+func TestRestartInPartitionedDomain(t *testing.T) {
+	run(t, 12, 3, func(is *is.I, c *cluster) {
+		inside := c.inDomain("domain-1", true)
+		c.setCut("domain-1", true)
+		c.platform.set(func() {
+			for _, d := range inside {
+				c.platform.cut[d.record.Instance] = true
+			}
+		})
+		c.accept(4)
+		c.until("other domains", changeLimit, c.inDomain("domain-1", false), at(4))
+		inside[2].kill()
+		d := c.start(7, "domain-1")
+		c.until("ready inside", 2*changeLimit, []*daemon{d}, (*daemon).Ready)
+		is.Equal(d.store.Version(), snapshot.Version(3))
+		c.setCut("domain-1", false)
+		c.platform.set(func() { clear(c.platform.cut) })
+		c.until("after the partition", changeLimit, c.daemons, at(4))
+	})
+}
+
+// Guards against a daemon that serves although nobody could tell it the floor.
+func TestNobodyReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		defer c.stop()
+		c.setDown(true)
+		d := c.start(0, "domain-0")
+		time.Sleep(time.Minute)
+		_, known := d.Floor()
+		is.True(!known)
+		is.True(!d.Ready())
+		c.setDown(false)
+		c.until("platform back", 2*changeLimit, c.daemons, (*daemon).Ready)
+	})
+}
+
+// Guards against two failures together: half of the daemons restart while the platform is down.
+// They must take the version from the others, and the next one after the outage.
+func TestMassRestartDuringOutage(t *testing.T) {
+	run(t, 24, 3, func(_ *is.I, c *cluster) {
+		c.setDown(true)
+		for i := 1; i < 24; i += 2 {
+			c.daemons[i].kill()
+		}
+		for i := 1; i < 24; i += 2 {
+			c.start(i, fmt.Sprintf("domain-%d", i%3))
+		}
+		c.until("ready", 2*changeLimit, c.daemons, (*daemon).Ready)
+		c.accept(4)
+		c.setDown(false)
+		c.until("after the outage", changeLimit, c.daemons, at(4))
+	})
+}
+
+// Guards against an invalid version that is put in force, applied in part, or blocks the next one.
+func TestInvalidVersionIsRefused(t *testing.T) {
+	run(t, 9, 3, func(is *is.I, c *cluster) {
+		c.codec.refuse[4] = true
+		c.accept(4)
+		time.Sleep(10 * time.Second)
+		refused := 0
+		for _, d := range c.daemons {
+			is.Equal(d.store.Version(), snapshot.Version(3))
+			for _, r := range d.Refusals() {
+				is.Equal(r.Version, snapshot.Version(4))
+				is.Equal(r.Reason, "fake: version 4 is invalid")
+				refused++
+			}
+		}
+		is.Equal(refused, 6) // once at each lease holder
+		c.accept(5)
+		c.until("next version", changeLimit, c.daemons, at(5))
+	})
+}
+
+// Guards against a damaged object of the store that is put in force, and against a refusal that
+// lasts after the object was repaired.
+func TestDamagedObject(t *testing.T) {
+	run(t, 6, 3, func(is *is.I, c *cluster) {
+		c.platform.set(func() { c.platform.broken[hashOf("pages", 4)] = true })
+		c.accept(4)
+		time.Sleep(5 * time.Second)
+		for _, d := range c.daemons {
+			is.Equal(d.store.Version(), snapshot.Version(3))
+		}
+		c.platform.set(func() { clear(c.platform.broken) })
+		c.until("repaired", changeLimit, c.daemons, at(4))
+	})
+}
--- /dev/null
+++ b/agent/peer/sync/join.go
@@ -0,0 +1,280 @@
+package sync
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// exchangeTimeout bounds a full exchange, some megabytes at the target.
+	exchangeTimeout = 10 * time.Second
+	// questionTimeout bounds a short question to a daemon.
+	questionTimeout = time.Second
+	// repairInterval separates two anti-entropy exchanges.
+	repairInterval = 10 * time.Second
+	// busyRepairInterval replaces repairInterval after an exchange that changed more than
+	// busyRepairChanges records, as after a mass restart or a partition.
+	busyRepairInterval = time.Second
+	busyRepairChanges  = 32
+	// seedEvery is the number of anti-entropy exchanges for each one with a seed, which reunites
+	// groups of daemons that started without seeing each other.
+	seedEvery = 6
+)
+
+// join runs the full exchange with a seed, or with daemons that a busy seed names, until one
+// succeeds. Without other seeds this daemon is the first one.
+func (f *Follower) join(ctx context.Context) {
+	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
+	seeds := f.otherSeeds()
+	targets := slices.Clone(seeds)
+	for len(seeds) > 0 {
+		addr := targets[f.random(int64(len(targets)))]
+		peers, err := f.exchange(ctx, addr)
+		if err == nil {
+			break
+		}
+		if len(peers) > 0 {
+			targets = peers
+		} else {
+			targets = seeds
+		}
+		f.cfg.Log.Log(event.PeerJoinFailed, zap.String("seed", addr), zap.Error(err))
+		if !pause(ctx, f.retryPause(&backoff, err)) {
+			return
+		}
+	}
+	f.cfg.Log.Log(event.PeerJoined, zap.Int("records", len(f.cfg.Members.View().Records)))
+	close(f.joined)
+}
+
+func (f *Follower) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(f.cfg.Seeds), func(addr string) bool { return addr == f.cfg.Self.RPCAddr })
+}
+
+// exchange sends the own record and takes over all records of the peer. A busy peer names others.
+func (f *Follower) exchange(ctx context.Context, addr string) (peers []string, err error) {
+	var own []membership.Entry
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
+		own = []membership.Entry{{Record: s.Local()}}
+	})
+	var args ExchangeArgs
+	if args.Entries, err = encodeEntries(own); err != nil {
+		return nil, err
+	}
+	var reply ExchangeReply
+	if err := callOnce(ctx, f.cfg.Dial, addr, exchangeTimeout, "Exchange", args, &reply); err != nil {
+		return nil, err
+	}
+	if reply.RetryAfter > 0 {
+		return reply.Peers, &busyError{reply.RetryAfter}
+	}
+	entries, err := decodeEntries(reply.Entries)
+	if err != nil {
+		return nil, err
+	}
+	f.cfg.Members.Do(func(now time.Time, s *membership.State) {
+		s.Merge(now, entries)
+		s.NoteHighest(reply.Highest)
+	})
+	return nil, nil
+}
+
+// answer is the highest version known to one member.
+type answer struct {
+	addr    string
+	version snapshot.Version
+}
+
+// determineFloor asks the platform and some members until anybody answers.
+func (f *Follower) determineFloor(ctx context.Context) {
+	select {
+	case <-f.joined:
+	case <-time.After(questionTimeout): // the platform can be asked while the join is retried
+	case <-ctx.Done():
+		return
+	}
+	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
+	for {
+		best := f.askFloor(ctx)
+		if floor, known := f.floor.Value(); known {
+			f.cfg.Log.Log(event.VersionFloorKnown, zap.Uint64("floor", uint64(floor)), zap.Bool("exact", f.floor.Exact()))
+			if best.version > f.cfg.Store.Version() {
+				// A failure is repaired by the tree and by pulls.
+				_ = f.pullFrom(ctx, best.addr)
+			}
+			return
+		}
+		f.cfg.Log.Log(event.VersionFloorUnknown)
+		if !pause(ctx, backoff.Next(f.random)) {
+			return
+		}
+	}
+}
+
+// askFloor adds one round of answers to the floor and returns the highest one of a member.
+func (f *Follower) askFloor(ctx context.Context) answer {
+	addrs := f.floorMembers()
+	answers := make([]answer, len(addrs))
+	var g errgroup.Group
+	if f.cfg.Platform != nil {
+		g.Go(func() error {
+			if head, err := f.head(ctx); err == nil {
+				f.floor.Platform(head.Version)
+			}
+			return nil
+		})
+	}
+	for i, addr := range addrs {
+		g.Go(func() error {
+			var reply HighestReply
+			if err := callOnce(ctx, f.cfg.Dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
+				f.floor.Member(reply.Highest)
+				answers[i] = answer{addr, reply.Highest}
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // the functions above return no errors
+	var best answer
+	for _, a := range answers {
+		if a.version > best.version {
+			best = a
+		}
+	}
+	return best
+}
+
+// floorMembers returns the addresses of FloorMembers random members, or the seeds if none is known.
+func (f *Follower) floorMembers() []string {
+	addrs := f.reachable(false)
+	if len(addrs) == 0 {
+		addrs = f.otherSeeds()
+	}
+	for i := len(addrs) - 1; i > 0; i-- {
+		j := int(f.random(int64(i + 1)))
+		addrs[i], addrs[j] = addrs[j], addrs[i]
+	}
+	return addrs[:min(len(addrs), distribution.FloorMembers)]
+}
+
+// reachable returns the addresses of the other members in reachable domains, or only in the own
+// one, in a fixed order.
+func (f *Follower) reachable(ownOnly bool) []string {
+	view := f.cfg.Members.View()
+	var addrs []string
+	for id, r := range view.Records {
+		if id != f.cfg.Self.Instance && !view.Unreachable[r.Domain] && (!ownOnly || r.Domain == f.cfg.Self.Domain) {
+			addrs = append(addrs, r.RPCAddr)
+		}
+	}
+	slices.Sort(addrs)
+	return addrs
+}
+
+// repair compares the records with those of a random member at intervals, in turn inside and
+// outside the own domain. The first exchange follows soon after the start, as it also brings the
+// lease holders.
+func (f *Follower) repair(ctx context.Context) {
+	interval := busyRepairInterval
+	for i := 1; pause(ctx, f.jitter(interval)); i++ {
+		interval = repairInterval
+		addr, ok := f.repairPeer(i)
+		if !ok {
+			continue
+		}
+		changed, err := f.repairWith(ctx, addr)
+		if err != nil {
+			f.cfg.Log.Log(event.PeerRepairFailed, zap.String("peer", addr), zap.Error(err))
+		}
+		if changed > busyRepairChanges {
+			interval = busyRepairInterval
+		}
+	}
+}
+
+func (f *Follower) repairPeer(round int) (string, bool) {
+	addrs := f.reachable(round%2 == 1)
+	if len(addrs) == 0 {
+		addrs = f.reachable(false)
+	}
+	if seeds := f.otherSeeds(); len(addrs) == 0 || (round%seedEvery == 0 && len(seeds) > 0) {
+		addrs = seeds
+	}
+	if len(addrs) == 0 {
+		return "", false
+	}
+	return addrs[f.random(int64(len(addrs)))], true
+}
+
+// repairWith exchanges the differing records with one member and returns the number of changes.
+func (f *Follower) repairWith(ctx context.Context, addr string) (int, error) {
+	s, err := open(ctx, f.cfg.Dial, addr)
+	if err != nil {
+		return 0, err
+	}
+	defer s.close()
+	args := DigestArgs{Domain: f.cfg.Self.Domain}
+	f.cfg.Members.Do(func(_ time.Time, m *membership.State) {
+		args.Digests, args.Holders = m.Digests(), m.Holders()
+	})
+	var reply DigestReply
+	if err := s.call(ctx, questionTimeout, "Digests", args, &reply); err != nil {
+		return 0, err
+	}
+	f.cfg.Members.Do(func(_ time.Time, m *membership.State) {
+		for _, h := range reply.Holders {
+			m.SetHolder(h)
+		}
+	})
+	changed := 0
+	for domain, theirs := range reply.Buckets {
+		n, err := f.repairDomain(ctx, s, domain, theirs)
+		changed += n
+		if err != nil {
+			return changed, errors.Wrapf(err, "domain %s", domain)
+		}
+	}
+	return changed, nil
+}
+
+func (f *Follower) repairDomain(ctx context.Context, s *session, domain string, theirs []uint64) (int, error) {
+	args := BucketArgs{Domain: domain}
+	var own []membership.Entry
+	f.cfg.Members.Do(func(_ time.Time, m *membership.State) {
+		ours := m.BucketDigests(domain)
+		if ours == nil {
+			ours = make([]uint64, membership.DigestBuckets)
+		}
+		for b := range min(len(ours), len(theirs)) {
+			if ours[b] != theirs[b] {
+				args.Buckets = append(args.Buckets, b)
+			}
+		}
+		own = m.Entries(domain, args.Buckets)
+	})
+	var err error
+	if args.Entries, err = encodeEntries(own); err != nil {
+		return 0, err
+	}
+	var reply BucketReply
+	if err := s.call(ctx, exchangeTimeout, "Buckets", args, &reply); err != nil {
+		return 0, err
+	}
+	entries, err := decodeEntries(reply.Entries)
+	if err != nil {
+		return 0, err
+	}
+	changed := 0
+	f.cfg.Members.Do(func(now time.Time, m *membership.State) { changed = m.Merge(now, entries) })
+	return changed, nil
+}
--- /dev/null
+++ b/agent/peer/sync/lead.go
@@ -0,0 +1,208 @@
+package sync
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// headInterval separates two reads of the head: 19 domains x 2 holders x 4 = 152 reads/s of
+	// the 2,000 that the platform provides.
+	headInterval = 250 * time.Millisecond
+	// leaseTTL is the lifetime of a lease. It must leave time within the 5 s for another daemon to
+	// take over and read the head.
+	leaseTTL = 3 * time.Second
+	// renewInterval leaves two more attempts before a lease expires.
+	renewInterval = time.Second
+	// acquireInterval separates two attempts of one candidate, with jitter 1.25 s on average. At the
+	// target that is 19 domains x 4 candidates / 1.25 s = 61 writes/s, plus 38 renewals/s, of the
+	// several hundred that the platform provides.
+	acquireInterval = time.Second
+	// leaseCandidates is the number of daemons of a domain besides the holders that try for a lease.
+	leaseCandidates = 4
+	// platformTimeout bounds one request to the platform.
+	platformTimeout = time.Second
+	// joinGrace is how long a daemon that cannot join waits before it tries for a lease.
+	joinGrace = 5 * time.Second
+	// refusedPause is how long a refused version is not fetched again.
+	refusedPause = 2 * time.Second
+	// objectFetches bounds the concurrent object reads of one daemon.
+	objectFetches = 8
+)
+
+// LeaseName returns the name of a lease of a failure domain.
+func LeaseName(domain string, slot int) string { return fmt.Sprintf("lease/%s/%d", domain, slot) }
+
+// lead tries for a lease of the own domain and reads the head while it holds one.
+func (f *Follower) lead(ctx context.Context) {
+	if f.cfg.Platform == nil {
+		return
+	}
+	select {
+	case <-f.joined:
+	case <-time.After(joinGrace):
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		if lease, slot, start, ok := f.acquire(ctx); ok {
+			f.hold(ctx, lease, slot, start)
+			continue
+		}
+		pause(ctx, f.jitter(acquireInterval))
+	}
+}
+
+// acquire tries for one of the leases if this daemon is a candidate. start is the time before the
+// request, from which the lifetime of the lease counts.
+func (f *Follower) acquire(ctx context.Context) (lease Lease, slot int, start time.Time, ok bool) {
+	if !f.isCandidate() {
+		return Lease{}, 0, start, false
+	}
+	slot = int(f.random(membership.MaxHolders))
+	start = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	lease, err := f.cfg.Platform.AcquireLease(ctx, LeaseName(f.cfg.Self.Domain, slot), string(f.cfg.Self.Instance), leaseTTL)
+	return lease, slot, start, err == nil && time.Since(start) < leaseTTL
+}
+
+// isCandidate reports whether this daemon is a known holder or among the first of the others.
+func (f *Follower) isCandidate() bool {
+	holders := f.holders()
+	if slices.Contains(holders, f.cfg.Self.Instance) {
+		return true
+	}
+	others := slices.DeleteFunc(f.domainMembers(), func(id endpoint.InstanceID) bool {
+		return slices.Contains(holders, id)
+	})
+	place := slices.Index(distribution.Order(f.cfg.Self.Domain, nil, others), f.cfg.Self.Instance)
+	return place >= 0 && place < leaseCandidates
+}
+
+// hold renews the lease and reads the head until the lease is lost. A daemon that was paused past
+// the lifetime of the lease stops by its own clock; what it reads late is ignored by version.
+func (f *Follower) hold(ctx context.Context, lease Lease, slot int, start time.Time) {
+	f.leading.Store(true)
+	defer f.leading.Store(false)
+	f.cfg.Log.Log(event.LeaseAcquired, zap.String("lease", lease.Name), zap.Uint64("token", lease.Token))
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
+		s.SetHolder(membership.Holder{Slot: slot, Instance: f.cfg.Self.Instance, Token: lease.Token})
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reading := make(chan struct{})
+	go func() {
+		defer close(reading)
+		f.readHead(ctx)
+	}()
+	defer func() { <-reading }()
+	defer cancel()
+	err := f.renew(ctx, lease, start)
+	if ctx.Err() == nil {
+		f.cfg.Log.Log(event.LeaseLost, zap.String("lease", lease.Name), zap.Error(err))
+	}
+}
+
+// renew returns when the lease has expired without a renewal or ctx is done.
+func (f *Follower) renew(ctx context.Context, lease Lease, start time.Time) error {
+	var err error
+	for pause(ctx, renewInterval) && time.Since(start) < leaseTTL {
+		began := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+		var renewed Lease
+		renewed, err = f.cfg.Platform.RenewLease(callCtx, lease, leaseTTL)
+		cancel()
+		if err == nil {
+			lease, start = renewed, began
+		}
+	}
+	return err
+}
+
+// readHead follows the head of the platform.
+func (f *Follower) readHead(ctx context.Context) {
+	var failing bool
+	var refused Head
+	var refusedUntil time.Time
+	for ctx.Err() == nil {
+		head, err := f.head(ctx)
+		if err != nil && !failing && ctx.Err() == nil {
+			f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
+		}
+		failing = err != nil
+		wait := head == refused && time.Now().Before(refusedUntil)
+		if err == nil && head.Version > f.cfg.Store.Version() && !wait {
+			if err := f.fetch(ctx, head); err != nil && ctx.Err() == nil {
+				refused, refusedUntil = head, time.Now().Add(refusedPause)
+			}
+		}
+		pause(ctx, headInterval)
+	}
+}
+
+func (f *Follower) head(ctx context.Context) (Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	head, err := f.cfg.Platform.Head(ctx)
+	if err == nil {
+		f.cfg.Members.Do(func(_ time.Time, s *membership.State) { s.NoteHighest(head.Version) })
+	}
+	return head, err
+}
+
+// fetch reads the manifest and the missing objects of head and puts the version in force. An error
+// means that the content was refused; failed reads are retried with the next read of the head.
+func (f *Follower) fetch(ctx context.Context, head Head) error {
+	callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+	m, err := f.cfg.Platform.Manifest(callCtx, head.Manifest)
+	cancel()
+	if err != nil {
+		f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
+		return nil
+	}
+	if m.Version != head.Version {
+		err := errors.Errorf("manifest is of version %d", m.Version)
+		f.refuse(head.Version, "platform", err)
+		return err
+	}
+	for {
+		d := distribution.FromManifest(f.cfg.Store.Load(), m, head.Manifest)
+		if err := f.fetchObjects(ctx, d); err != nil {
+			f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
+			return nil
+		}
+		// Another version may have arrived from a peer while the objects were read.
+		if err := f.apply(d, "platform"); !errors.Is(err, ErrOtherBase) {
+			return err
+		}
+	}
+}
+
+func (f *Follower) fetchObjects(ctx context.Context, d *snapshot.Delta) error {
+	d.Objects = make([][]byte, len(d.Changed))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(objectFetches)
+	for i, e := range d.Changed {
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+			defer cancel()
+			data, err := f.cfg.Platform.Object(ctx, e.Hash)
+			d.Objects[i] = data
+			return errors.Wrapf(err, "object of service %s", e.Service)
+		})
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/agent/peer/sync/messages.go
@@ -0,0 +1,137 @@
+// Package sync exchanges configuration versions and endpoint records between daemons over net/rpc.
+// Server answers other daemons, Follower runs the distribution of one daemon.
+package sync
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// ServiceName is the name under which Server is registered with net/rpc.
+const ServiceName = "Sync"
+
+// PollArgs asks for a configuration version.
+type PollArgs struct {
+	// Have is the version in force at the asking daemon; only a higher one is of interest.
+	Have snapshot.Version
+	// Full asks for a complete delta instead of one based on Have.
+	Full bool
+	// Wait is how long the answer may be held back until there is a higher version.
+	Wait time.Duration
+	// Domain is the failure domain of the asking daemon.
+	Domain string
+}
+
+// PollReply answers PollArgs.
+type PollReply struct {
+	// Delta is an encoded snapshot.Delta; empty if there is no higher version.
+	Delta []byte
+	// RetryAfter is set if the server is busy with full syncs.
+	RetryAfter time.Duration
+	Highest    snapshot.Version
+	// Holders is set if both daemons are in the same domain.
+	Holders []membership.Holder
+}
+
+// ExchangeArgs carries the records of a daemon that joins.
+type ExchangeArgs struct {
+	// Entries is an encoded list of membership.Entry.
+	Entries []byte
+}
+
+// ExchangeReply answers ExchangeArgs with all entries of the server.
+type ExchangeReply struct {
+	Entries []byte
+	// RetryAfter is set if the server is busy with full exchanges. Peers then lists the net/rpc
+	// addresses of other daemons that may be asked instead.
+	RetryAfter time.Duration
+	Peers      []string
+	Highest    snapshot.Version
+}
+
+// DigestArgs carries the digests of the endpoint records by failure domain.
+type DigestArgs struct {
+	Domain  string
+	Digests map[string]uint64
+	Holders []membership.Holder
+}
+
+// DigestReply lists the bucket digests of the domains that differ.
+type DigestReply struct {
+	Buckets map[string][]uint64
+	// Holders is set if both daemons are in the same domain.
+	Holders []membership.Holder
+}
+
+// BucketArgs carries the entries of the differing buckets of one domain.
+type BucketArgs struct {
+	Domain  string
+	Buckets []int
+	Entries []byte
+}
+
+// BucketReply returns the server's entries of the same buckets.
+type BucketReply struct {
+	Entries []byte
+}
+
+// HighestArgs asks for the highest version that a daemon knows of.
+type HighestArgs struct{}
+
+// HighestReply answers HighestArgs.
+type HighestReply struct {
+	Highest snapshot.Version
+}
+
+// maxEntries bounds the entries accepted from a peer, twice the target of 16,000.
+const maxEntries = 32_000
+
+var decMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxEntries, MaxMapPairs: 256, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options above are constant
+	}
+	return mode
+}()
+
+func encodeEntries(entries []membership.Entry) ([]byte, error) {
+	data, err := cbor.Marshal(entries)
+	return data, errors.Wrap(err, "encode entries")
+}
+
+func decodeEntries(data []byte) ([]membership.Entry, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	var entries []membership.Entry
+	return entries, errors.Wrap(decMode.Unmarshal(data, &entries), "decode entries")
+}
+
+func encodeDelta(d *snapshot.Delta) ([]byte, error) {
+	data, err := cbor.Marshal(d)
+	return data, errors.Wrap(err, "encode delta")
+}
+
+func decodeDelta(data []byte) (*snapshot.Delta, error) {
+	var d snapshot.Delta
+	if err := decMode.Unmarshal(data, &d); err != nil {
+		return nil, errors.Wrap(err, "decode delta")
+	}
+	if len(d.Changed) != len(d.Objects) {
+		return nil, errors.Errorf("delta to version %d has %d entries and %d objects", d.Version, len(d.Changed), len(d.Objects))
+	}
+	return &d, nil
+}
+
+// Members gives access to the membership of this daemon; *probe.Prober implements it.
+type Members interface {
+	// Do runs f with exclusive access to the state. f must not block.
+	Do(f func(now time.Time, s *membership.State))
+	View() *endpoint.View
+}
--- /dev/null
+++ b/agent/peer/sync/server.go
@@ -0,0 +1,248 @@
+package sync
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// maxFullSyncs bounds the complete deltas and full exchanges prepared at a time. Each takes
+	// some megabytes and tens of milliseconds at the target.
+	maxFullSyncs = 4
+	// minRetryAfter and maxRetryAfter bound the pause asked of a daemon turned away.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 800 * time.Millisecond
+	// maxWait bounds a long poll.
+	maxWait = 30 * time.Second
+	// writeTimeout ends the connection to a daemon that does not read, for example a frozen one.
+	writeTimeout = 5 * time.Second
+	// redirectPeers is the number of other daemons named to one that is turned away.
+	redirectPeers = 8
+	// maxDomains bounds the failure domains accepted in one request; the target has 19.
+	maxDomains = 256
+)
+
+// Server answers the requests of other daemons.
+type Server struct {
+	members Members
+	store   *Store
+	full    chan struct{}
+}
+
+// NewServer returns a Server for the given membership and snapshot store.
+func NewServer(members Members, store *Store) *Server {
+	return &Server{members: members, store: store, full: make(chan struct{}, maxFullSyncs)}
+}
+
+// Register adds the methods of s to r under ServiceName. Polls end early when ctx is done.
+func (s *Server) Register(ctx context.Context, r *rpc.Server) error {
+	return errors.Wrap(r.RegisterName(ServiceName, &service{Server: s, ctx: ctx}), "register sync service")
+}
+
+// service holds the methods called by net/rpc.
+type service struct {
+	*Server
+	ctx context.Context
+}
+
+// Poll returns a delta to a higher version, waiting for one up to args.Wait.
+func (s *service) Poll(args PollArgs, reply *PollReply) error {
+	s.await(args.Have, min(args.Wait, maxWait))
+	s.members.Do(func(_ time.Time, m *membership.State) {
+		m.NoteHighest(args.Have)
+		reply.Highest = m.Highest()
+		if args.Domain == m.Local().Domain {
+			reply.Holders = m.Holders()
+		}
+	})
+	if s.store.Version() <= args.Have {
+		return nil
+	}
+	if args.Full || s.store.recent(args.Have) == nil {
+		if !s.beginFull() {
+			reply.RetryAfter = retryAfter()
+			return nil
+		}
+		defer s.endFull()
+	}
+	var d *snapshot.Delta
+	var err error
+	if args.Full {
+		d, err = s.store.Complete()
+	} else {
+		d, err = s.store.After(args.Have)
+	}
+	if err != nil || d == nil {
+		return err
+	}
+	reply.Delta, err = encodeDelta(d)
+	return err
+}
+
+// await returns when the version in force is above have, after wait, or when the server stops.
+func (s *service) await(have snapshot.Version, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := s.store.Changed()
+		if s.store.Version() > have {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) beginFull() bool {
+	select {
+	case s.full <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Server) endFull() { <-s.full }
+
+func retryAfter() time.Duration {
+	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+}
+
+// Exchange merges the entries of a joining daemon and returns all entries.
+func (s *service) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
+	entries, err := decodeEntries(args.Entries)
+	if err != nil {
+		return err
+	}
+	s.members.Do(func(now time.Time, m *membership.State) { m.Merge(now, entries) })
+	if !s.beginFull() {
+		reply.RetryAfter = retryAfter()
+		reply.Peers = randomAddrs(s.members.View(), redirectPeers)
+		return nil
+	}
+	defer s.endFull()
+	var all []membership.Entry
+	s.members.Do(func(_ time.Time, m *membership.State) {
+		all = m.AllEntries()
+		reply.Highest = m.Highest()
+	})
+	reply.Entries, err = encodeEntries(all)
+	return err
+}
+
+// randomAddrs returns up to n net/rpc addresses of members.
+func randomAddrs(view *endpoint.View, n int) []string {
+	var addrs []string
+	for _, r := range view.Records { // the order of map iteration is random enough here
+		if len(addrs) == n {
+			break
+		}
+		if r.RPCAddr != "" && !view.Unreachable[r.Domain] {
+			addrs = append(addrs, r.RPCAddr)
+		}
+	}
+	slices.Sort(addrs)
+	return addrs
+}
+
+// Digests compares the digests of the records and returns the bucket digests that differ.
+func (s *service) Digests(args DigestArgs, reply *DigestReply) error {
+	if len(args.Digests) > maxDomains {
+		return errors.Errorf("digests of %d domains exceed %d", len(args.Digests), maxDomains)
+	}
+	reply.Buckets = map[string][]uint64{}
+	s.members.Do(func(_ time.Time, m *membership.State) {
+		if args.Domain == m.Local().Domain {
+			for _, h := range args.Holders {
+				m.SetHolder(h)
+			}
+			reply.Holders = m.Holders()
+		}
+		for domain, digest := range m.Digests() {
+			if args.Digests[domain] != digest {
+				reply.Buckets[domain] = m.BucketDigests(domain)
+			}
+		}
+		for domain := range args.Digests {
+			if m.BucketDigests(domain) == nil {
+				reply.Buckets[domain] = make([]uint64, membership.DigestBuckets)
+			}
+		}
+	})
+	return nil
+}
+
+// Buckets merges the entries of the asking daemon and returns its own of the same buckets.
+func (s *service) Buckets(args BucketArgs, reply *BucketReply) error {
+	entries, err := decodeEntries(args.Entries)
+	if err != nil {
+		return err
+	}
+	var own []membership.Entry
+	s.members.Do(func(now time.Time, m *membership.State) {
+		own = m.Entries(args.Domain, args.Buckets)
+		m.Merge(now, entries)
+	})
+	reply.Entries, err = encodeEntries(own)
+	return err
+}
+
+// Highest returns the highest version that this daemon knows of.
+func (s *service) Highest(_ HighestArgs, reply *HighestReply) error {
+	s.members.Do(func(_ time.Time, m *membership.State) { reply.Highest = m.Highest() })
+	return nil
+}
+
+// Serve answers the connections of ln with r until ctx is done, then closes them and returns nil.
+func Serve(ctx context.Context, ln net.Listener, r *rpc.Server) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept")
+		}
+		wg.Go(func() {
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			defer stop()
+			r.ServeConn(deadlineConn{conn})
+		})
+	}
+}
+
+// deadlineConn limits the time of each write.
+type deadlineConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c deadlineConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/agent/peer/sync/store_test.go
@@ -0,0 +1,126 @@
+package sync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+func snapshotOf(v snapshot.Version) *snapshot.Snapshot {
+	return &snapshot.Snapshot{Version: v, ManifestHash: hashOf("manifest", uint64(v)), Manifest: *manifestOf(v)}
+}
+
+// Guards against a version that falls, or a delta that is applied to another base, when updates
+// cross one another or arrive twice. A refused delta must leave the snapshot as it was.
+func TestCrossedUpdates(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		codec := &fakeCodec{refuse: map[snapshot.Version]bool{5: true}}
+		s := NewStore(codec)
+		for range rapid.IntRange(1, 40).Draw(rt, "updates") {
+			from := rapid.Uint64Range(0, 8).Draw(rt, "base")
+			to := rapid.Uint64Range(from+1, 9).Draw(rt, "version")
+			var base *snapshot.Snapshot
+			if from > 0 {
+				base = snapshotOf(snapshot.Version(from))
+			}
+			d, _ := codec.Delta(base, snapshotOf(snapshot.Version(to)))
+			before := s.Load()
+			changed := s.Changed()
+			next, err := s.Apply(d)
+			fits := s.codec == codec && d.Version > version(before) && (d.Base == 0 || d.Base == version(before)) && d.Version != 5
+			if (next != nil) != fits || (next != nil) != isClosed(changed) {
+				rt.Fatalf("delta %d to %d on %d: %v, %v", d.Base, d.Version, version(before), next, err)
+			}
+			if !fits && s.Load() != before {
+				rt.Fatalf("refused delta changed the snapshot from %v to %v", before, s.Load())
+			}
+		}
+	})
+}
+
+func version(s *snapshot.Snapshot) snapshot.Version {
+	if s == nil {
+		return 0
+	}
+	return s.Version
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against full syncs without bound: more than maxFullSyncs are told to come back later.
+func TestFullSyncsAreBounded(t *testing.T) {
+	run(t, 3, 3, func(is *is.I, c *cluster) {
+		d := c.daemons[0]
+		server := &service{Server: NewServer(d, d.store), ctx: context.Background()}
+		for range maxFullSyncs {
+			is.True(server.beginFull())
+		}
+		var reply PollReply
+		is.NoErr(server.Poll(PollArgs{Full: true}, &reply))
+		is.True(reply.RetryAfter >= minRetryAfter && reply.RetryAfter <= maxRetryAfter)
+		is.Equal(len(reply.Delta), 0)
+		var exchange ExchangeReply
+		is.NoErr(server.Exchange(ExchangeArgs{}, &exchange))
+		is.True(exchange.RetryAfter >= minRetryAfter)
+		is.Equal(len(exchange.Peers), 3)
+		server.endFull()
+		reply = PollReply{}
+		is.NoErr(server.Poll(PollArgs{Full: true}, &reply))
+		is.True(len(reply.Delta) > 0)
+	})
+}
+
+// Guards against a daemon that keeps a delta whose base differs from its version, instead of asking
+// for a complete one.
+func TestOtherBaseLeadsToFullSync(t *testing.T) {
+	run(t, 3, 9, func(is *is.I, c *cluster) {
+		asked := c.daemons[0]
+		d, err := c.codec.Delta(snapshotOf(8), snapshotOf(9))
+		is.NoErr(err)
+		fresh := NewStore(c.codec)
+		_, err = fresh.Apply(mustComplete(c.codec, 7))
+		is.NoErr(err)
+		_, err = fresh.Apply(d)
+		is.Equal(err, ErrOtherBase)
+		f := NewFollower(Config{Self: asked.record, Members: asked, Store: fresh, Dial: c.daemons[1].dial, Log: asked.cfg.Log})
+		is.NoErr(f.pullFrom(context.Background(), asked.record.RPCAddr))
+		is.Equal(fresh.Version(), snapshot.Version(9))
+		time.Sleep(time.Second)
+	})
+}
+
+func mustComplete(c *fakeCodec, v snapshot.Version) *snapshot.Delta {
+	d, err := c.Delta(nil, snapshotOf(v))
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// Guards against bytes from a peer that crash the decoders.
+func FuzzDecode(f *testing.F) {
+	data, err := encodeDelta(mustComplete(&fakeCodec{}, 4))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0x81, 0xa0})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if d, err := decodeDelta(data); err == nil {
+			_, _ = NewStore(&fakeCodec{}).Apply(d)
+		}
+		_, _ = decodeEntries(data)
+	})
+}
--- /dev/null
+++ b/pkg/distribution/floor.go
@@ -0,0 +1,57 @@
+package distribution
+
+import (
+	"sync"
+
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// FloorMembers is the number of members asked for the highest version that they know of.
+const FloorMembers = 8
+
+// Floor collects answers about the highest accepted version and gives the version below which a
+// restarted daemon must not serve. It is safe for concurrent use; the zero value is ready.
+type Floor struct {
+	mu    sync.Mutex
+	value snapshot.Version
+	known bool
+	exact bool
+}
+
+// Platform adds the answer of the platform, which makes the floor exact.
+func (f *Floor) Platform(v snapshot.Version) { f.add(v, true) }
+
+// Member adds the answer of a member. Version 0 is no answer: the member has itself just started.
+func (f *Floor) Member(v snapshot.Version) {
+	if v > 0 {
+		f.add(v, false)
+	}
+}
+
+func (f *Floor) add(v snapshot.Version, exact bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.value = max(f.value, v)
+	f.known = true
+	f.exact = f.exact || exact
+}
+
+// Value returns the floor and whether anybody answered. Without an answer nothing may be served.
+func (f *Floor) Value() (floor snapshot.Version, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.value, f.known
+}
+
+// Exact reports whether the platform was among those that answered.
+func (f *Floor) Exact() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.exact
+}
+
+// MayServe reports whether a daemon may serve with version v.
+func (f *Floor) MayServe(v snapshot.Version) bool {
+	floor, known := f.Value()
+	return known && v > 0 && v >= floor
+}
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -38,6 +38,10 @@
 	unreachableAfter = 3
 	// hintFanout is the number of members told at once about a change of reachability or a leave.
 	hintFanout = 4
+	// versionFanout is the number of members of the own domain told at once about a new version in
+	// force, besides one of another domain. At 0.27 versions/s it costs about 100 bytes/s. With
+	// probes alone, daemons below dead lease holders did not follow within 5 s.
+	versionFanout = 3
 	// recheckPause is how long a domain that just answered is not checked again on a hint.
 	recheckPause = 2 * time.Second
 	// lateTick is the gap between ticks above which this daemon considers itself paused: packets
--- a/pkg/membership/probing.go
+++ b/pkg/membership/probing.go
@@ -42,6 +42,7 @@
 		}
 		s.probeRound(now)
 	}
+	s.announceVersion()
 	s.publish(now)
 	return s.take()
 }
@@ -81,15 +82,20 @@
 
 // probeRemote probes the next member of a random other domain that is wanted.
 func (s *State) probeRemote(now time.Time, wanted func(*domain) bool) {
+	if list := s.remoteDomains(wanted); len(list) > 0 {
+		s.startProbe(now, list[s.rng.IntN(len(list))].nextTarget(s.rng.IntN))
+	}
+}
+
+// remoteDomains returns the other domains that have members and are wanted.
+func (s *State) remoteDomains(wanted func(*domain) bool) []*domain {
 	var list []*domain
 	for _, d := range s.sorted {
 		if s.remote(d.name) && len(d.order) > 0 && wanted(d) {
 			list = append(list, d)
 		}
 	}
-	if len(list) > 0 {
-		s.startProbe(now, list[s.rng.IntN(len(list))].nextTarget(s.rng.IntN))
-	}
+	return list
 }
 
 func (s *State) startProbe(now time.Time, m *member) {
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -86,14 +86,34 @@
 	Since time.Time
 }
 
-// SetVersion sets the configuration version in force, which is sent with each probe. A version
-// below the present one is ignored.
+// SetVersion sets the configuration version in force, which is sent with each probe and to a few
+// members with the next Tick. A version that is not above the present one is ignored.
 func (s *State) SetVersion(v snapshot.Version) {
-	s.version = max(s.version, v)
+	if v <= s.version {
+		return
+	}
+	s.version = v
+	s.announce = true
 	s.highest = max(s.highest, v)
 	s.ahead = slices.DeleteFunc(s.ahead, func(a Ahead) bool { return a.Version <= s.version })
 }
 
+// announceVersion tells a few members about a new version in force, so that those which the tree
+// did not reach pull it.
+func (s *State) announceVersion() {
+	if !s.announce {
+		return
+	}
+	s.announce = false
+	targets := s.sample(s.domainOf(s.local.record.Domain), versionFanout, nil)
+	if list := s.remoteDomains(func(d *domain) bool { return !d.unreachable }); len(list) > 0 {
+		targets = append(targets, s.sample(list[s.rng.IntN(len(list))], 1, nil)...)
+	}
+	for _, m := range targets {
+		s.sendTo(m, message{Kind: kindPush})
+	}
+}
+
 // NoteHighest records a configuration version that is known to exist.
 func (s *State) NoteHighest(v snapshot.Version) { s.highest = max(s.highest, v) }
 
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -44,9 +44,11 @@
 	leaving bool
 
 	version snapshot.Version
-	highest snapshot.Version
-	ahead   []Ahead
-	holders map[int]Holder
+	// announce tells that version is new and is sent to a few members with the next Tick.
+	announce bool
+	highest  snapshot.Version
+	ahead    []Ahead
+	holders  map[int]Holder
 
 	view        atomic.Pointer[endpoint.View]
 	changed     map[endpoint.InstanceID]struct{}
