--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -92,7 +92,7 @@
 	p := d.settings.Platform
 	client, err := platform.NewClient(platform.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
-		AccessKey: p.AccessKey, SecretKey: p.SecretKey, Generator: generator(),
+		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
--- a/agent/peer/sync/lead.go
+++ b/agent/peer/sync/lead.go
@@ -97,7 +97,7 @@
 func (f *Follower) hold(ctx context.Context, lease Lease, slot int, start time.Time) {
 	f.leading.Store(true)
 	defer f.leading.Store(false)
-	f.cfg.Log.Log(event.LeaseAcquired, zap.String("lease", lease.Name), zap.Uint64("token", lease.Token))
+	f.cfg.Log.Log(event.DomainLeaseAcquired, zap.String("lease", lease.Name), zap.Uint64("token", lease.Token))
 	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
 		s.SetHolder(membership.Holder{Slot: slot, Instance: f.cfg.Self.Instance, Token: lease.Token})
 	})
@@ -112,7 +112,7 @@
 	defer cancel()
 	err := f.renew(ctx, lease, start)
 	if ctx.Err() == nil {
-		f.cfg.Log.Log(event.LeaseLost, zap.String("lease", lease.Name), zap.Error(err))
+		f.cfg.Log.Log(event.DomainLeaseLost, zap.String("lease", lease.Name), zap.Error(err))
 	}
 }
 
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -14,8 +14,8 @@
 	VersionRefused      = Event{5102, zapcore.ErrorLevel, "configuration version was refused"}
 	VersionFloorKnown   = Event{5103, zapcore.InfoLevel, "version floor determined"}
 	VersionFloorUnknown = Event{5104, zapcore.WarnLevel, "version floor unknown, nobody answered"}
-	LeaseAcquired       = Event{5105, zapcore.InfoLevel, "lease of the failure domain acquired"}
-	LeaseLost           = Event{5106, zapcore.WarnLevel, "lease of the failure domain lost"}
+	DomainLeaseAcquired = Event{5105, zapcore.InfoLevel, "lease of the failure domain acquired"}
+	DomainLeaseLost     = Event{5106, zapcore.WarnLevel, "lease of the failure domain lost"}
 	ParentFailed        = Event{5107, zapcore.DebugLevel, "long poll at the parent failed, trying the next one"}
 	HeadReadFailed      = Event{5108, zapcore.WarnLevel, "reading the head from the platform failed"}
 )
