--- a/tools/demo/demo.go
+++ b/tools/demo/demo.go
@@ -112,11 +112,12 @@
 
 // submitAndAccept accepts an answer file on the version that the operator has seen.
 func (d *demo) submitAndAccept(file string, seen int) error {
-	if _, err := d.fleet.RunAdministration("answers", "submit", file); err != nil {
+	draft, err := d.fleet.Submit(file)
+	if err != nil {
 		return err
 	}
 	service := strings.TrimSuffix(filepath.Base(file), ".ini")
-	_, err := d.fleet.RunAdministration("config", "accept", service, "--seen", fmt.Sprint(seen))
+	_, err = d.fleet.Accept(service, draft, seen)
 	return err
 }
 
@@ -219,10 +220,11 @@
 }
 
 func (d *demo) conflict(context.Context) (string, error) {
-	if _, err := d.fleet.RunAdministration("answers", "submit", "examples/association/pages.ini"); err != nil {
+	draft, err := d.fleet.Submit("examples/association/pages.ini")
+	if err != nil {
 		return "", err
 	}
-	output, err := d.fleet.RunAdministration("config", "accept", "pages", "--seen", "2")
+	output, err := d.fleet.Accept("pages", draft, 2)
 	if err == nil {
 		return "", errors.Errorf("accepted on an outdated version: %s", output)
 	}
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -240,6 +241,26 @@
 // Run executes the program with args to its end and returns its output.
 func (f *Fleet) Run(args ...string) (string, error) { return run(f.Binary, args...) }
 
+// Submit submits an answer file and returns the hash of the draft.
+func (f *Fleet) Submit(file string) (string, error) {
+	output, err := f.RunAdministration("answers", "submit", file)
+	if err != nil {
+		return "", err
+	}
+	// The first line is "draft of SERVICE: HASH".
+	line, _, _ := strings.Cut(output, "\n")
+	_, hash, ok := strings.Cut(line, ": ")
+	if !ok {
+		return "", errors.Errorf("unexpected output of answers submit: %q", output)
+	}
+	return hash, nil
+}
+
+// Accept accepts a draft on the version that the operator has seen.
+func (f *Fleet) Accept(service, draft string, seen int) (string, error) {
+	return f.RunAdministration("config", "accept", service, "--draft", draft, "--seen", strconv.Itoa(seen))
+}
+
 // RunAdministration executes a command that calls the administration API.
 func (f *Fleet) RunAdministration(args ...string) (string, error) {
 	return f.Run(append(args, "--settings", f.administrationPath())...)
