--- a/standin/backend/server_test.go
+++ b/standin/backend/server_test.go
@@ -119,7 +119,7 @@
 	is.NoErr(json.NewDecoder(resp.Body).Decode(&report))
 	is.NoErr(resp.Body.Close())
 	http.DefaultClient.CloseIdleConnections()
-	is.Equal(report, RunReport{Total: 2, Distinct: 1, Repeated: map[string]int{"r1": 2}})
+	is.Equal(report, RunReport{Total: 2, Distinct: 1, Repeated: map[string]int{"r1": 2}, Runs: map[string]int{"r1": 2}})
 	is.NoErr(stop())
 }
 
