--- a/agent/operator/daemon.go
+++ b/agent/operator/daemon.go
@@ -21,11 +21,16 @@
 	writeJSON(w, http.StatusOK, message)
 }
 
+// daemon answers with the state of this daemon alone, without a read from the platform.
+func (s *server) daemon(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.daemonStatus())
+}
+
 func (s *server) daemonStatus() DaemonStatus {
 	var status DaemonStatus
 	if current := s.config.Daemon.Snapshot(); current != nil {
 		status.Version = current.Version
-		status.ManifestHash = platform.FormatHash(current.ManifestHash)
+		status.ManifestHash = current.ManifestHash.String()
 		status.Services = len(current.Services)
 	}
 	if refused, ok := s.config.Daemon.LastRefused(); ok {
@@ -37,7 +42,7 @@
 func platformStatus(status platform.Status) PlatformStatus {
 	message := PlatformStatus{Version: status.Head.Version}
 	if status.Head.Version > 0 {
-		message.Manifest = platform.FormatHash(status.Head.Manifest)
+		message.Manifest = status.Head.Manifest.String()
 	}
 	for _, d := range status.Drafts {
 		message.Drafts = append(message.Drafts, draftMessage(d))
@@ -56,7 +61,7 @@
 		for _, r := range view.Records {
 			message.Endpoints = append(message.Endpoints, EndpointMessage{
 				Instance: string(r.Instance), Domain: r.Domain, Service: r.Service,
-				State: r.State.String(), Slots: r.Slots, CallAddr: r.CallAddr,
+				State: r.State.String(), Slots: r.Slots, CallAddr: r.CallAddr, AdminAddr: r.AdminAddr,
 			})
 		}
 		message.Unreachable = slices.Sorted(maps.Keys(view.Unreachable))
--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -19,6 +19,7 @@
 	PathWithdraw  = "/v1/services/{service}/withdraw"
 	PathChange    = "/v1/changes/{token}"
 	PathStatus    = "/v1/status"
+	PathDaemon    = "/v1/daemon"
 	PathEndpoints = "/v1/endpoints"
 	PathBurn      = "/v1/burn"
 	PathVars      = "/debug/vars"
@@ -99,6 +100,8 @@
 	Draft DraftMessage     `json:"draft"`
 	Seen  snapshot.Version `json:"seen"`
 	Lines []string         `json:"lines"`
+	// Reasons says why the draft would be refused as it is.
+	Reasons []string `json:"reasons,omitempty"`
 }
 
 // StatusMessage describes the configuration as the platform and the asked daemon have it.
@@ -147,6 +150,8 @@
 	State    string `json:"state"`
 	Slots    int    `json:"slots,omitempty"`
 	CallAddr string `json:"call_addr"`
+	// AdminAddr is the address of the administration API of the instance.
+	AdminAddr string `json:"admin_addr"`
 }
 
 // Code is the machine-readable kind of an error.
@@ -202,7 +207,7 @@
 
 func draftMessage(d platform.Draft) DraftMessage {
 	return DraftMessage{
-		Service: d.Service, File: d.File, Hash: platform.FormatHash(d.Hash),
+		Service: d.Service, File: d.File, Hash: d.Hash.String(),
 		Operator: d.Operator, Submitted: d.Submitted.UTC(),
 	}
 }
@@ -213,7 +218,7 @@
 		To: c.To, Removed: c.Removed, Operator: c.Operator, At: c.At.UTC(),
 	}
 	if !c.Removed {
-		m.Hash = platform.FormatHash(c.Hash)
+		m.Hash = c.Hash.String()
 	}
 	return m
 }
--- a/agent/platform/draft.go
+++ b/agent/platform/draft.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/pkg/snapshot"
+	"kingcupwood.example/kingcupwood/pkg/answers"
 )
 
 // MaxAnswersBytes bounds an answer file.
@@ -51,14 +51,15 @@
 // Submit stores answers as the draft of their service. Errors: InvalidError, ForbiddenError,
 // DraftChangedError if another submission came in between, UnavailableError.
 func (c *Client) Submit(ctx context.Context, op Operator, file string, data []byte) (Draft, error) {
-	service, err := c.parse(file, data)
+	parsed, err := parse(file, data)
 	if err != nil {
 		return Draft{}, err
 	}
-	if err := op.check(service.Name); err != nil {
+	service := parsed.Service.Name
+	if err := op.check(service); err != nil {
 		return Draft{}, err
 	}
-	previous, err := c.draftOrNone(ctx, service.Name)
+	previous, err := c.draftOrNone(ctx, service)
 	if err != nil {
 		return Draft{}, err
 	}
@@ -67,22 +68,22 @@
 		return Draft{}, err
 	}
 	draft := Draft{
-		Service: service.Name, File: file, Hash: hash, Operator: op.Name,
+		Service: service, File: file, Hash: hash, Operator: op.Name,
 		Submitted: c.config.Now(), nonce: rand.Text(),
 	}
 	return draft, c.replaceDraft(ctx, previous, draft)
 }
 
-// parse returns the configuration that a single answer file describes.
-func (c *Client) parse(file string, data []byte) (*snapshot.Service, error) {
+// parse reads a single answer file.
+func parse(file string, data []byte) (*answers.Answers, error) {
 	if len(data) > MaxAnswersBytes {
 		return nil, &InvalidError{Reasons: []string{file + ": the file is larger than 64 KiB"}}
 	}
-	parsed, err := c.config.Generator.Parse(file, data)
-	if err != nil {
-		return nil, invalidError(err)
+	parsed, faults := answers.Parse(file, data)
+	if len(faults) > 0 {
+		return nil, invalidError(faults)
 	}
-	return c.config.Generator.Generate(parsed), nil
+	return parsed, nil
 }
 
 func (c *Client) draftOrNone(ctx context.Context, service string) (Draft, error) {
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -29,19 +29,20 @@
 
 func commands() []command {
 	return []command{
-		{name: "answers", short: "Write and check answer files", long: "Writes and checks the files in which teams describe their services.", sub: []command{
-			{name: "new", short: "Write a commented answer file", long: "Writes a commented answer file for a service.", data: &answersNewCommand{}},
-			{name: "check", short: "Check answer files", long: "Checks the answer files of all services together and reports every fault.", data: &answersCheckCommand{}},
-		}},
+		{name: "daemon", short: "Run the daemon of an instance", long: "Runs the daemon of an instance until SIGTERM, then stops it without cutting a request.", data: &daemonCommand{}},
+		{name: "backend", short: "Run a stand-in backend server", long: "Runs a stand-in for a backend server and announces it to its daemon.", data: &backendCommand{}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
-		{name: "answers", short: "Work on the answers of a service", long: "Works on the answers to the questionnaire about a service.", sub: answersCommands()},
+		{name: "report", short: "Print the service-level report", long: "Asks all daemons for the outcomes of requests and prints the service level and its burn rates.", data: &reportCommand{}},
+		{name: "answers", short: "Write, check and submit answer files", long: "Writes, checks and submits the files in which teams describe their services.", sub: answersCommands()},
 		{name: "config", short: "Show and change the configuration", long: "Shows, accepts and withdraws configurations through the administration API of a daemon.", sub: configCommands()},
 	}
 }
 
 func answersCommands() []command {
 	return []command{
+		{name: "new", short: "Write a commented answer file", long: "Writes a commented answer file for a service.", data: &answersNewCommand{}},
+		{name: "check", short: "Check answer files", long: "Checks the answer files of all services together and reports every fault.", data: &answersCheckCommand{}},
 		{name: "submit", short: "Submit answers as a draft", long: "Submits an answer file as the draft of its service. Nothing changes until the draft is accepted.", data: &answersSubmitCommand{}},
 	}
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -17,6 +17,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry hint of a refusal.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// maxProtectedShare bounds the estimate for excess work when the declared rates need all slots.
+	maxProtectedShare = 0.9
 )
 
 // kindState is the state of one kind. Its fields are guarded by the lock of the Controller.
@@ -27,14 +29,14 @@
 }
 
 func newKindState(k Kind) *kindState {
-	return &kindState{Kind: k, bucket: rate.NewLimiter(rate.Limit(k.Rate), k.burst()), observed: k.ServiceTime}
+	return &kindState{Kind: k, bucket: rate.NewLimiter(k.limit(), k.burst()), observed: k.ServiceTime}
 }
 
 // reconfigured returns the state of a kind after a change of configuration. The tokens and the
 // observed time stay. Waiting requests keep the old state, which is not changed.
 func (s *kindState) reconfigured(k Kind, now time.Time) *kindState {
 	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
-	next.bucket.SetLimitAt(now, rate.Limit(k.Rate))
+	next.bucket.SetLimitAt(now, k.limit())
 	next.bucket.SetBurstAt(now, k.burst())
 	if k.ServiceTime != s.ServiceTime {
 		next.observed = k.ServiceTime
@@ -53,7 +55,9 @@
 	limiter    limiter
 	queue      queue
 	queueLimit int
-	running    int
+	// declaredSlots is the number of slots that the declared rates keep busy.
+	declaredSlots float64
+	running       int
 	// finishRate is the expected number of running requests that finish per second.
 	finishRate float64
 	draining   bool
@@ -85,6 +89,10 @@
 		}
 	}
 	c.kinds = kinds
+	c.declaredSlots = 0
+	for _, k := range cfg.Kinds {
+		c.declaredSlots += k.Rate * k.ServiceTime.Seconds()
+	}
 	c.queueLimit = cfg.queueLimit()
 	c.limiter.declare(cfg.slots())
 	out := c.dispatch(now, nil)
@@ -93,7 +101,7 @@
 }
 
 // Load returns the load for responses: 0 is idle, 1 is all slots busy, above 1 requests wait. All
-// waiting excess work together adds 1 at most.
+// waiting excess work together adds 1 at most. Slow requests raise the load in proportion.
 func (c *Controller) Load() float64 { return math.Float64frombits(c.load.Load()) }
 
 // Slots returns the number of slots in use at present, which is at most the declared number.
@@ -147,7 +155,7 @@
 			break
 		}
 		c.queue.remove(w)
-		if now.Add(w.kind.shortest()).After(w.deadline) {
+		if w.tooLate(now) {
 			out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 			continue
 		}
@@ -162,13 +170,23 @@
 // protected requests wait.
 func (c *Controller) publish() {
 	excess := min(c.queue.size-c.queue.protected, c.limiter.limit)
-	load := float64(c.running+c.queue.protected+excess) / float64(c.limiter.limit)
+	load := float64(c.running+c.queue.protected+excess) / c.limiter.capacity()
 	c.load.Store(math.Float64bits(load))
 }
 
-// wait estimates the time until w gets a slot.
+// wait estimates the time until w gets a slot. Excess work is overtaken by the protected work that
+// arrives in the meantime, so only the remaining part of the slots serves it.
 func (c *Controller) wait(w *Waiter) time.Duration {
-	return c.queue.workBefore(w)/time.Duration(c.limiter.limit) + c.nextFree()
+	d := c.queue.workBefore(w)/time.Duration(c.limiter.limit) + c.nextFree()
+	if isExcess(w.class) {
+		d = time.Duration(float64(d) / (1 - c.protectedShare()))
+	}
+	return d
+}
+
+// protectedShare returns the share of the slots that the declared rates need.
+func (c *Controller) protectedShare() float64 {
+	return min(c.declaredSlots/float64(c.limiter.limit), maxProtectedShare)
 }
 
 // nextFree estimates the time until the next slot is free. A request that comes first needs only one
