--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"expvar"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// Metrics returns the metrics of the daemon for publication with expvar.
+func (d *Daemon) Metrics() expvar.Var {
+	m := new(expvar.Map).Init()
+	m.Set("callers", d.callers.Metrics())
+	m.Set("uptime_seconds", expvar.Func(func() any { return int64(time.Since(d.started).Seconds()) }))
+	m.Set("backend", expvar.Func(d.backendMetrics))
+	m.Set("configuration", expvar.Func(d.configurationMetrics))
+	m.Set("membership", expvar.Func(d.membershipMetrics))
+	return m
+}
+
+type backendMetrics struct {
+	Service string  `json:"service"`
+	State   string  `json:"state"`
+	Slots   int     `json:"slots_in_use_limit"`
+	Load    float64 `json:"load"`
+}
+
+func (d *Daemon) backendMetrics() any {
+	status := d.backend.Status()
+	return backendMetrics{
+		Service: status.Service, State: status.State.String(),
+		Slots: d.receiver.admission.Slots(), Load: d.receiver.admission.Load(),
+	}
+}
+
+type configurationMetrics struct {
+	Version uint64 `json:"version"`
+	Floor   uint64 `json:"version_floor"`
+	Ready   bool   `json:"ready"`
+	Leading bool   `json:"holds_lease"`
+	Refused int    `json:"refused_versions"`
+}
+
+func (d *Daemon) configurationMetrics() any {
+	floor, _ := d.follower.Floor() // 0 while unknown
+	return configurationMetrics{
+		Version: uint64(d.store.Version()), Floor: uint64(floor), Ready: d.follower.Ready(),
+		Leading: d.follower.Leading(), Refused: len(d.follower.Refusals()),
+	}
+}
+
+type membershipMetrics struct {
+	Records     int `json:"records"`
+	Ready       int `json:"ready"`
+	Unreachable int `json:"unreachable_domains"`
+	// Bytes and packets are those of the UDP probes, without IP and UDP headers.
+	SentBytes       uint64 `json:"probe_sent_bytes"`
+	ReceivedBytes   uint64 `json:"probe_received_bytes"`
+	SentPackets     uint64 `json:"probe_sent_packets"`
+	ReceivedPackets uint64 `json:"probe_received_packets"`
+}
+
+func (d *Daemon) membershipMetrics() any {
+	view, stats := d.prober.View(), d.prober.Stats()
+	m := membershipMetrics{
+		Records: len(view.Records), Unreachable: len(view.Unreachable),
+		SentBytes: stats.SentBytes, ReceivedBytes: stats.ReceivedBytes,
+		SentPackets: stats.SentPackets, ReceivedPackets: stats.ReceivedPackets,
+	}
+	for _, r := range view.Records {
+		if r.State == endpoint.Ready {
+			m.Ready++
+		}
+	}
+	return m
+}
--- a/cli/cmd/daemon.go
+++ b/cli/cmd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"os/signal"
 	"syscall"
 
@@ -35,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish("kingcupwood", daemon.Metrics())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := daemon.Run(ctx); err != nil {
