Keep refusals of repeated changes certain

An accept looked for its token before anything else, which missed a change carried out by another daemon right after, and a refusal could be wrong if the token could not be read. The token is now read before a refusal becomes final; if that fails, the outcome is unknown.

--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -52,12 +52,13 @@
 	Hash     string           `json:"hash,omitempty"`
 	Operator string           `json:"operator"`
 	At       time.Time        `json:"at"`
+	// Summary tells in a few words what the change does.
+	Summary string `json:"summary"`
 }
 
 // String describes the change in one line.
 func (c ChangeMessage) String() string {
-	return fmt.Sprintf("version %d: %s of %s revision %d by %s at %s",
-		c.Version, c.Action, c.Service, c.Revision, c.Operator, c.At.UTC().Format(time.RFC3339))
+	return fmt.Sprintf("version %d: %s by %s at %s", c.Version, c.Summary, c.Operator, c.At.UTC().Format(time.RFC3339))
 }
 
 // AcceptRequest asks to put a draft in force.
@@ -212,7 +213,7 @@
 func changeMessage(c platform.Change) ChangeMessage {
 	m := ChangeMessage{
 		Version: c.Version, Action: string(c.Action), Service: c.Service, Revision: c.Revision,
-		To: c.To, Removed: c.Removed, Operator: c.Operator, At: c.At.UTC(),
+		To: c.To, Removed: c.Removed, Operator: c.Operator, At: c.At.UTC(), Summary: c.Describe(),
 	}
 	if !c.Removed {
 		m.Hash = c.Hash.String()
--- a/agent/operator/operator_test.go
+++ b/agent/operator/operator_test.go
@@ -234,7 +234,10 @@
 	is.Equal(reply.Daemon.Version, snapshot.Version(7))
 	is.Equal(reply.Daemon.Refused.Reason, "no such service")
 	is.True(reply.Platform.Error != "")
+	f.platform.err = nil
+	before := f.platform.calls
 	is.Equal(f.request(http.MethodPost, PathDrafts, "Bearer "+secret, "x").Code, http.StatusServiceUnavailable)
+	is.Equal(f.platform.calls, before)
 	is.Equal(f.request(http.MethodGet, PathStatus, "Bearer other", "").Code, http.StatusServiceUnavailable)
 	f.now = f.now.Add(rememberFor)
 	is.Equal(f.request(http.MethodGet, PathStatus, "Bearer "+secret, "").Code, http.StatusServiceUnavailable)
--- a/agent/platform/change.go
+++ b/agent/platform/change.go
@@ -27,7 +27,7 @@
 // Accept puts the draft of a service in force, on the condition that the head is at version seen
 // and the draft has the hash draftHash. Repeating a call with the same token returns the outcome of
 // the first one. An unresolved write gives StateUnknown without an error. Errors, for all of which
-// nothing has changed: ForbiddenError, ConflictError, DraftChangedError, InvalidError,
+// this call has changed nothing: ForbiddenError, ConflictError, DraftChangedError, InvalidError,
 // NoChangeError, NotFoundError, TokenReusedError, UnavailableError.
 func (c *Client) Accept(ctx context.Context, op Operator, service string, draftHash snapshot.Hash, seen snapshot.Version, token string) (Outcome, error) {
 	change := Change{Action: Accepted, Service: service, Operator: op.Name, Token: token, Answers: draftHash}
@@ -140,13 +140,6 @@
 	if change.Token == "" || len(change.Token) > maxTokenBytes {
 		return outcome, &InvalidError{Reasons: []string{fmt.Sprintf("a change token has 1 to %d bytes", maxTokenBytes)}}
 	}
-	earlier, found, err := c.changeByToken(ctx, change.Token)
-	if err != nil {
-		return outcome, err
-	}
-	if found {
-		return c.repeated(outcome, earlier, change)
-	}
 	p, err := c.prepare(ctx, seen, prepare)
 	if err != nil {
 		return c.refusedOrRepeated(ctx, outcome, change, err)
@@ -170,11 +163,19 @@
 	return prepare(b)
 }
 
-// refusedOrRepeated looks for the token once more before a refusal is final: the same request, sent
-// through another daemon, may have moved the head after the first look.
+// refusedOrRepeated looks for the token before a refusal is final: the request may be a repetition,
+// and the first one may have moved the head. If the token cannot be read, the refusal is not certain.
 func (c *Client) refusedOrRepeated(ctx context.Context, outcome Outcome, change Change, refusal error) (Outcome, error) {
+	var unavailable *UnavailableError
+	if errors.As(refusal, &unavailable) {
+		return outcome, refusal // this call wrote nothing, and another read is unlikely to succeed
+	}
 	earlier, found, err := c.changeByToken(ctx, change.Token)
-	if err == nil && found {
+	switch {
+	case err != nil:
+		outcome.State = StateUnknown
+		return outcome, err
+	case found:
 		return c.repeated(outcome, earlier, change)
 	}
 	return outcome, c.refused(change, refusal)
--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -1,9 +1,3 @@
-// Package platform is the client of the users' table service (DynamoDB API) and object store (S3
-// API). It reads the head and the configuration objects, and carries out the changes of operators.
-//
-// Every write that is not idempotent carries a token. If the response to it is lost, the client
-// reads the token back; it repeats a write only under the condition that makes a second effect
-// impossible.
 package platform
 
 import (
--- a/agent/platform/lease_test.go
+++ b/agent/platform/lease_test.go
@@ -31,7 +31,7 @@
 	is.NoErr(h.client.PublishLease(h.ctx, second, "10.0.0.2:7000"))
 
 	var lost *LeaseLostError
-	_, err = h.client.RenewLease(h.ctx, first, leaseTTL)
+	_, err = h.client.RenewLease(h.ctx, first, 2*leaseTTL) // later than the expiry of the second
 	is.True(errors.As(err, &lost))
 	is.True(errors.As(h.client.PublishLease(h.ctx, first, "10.0.0.1:7000"), &lost))
 	is.True(errors.As(h.client.ReleaseLease(h.ctx, first), &lost))
@@ -39,6 +39,7 @@
 	is.NoErr(err)
 	is.Equal(len(leases), 1)
 	is.Equal(leases[0].Value, "10.0.0.2:7000")
+	is.True(leases[0].Expires.Equal(second.Expires))
 }
 
 // Guards against a holder that publishes after its lease has expired, even if nobody else has taken
--- a/agent/platform/plan_test.go
+++ b/agent/platform/plan_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/pkg/answers"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -80,6 +81,77 @@
 	is.Equal(h.platform.Counts(standin.Objects).Reads-before, uint64(1)) // the answers of the draft
 }
 
+// Interleavings of an accept with other requests: Local is called once after the head is read, and
+// once after the draft is read.
+const (
+	afterHead = iota + 1
+	afterDraft
+)
+
+// interleave returns a harness with version 1 in force that runs during at the given call of Local.
+func interleave(t *testing.T, at int, during func(h *harness)) *harness {
+	var h *harness
+	calls, armed := 0, false
+	h = newHarness(t, func(c *Config) {
+		c.Local = func() *snapshot.Snapshot {
+			if calls++; armed && calls == at {
+				armed = false
+				during(h)
+			}
+			return nil
+		}
+	})
+	h.accept(t, "finder", 5, 0, "t1")
+	calls, armed = 0, true
+	return h
+}
+
+// Guards against a refusal for an accept that the same request, sent through another daemon, has
+// carried out in the meantime.
+func TestAcceptThroughTwoDaemons(t *testing.T) {
+	is := is.New(t)
+	var hash snapshot.Hash
+	h := interleave(t, afterHead, func(h *harness) {
+		_, err := h.client.Accept(h.ctx, admin, "pages", hash, 1, "t2")
+		is.NoErr(err)
+		h.submit(t, "pages", 6) // the draft is not the one of the request any more
+	})
+	hash = h.submit(t, "pages", 12)
+	outcome, err := h.client.Accept(h.ctx, admin, "pages", hash, 1, "t2")
+	is.NoErr(err)
+	is.Equal(outcome.State, StateAccepted)
+	is.Equal(outcome.Change.Version, snapshot.Version(2))
+}
+
+// Guards against "not accepted" for the repetition of an accepted change when the token cannot be read.
+func TestRepetitionDuringOutageIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	h := interleave(t, afterHead, func(h *harness) {
+		h.inject(t, standin.Fault{Store: standin.Table, Kind: standin.Outage, Operations: standin.OnlyReads})
+	})
+	finder := snapshot.HashOf(answersFor("finder", 5))
+	outcome, err := h.client.Accept(h.ctx, admin, "finder", finder, 0, "t1")
+	var unavailable *UnavailableError
+	is.True(errors.As(err, &unavailable))
+	is.Equal(outcome.State, StateUnknown)
+	h.platform.ClearFaults()
+	outcome, err = h.client.Accept(h.ctx, admin, "finder", finder, 0, "t1")
+	is.NoErr(err)
+	is.Equal(outcome.State, StateAccepted)
+}
+
+// Guards against the acceptance of a draft that is replaced while it is being accepted.
+func TestDraftReplacedDuringAccept(t *testing.T) {
+	is := is.New(t)
+	h := interleave(t, afterDraft, func(h *harness) { h.submit(t, "pages", 6) })
+	_, err := h.client.Accept(h.ctx, admin, "pages", h.submit(t, "pages", 12), 1, "t2")
+	var changed *DraftChangedError
+	is.True(errors.As(err, &changed))
+	head, err := h.client.Head(h.ctx)
+	is.NoErr(err)
+	is.Equal(head.Version, snapshot.Version(1))
+}
+
 // BenchmarkAccept measures an accept among the 1,400 services of the target.
 func BenchmarkAccept(b *testing.B) {
 	var local *snapshot.Snapshot
--- a/agent/platform/types.go
+++ b/agent/platform/types.go
@@ -82,7 +82,18 @@
 
 // String describes the change in one line.
 func (c Change) String() string {
-	return fmt.Sprintf("version %d: %s of %s revision %d by %s", c.Version, c.Action, c.Service, c.Revision, c.Operator)
+	return fmt.Sprintf("version %d: %s by %s", c.Version, c.Describe(), c.Operator)
+}
+
+// Describe tells in a few words what the change does.
+func (c Change) Describe() string {
+	switch {
+	case c.Removed:
+		return fmt.Sprintf("removal of %s", c.Service)
+	case c.Action == Withdrawn:
+		return fmt.Sprintf("withdraw of %s to revision %d, as revision %d", c.Service, c.To, c.Revision)
+	}
+	return fmt.Sprintf("accept of %s revision %d", c.Service, c.Revision)
 }
 
 // sameRequest reports whether both changes come from the same request of an operator.
--- a/cli/cmd/administration.go
+++ b/cli/cmd/administration.go
@@ -88,9 +88,8 @@
 	}
 	fmt.Fprintln(os.Stderr, "change token", token)
 	outcome, err := send(context.Background(), client, seen, token)
-	var uncertain *operator.UncertainError
-	if errors.As(err, &uncertain) {
-		return &unknownOutcomeError{token: token, seen: seen, err: uncertain.Err}
+	if o.unsettled(err) {
+		return &unknownOutcomeError{token: token, seen: seen, err: err}
 	}
 	if err != nil {
 		return err
@@ -98,6 +97,20 @@
 	return printOutcome(outcome)
 }
 
+// unsettled reports whether err leaves the outcome open. A platform that was unavailable for a
+// repetition says nothing about the first run with the same token.
+func (o changeOptions) unsettled(err error) bool {
+	var uncertain *operator.UncertainError
+	var refusal *operator.APIError
+	switch {
+	case errors.As(err, &uncertain):
+		return true
+	case errors.As(err, &refusal):
+		return refusal.Code == operator.CodeUnknown || refusal.Code == operator.CodeUnavailable && o.Token != ""
+	}
+	return false
+}
+
 func printOutcome(outcome operator.OutcomeMessage) error {
 	switch outcome.State {
 	case platform.StateAccepted:
