--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -12,7 +12,6 @@
 // Paths of the administration API. {service} and {token} are replaced in requests.
 const (
 	PathDrafts    = "/v1/drafts"
-	PathServices  = "/v1/services"
 	PathService   = "/v1/services/{service}"
 	PathDiff      = "/v1/services/{service}/diff"
 	PathAccept    = "/v1/services/{service}/accept"
--- a/agent/platform/lease.go
+++ b/agent/platform/lease.go
@@ -145,6 +145,9 @@
 // writeAsHolder updates the row of a lease under its fencing token. done reports whether the row
 // shows the effect of the write; all of these writes have the same effect when repeated.
 func (c *Client) writeAsHolder(ctx context.Context, operation string, l Lease, set string, condition clause, done func(Lease) bool) error {
+	if l.Token == 0 {
+		return l.lost() // never acquired; a missing row must not look like its effect
+	}
 	found, err := c.settle(ctx, conditionalWrite{
 		operation: operation + " " + l.Name,
 		write: func(ctx context.Context) error {
