Tighten failure tests that disabled guards did not break

Each guard was disabled in turn. Three tests passed all the same: the cancellation of an exchange was covered by the deadline of its parent, no request was certain to wait at the connection limit, and the call that crossed a go-away frame was shorter than the grace. They fail now.

--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -224,7 +224,7 @@
 		return false
 	})
 	b := newBackend(t, Config{}, s, 1, 5)
-	ctx, cancel := context.WithCancel(within(t, generous))
+	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-arrived; cancel() }()
 	_, err := b.Do(ctx, request(), start)
 	is.True(errors.Is(err, context.Canceled))
@@ -253,10 +253,15 @@
 	}
 	go do()
 	<-arrived
+	go do()
+	for waiting := false; !waiting; {
+		b.mu.Lock()
+		waiting = b.pool.freed != nil
+		b.mu.Unlock()
+	}
 	_, err := b.Do(within(t, 20*time.Millisecond), request(), start)
 	is.Equal(verdict.Of(err), verdict.NotRun)
 	is.True(errors.Is(err, context.DeadlineExceeded))
-	go do()
 	close(release)
 	is.NoErr(<-results)
 	is.NoErr(<-results)
--- a/agent/peer/call/frame_test.go
+++ b/agent/peer/call/frame_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -159,6 +160,7 @@
 	}()
 	r, err := receiver.readRequest()
 	is.NoErr(err)
+	time.Sleep(goAwayGrace + 10*time.Millisecond) // the call takes longer than the grace
 	is.NoErr(receiver.writeResponse(&Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: 200}))
 	is.NoErr(<-result)
 	is.True(!sender.reusable)
