--- a/pkg/admission/config.go
+++ b/pkg/admission/config.go
@@ -6,8 +6,6 @@
 	"math"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -18,10 +16,15 @@
 	// queuePerSlot is the default length of the queue for each declared slot. Deadlines bound the
 	// queue before this limit does, unless the deadlines are long.
 	queuePerSlot = 32
-	// rateHeadroom multiplies the share of an instance in the declared rate. Requests are not spread
-	// evenly: draws are random, and when selection avoids a slow one of five servers, the others get
-	// a quarter more. Without headroom that part would wait behind all protected work.
-	rateHeadroom = 1.25
+	// maxHeadroom and minHeadroom bound the factor for the share of an instance in the declared rate.
+	// Requests are not spread evenly: draws are random, and when selection avoids a slow one of five
+	// servers, the others get a quarter more. Without headroom that part would wait behind all
+	// protected work.
+	maxHeadroom = 1.5
+	minHeadroom = 1.05
+	// headroomShare is the share of the slots that the protected work of all kinds may need with
+	// headroom. More would let a flood of an urgent kind take the declared share of the others.
+	headroomShare = 0.9
 	// burstSeconds is the burst headroom of a kind, as seconds of its declared rate.
 	burstSeconds = 0.5
 	// minBurst is the smallest burst in requests. Random arrivals at the declared rate exceed a bucket
@@ -78,8 +81,23 @@
 	return c.slots() * queuePerSlot
 }
 
-// limit returns the rate at which tokens are added, in requests per second.
-func (k Kind) limit() rate.Limit { return rate.Limit(k.Rate * rateHeadroom) }
+// declaredSlots returns the number of slots that the declared rates keep busy.
+func (c Config) declaredSlots() float64 {
+	slots := 0.0
+	for _, k := range c.Kinds {
+		slots += k.Rate * k.ServiceTime.Seconds()
+	}
+	return slots
+}
+
+// headroom returns the factor by which the rate of a kind may exceed its share.
+func (c Config) headroom() float64 {
+	declared := c.declaredSlots()
+	if declared <= 0 {
+		return maxHeadroom
+	}
+	return min(max(headroomShare*float64(c.slots())/declared, minHeadroom), maxHeadroom)
+}
 
 // burst returns the size of the token bucket in requests.
 func (k Kind) burst() int {
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -28,15 +28,16 @@
 	observed time.Duration // smoothed service time, starts at the declared one
 }
 
-func newKindState(k Kind) *kindState {
-	return &kindState{Kind: k, bucket: rate.NewLimiter(k.limit(), k.burst()), observed: k.ServiceTime}
+func newKindState(k Kind, headroom float64) *kindState {
+	limit := rate.Limit(k.Rate * headroom)
+	return &kindState{Kind: k, bucket: rate.NewLimiter(limit, k.burst()), observed: k.ServiceTime}
 }
 
 // reconfigured returns the state of a kind after a change of configuration. The tokens and the
 // observed time stay. Waiting requests keep the old state, which is not changed.
-func (s *kindState) reconfigured(k Kind, now time.Time) *kindState {
+func (s *kindState) reconfigured(k Kind, headroom float64, now time.Time) *kindState {
 	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
-	next.bucket.SetLimitAt(now, k.limit())
+	next.bucket.SetLimitAt(now, rate.Limit(k.Rate*headroom))
 	next.bucket.SetBurstAt(now, k.burst())
 	if k.ServiceTime != s.ServiceTime {
 		next.observed = k.ServiceTime
@@ -68,7 +69,7 @@
 	c := &Controller{
 		now:     now,
 		kinds:   map[string]*kindState{},
-		unknown: newKindState(Kind{Rank: lowestRank}),
+		unknown: newKindState(Kind{Rank: lowestRank}, 1),
 		limiter: newLimiter(cfg.slots(), now()),
 	}
 	c.Configure(cfg)
@@ -80,19 +81,17 @@
 func (c *Controller) Configure(cfg Config) {
 	c.mu.Lock()
 	now := c.now()
+	headroom := cfg.headroom()
 	kinds := make(map[string]*kindState, len(cfg.Kinds))
 	for _, k := range cfg.Kinds {
 		if old := c.kinds[k.Name]; old != nil {
-			kinds[k.Name] = old.reconfigured(k, now)
+			kinds[k.Name] = old.reconfigured(k, headroom, now)
 		} else {
-			kinds[k.Name] = newKindState(k)
+			kinds[k.Name] = newKindState(k, headroom)
 		}
 	}
 	c.kinds = kinds
-	c.declaredSlots = 0
-	for _, k := range cfg.Kinds {
-		c.declaredSlots += k.Rate * k.ServiceTime.Seconds()
-	}
+	c.declaredSlots = cfg.declaredSlots()
 	c.queueLimit = cfg.queueLimit()
 	c.limiter.declare(cfg.slots())
 	out := c.dispatch(now, nil)
