Bound the burst of a kind by the time for which it occupies the slots

Cause: a burst of 20 planting lists of 400 ms occupies the six slots of a catalogue server for 1.3 s as protected work.

Change: a burst occupies all slots for 500 ms at most.

--- a/pkg/admission/config.go
+++ b/pkg/admission/config.go
@@ -30,6 +30,9 @@
 	// minBurst is the smallest burst in requests. Random arrivals at the declared rate exceed a bucket
 	// of n requests about once in 2n; excess work can wait for long behind protected work.
 	minBurst = 20
+	// burstSlotTime bounds a burst by the time for which it occupies all slots. A burst of long
+	// requests would block more urgent work that arrives after it has started.
+	burstSlotTime = 500 * time.Millisecond
 )
 
 // Kind is what admission control needs to know about one kind of request.
@@ -100,9 +103,13 @@
 }
 
 // burst returns the size of the token bucket in requests.
-func (k Kind) burst() int {
+func (k Kind) burst(slots int) int {
 	if k.Rate <= 0 {
 		return 0
 	}
-	return max(minBurst, int(math.Ceil(k.Rate*burstSeconds)))
+	burst := max(minBurst, int(math.Ceil(k.Rate*burstSeconds)))
+	if k.ServiceTime > 0 {
+		burst = min(burst, int(burstSlotTime*time.Duration(slots)/k.ServiceTime))
+	}
+	return max(burst, 1)
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -28,17 +28,17 @@
 	observed time.Duration // smoothed service time, starts at the declared one
 }
 
-func newKindState(k Kind, headroom float64) *kindState {
+func newKindState(k Kind, headroom float64, slots int) *kindState {
 	limit := rate.Limit(k.Rate * headroom)
-	return &kindState{Kind: k, bucket: rate.NewLimiter(limit, k.burst()), observed: k.ServiceTime}
+	return &kindState{Kind: k, bucket: rate.NewLimiter(limit, k.burst(slots)), observed: k.ServiceTime}
 }
 
 // reconfigured returns the state of a kind after a change of configuration. The tokens and the
 // observed time stay. Waiting requests keep the old state, which is not changed.
-func (s *kindState) reconfigured(k Kind, headroom float64, now time.Time) *kindState {
+func (s *kindState) reconfigured(k Kind, headroom float64, slots int, now time.Time) *kindState {
 	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
 	next.bucket.SetLimitAt(now, rate.Limit(k.Rate*headroom))
-	next.bucket.SetBurstAt(now, k.burst())
+	next.bucket.SetBurstAt(now, k.burst(slots))
 	if k.ServiceTime != s.ServiceTime {
 		next.observed = k.ServiceTime
 	}
@@ -69,7 +69,7 @@
 	c := &Controller{
 		now:     now,
 		kinds:   map[string]*kindState{},
-		unknown: newKindState(Kind{Rank: lowestRank}, 1),
+		unknown: newKindState(Kind{Rank: lowestRank}, 1, 1),
 		limiter: newLimiter(cfg.slots(), now()),
 	}
 	c.Configure(cfg)
@@ -85,9 +85,9 @@
 	kinds := make(map[string]*kindState, len(cfg.Kinds))
 	for _, k := range cfg.Kinds {
 		if old := c.kinds[k.Name]; old != nil {
-			kinds[k.Name] = old.reconfigured(k, headroom, now)
+			kinds[k.Name] = old.reconfigured(k, headroom, cfg.slots(), now)
 		} else {
-			kinds[k.Name] = newKindState(k, headroom)
+			kinds[k.Name] = newKindState(k, headroom, cfg.slots())
 		}
 	}
 	c.kinds = kinds
