Leave the headroom to the urgent kinds when the declared rates do not fit

Cause: after the loss of a domain the declared rates of pages exceed the capacity, so the headroom fell to 5% for all kinds, and saves above the share of an instance waited behind protected views.

Change: in that case the headroom of a kind depends on the declared rates of its rank and more urgent ones only.

--- a/pkg/admission/config.go
+++ b/pkg/admission/config.go
@@ -6,6 +6,8 @@
 	"math"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -84,32 +86,44 @@
 	return c.slots() * queuePerSlot
 }
 
-// declaredSlots returns the number of slots that the declared rates keep busy.
-func (c Config) declaredSlots() float64 {
+// declaredSlots returns the number of slots that the declared rates of all kinds up to a rank keep
+// busy.
+func (c Config) declaredSlots(rank int) float64 {
 	slots := 0.0
 	for _, k := range c.Kinds {
-		slots += k.Rate * k.ServiceTime.Seconds()
+		if k.Rank <= rank {
+			slots += k.Rate * k.ServiceTime.Seconds()
+		}
 	}
 	return slots
 }
 
-// headroom returns the factor by which the rate of a kind may exceed its share.
-func (c Config) headroom() float64 {
-	declared := c.declaredSlots()
+// headroom returns the factor by which the rate of k may exceed its share. If the declared rates do
+// not fit, for example after the loss of a failure domain, the less urgent kinds cannot keep their
+// share and leave the headroom to the more urgent ones.
+func (c Config) headroom(k Kind) float64 {
+	usable := headroomShare * float64(c.slots())
+	declared := c.declaredSlots(math.MaxInt)
+	if declared > usable {
+		declared = c.declaredSlots(k.Rank)
+	}
 	if declared <= 0 {
 		return maxHeadroom
 	}
-	return min(max(headroomShare*float64(c.slots())/declared, minHeadroom), maxHeadroom)
+	return min(max(usable/declared, minHeadroom), maxHeadroom)
 }
 
+// tokenRate returns the rate at which k gets tokens, per second.
+func (c Config) tokenRate(k Kind) rate.Limit { return rate.Limit(k.Rate * c.headroom(k)) }
+
 // burst returns the size of the token bucket in requests.
-func (k Kind) burst(slots int) int {
+func (c Config) burst(k Kind) int {
 	if k.Rate <= 0 {
 		return 0
 	}
 	burst := max(minBurst, int(math.Ceil(k.Rate*burstSeconds)))
 	if k.ServiceTime > 0 {
-		burst = min(burst, int(burstSlotTime*time.Duration(slots)/k.ServiceTime))
+		burst = min(burst, int(burstSlotTime*time.Duration(c.slots())/k.ServiceTime))
 	}
 	return max(burst, 1)
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -28,17 +28,16 @@
 	observed time.Duration // smoothed service time, starts at the declared one
 }
 
-func newKindState(k Kind, headroom float64, slots int) *kindState {
-	limit := rate.Limit(k.Rate * headroom)
-	return &kindState{Kind: k, bucket: rate.NewLimiter(limit, k.burst(slots)), observed: k.ServiceTime}
+func newKindState(cfg Config, k Kind) *kindState {
+	return &kindState{Kind: k, bucket: rate.NewLimiter(cfg.tokenRate(k), cfg.burst(k)), observed: k.ServiceTime}
 }
 
 // reconfigured returns the state of a kind after a change of configuration. The tokens and the
 // observed time stay. Waiting requests keep the old state, which is not changed.
-func (s *kindState) reconfigured(k Kind, headroom float64, slots int, now time.Time) *kindState {
+func (s *kindState) reconfigured(cfg Config, k Kind, now time.Time) *kindState {
 	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
-	next.bucket.SetLimitAt(now, rate.Limit(k.Rate*headroom))
-	next.bucket.SetBurstAt(now, k.burst(slots))
+	next.bucket.SetLimitAt(now, cfg.tokenRate(k))
+	next.bucket.SetBurstAt(now, cfg.burst(k))
 	if k.ServiceTime != s.ServiceTime {
 		next.observed = k.ServiceTime
 	}
@@ -69,7 +68,7 @@
 	c := &Controller{
 		now:     now,
 		kinds:   map[string]*kindState{},
-		unknown: newKindState(Kind{Rank: lowestRank}, 1, 1),
+		unknown: newKindState(cfg, Kind{Rank: lowestRank}),
 		limiter: newLimiter(cfg.slots(), now()),
 	}
 	c.Configure(cfg)
@@ -81,17 +80,16 @@
 func (c *Controller) Configure(cfg Config) {
 	c.mu.Lock()
 	now := c.now()
-	headroom := cfg.headroom()
 	kinds := make(map[string]*kindState, len(cfg.Kinds))
 	for _, k := range cfg.Kinds {
 		if old := c.kinds[k.Name]; old != nil {
-			kinds[k.Name] = old.reconfigured(k, headroom, cfg.slots(), now)
+			kinds[k.Name] = old.reconfigured(cfg, k, now)
 		} else {
-			kinds[k.Name] = newKindState(k, headroom, cfg.slots())
+			kinds[k.Name] = newKindState(cfg, k)
 		}
 	}
 	c.kinds = kinds
-	c.declaredSlots = cfg.declaredSlots()
+	c.declaredSlots = cfg.declaredSlots(math.MaxInt)
 	c.queueLimit = cfg.queueLimit()
 	c.limiter.declare(cfg.slots())
 	out := c.dispatch(now, nil)
