--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -158,7 +158,7 @@
 // refused before, so that they take no token from others.
 func (w *Waiter) classify(now time.Time) {
 	w.class = classOf(w.kind.Rank, w.kind.bucket.AllowN(now, 1))
-	w.work = w.kind.observed
+	w.work = w.kind.expected()
 }
 
 // enqueue puts w into the queue, or refuses it if its deadline cannot be met or if the queue is
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -14,6 +14,8 @@
 	reserveFrom = 4
 	// smoothing is the weight of a new sample in the observed service time of a kind.
 	smoothing = 0.1
+	// defaultServiceTime is the estimate for kinds that declare none and have not been observed yet.
+	defaultServiceTime = 10 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry hint of a refusal.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -210,6 +212,14 @@
 // nothing would be observed that ends it.
 func (s *kindState) shortest() time.Duration { return min(s.ServiceTime, s.observed) }
 
+// expected returns the service time used in estimates.
+func (s *kindState) expected() time.Duration {
+	if s.observed <= 0 {
+		return defaultServiceTime
+	}
+	return s.observed
+}
+
 // observe adds a sample to the smoothed service time.
 func (s *kindState) observe(d time.Duration) {
 	if s.observed == 0 {
--- a/pkg/selection/selection_test.go
+++ b/pkg/selection/selection_test.go
@@ -129,6 +129,17 @@
 	is.True(f.counts(4000, good)["a0"] > 800)
 }
 
+// Guards against a server that stays in slow start because the clock of its instance is ahead.
+func TestSlowStartWithClockAhead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("a", "a", "a", "a")
+	records := f.view.ByService[service]
+	records[0].ReadySinceMS = f.t.Add(time.Hour).UnixMilli()
+	f.set(records)
+	f.t = f.t.Add(slowStart)
+	is.True(f.counts(4000, good)["a0"] > 800)
+}
+
 // Guards against an unreachable domain that gets work while others are left, or none when it is the
 // last resort.
 func TestUnreachableIsLastResort(t *testing.T) {
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -33,11 +33,15 @@
 }
 
 // Update replaces the endpoints. The new table is complete before it replaces the old one; the
-// statistics of endpoints that stay are kept. Records other than ready ones get no new requests.
+// statistics of endpoints that stay are kept. Records other than ready ones get no new requests. A
+// nil view has no endpoints.
 func (s *Selector) Update(v *endpoint.View) {
+	if v == nil {
+		v = &endpoint.View{}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next, kept := buildTable(s.cfg, v, s.known)
+	next, kept := buildTable(s.cfg, v, s.known, s.now().UnixNano())
 	s.known = kept
 	s.current.Store(next)
 }
--- a/pkg/selection/stats.go
+++ b/pkg/selection/stats.go
@@ -32,6 +32,7 @@
 	ejections     atomic.Int32 // consecutive, gives the exponent of the time
 	ejectedUntil  atomic.Int64
 	drainingUntil atomic.Int64
+	firstSeen     atomic.Int64
 	// distrustUntil is set by a refusal that contradicts the returned load.
 	distrustUntil atomic.Int64
 }
@@ -61,7 +62,8 @@
 		level:  l,
 		record: r,
 		slots:  float64(max(r.Slots, 1)),
-		readyN: r.ReadySinceMS * int64(time.Millisecond),
+		// The clock of another instance may be ahead; slow start must not last longer for that.
+		readyN: min(r.ReadySinceMS*int64(time.Millisecond), s.firstSeen.Load()),
 		stats:  s,
 	}
 }
--- a/pkg/selection/table.go
+++ b/pkg/selection/table.go
@@ -50,18 +50,18 @@
 
 // buildTable makes the table for v. old holds what is known of the endpoints of the previous table;
 // the second result is the part of it that the new table uses.
-func buildTable(cfg Config, v *endpoint.View, old known) (*table, known) {
+func buildTable(cfg Config, v *endpoint.View, old known, now int64) (*table, known) {
 	t := &table{sets: make(map[string]*set, len(v.ByService))}
 	kept := known{stats: map[statsKey]*stats{}, levels: map[string]*level{}}
 	for service := range v.ByService {
-		if s := buildSet(cfg, v, service, old, kept); len(s.all) > 0 {
+		if s := buildSet(cfg, v, service, old, kept, now); len(s.all) > 0 {
 			t.sets[service] = s
 		}
 	}
 	return t, kept
 }
 
-func buildSet(cfg Config, v *endpoint.View, service string, old, kept known) *set {
+func buildSet(cfg Config, v *endpoint.View, service string, old, kept known, now int64) *set {
 	s := &set{}
 	groups := readyByDomain(v.ByService[service])
 	l := keep(old.levels, kept.levels, service)
@@ -69,6 +69,7 @@
 	for _, domain := range slices.Sorted(maps.Keys(groups)) {
 		for _, r := range subset(cfg, groups[domain]) {
 			st := keep(old.stats, kept.stats, keyOf(r.Record))
+			st.firstSeen.CompareAndSwap(0, now)
 			s.add(newMember(r.Record, st, l), domain == cfg.Domain, v.Unreachable[domain])
 		}
 	}
