Allocate once for an admitted request

Change: the ticket is part of the waiter, and an empty queue is not searched.

BenchmarkAcquireDone before and after: 1 goroutine 811 to 954 ns and 588 to 760 ns, 2 and 1 allocations. Reading the clock before taking the lock was tried: with 8 goroutines, alternating runs of both, 1223 to 1363 ns instead of 944 to 1082 ns, so it stays inside. The machine was shared (load 9).

Conclusion: kept without the clock change.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -139,7 +139,8 @@
 func (c *Controller) start(w *Waiter) *Ticket {
 	c.running++
 	c.finishRate += rateOf(w.work)
-	return &Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
+	w.ticket = Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
+	return &w.ticket
 }
 
 // dispatch starts waiting requests while slots are free and refuses the ones that are too late.
@@ -148,7 +149,7 @@
 	for w := c.queue.popExpired(now); w != nil; w = c.queue.popExpired(now) {
 		out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 	}
-	for c.running < c.limiter.limit {
+	for c.queue.size > 0 && c.running < c.limiter.limit {
 		w := c.queue.first(c.excessMayStart())
 		if w == nil {
 			break
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -33,6 +33,7 @@
 	notify func(*Ticket, *Refusal)
 	result chan result // for a blocked Acquire
 	queued bool
+	ticket Ticket // returned when the request starts; here it saves an allocation
 }
 
 // before reports whether w comes before o: by class, earliest deadline, order of arrival.
