flood: run the bounds as tests, add calm and combined scenarios

Purpose: the outcomes in virtual time are repeatable, so the bounds of section 9 can decide a test. Each failure of a server also runs with the flood of the most urgent kind; the 3 s before a lost domain is detected are shown without a bound.

--- /dev/null
+++ b/tools/bench/flood/flood_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// testSeed is the default seed of the command, so that the tests check what it prints.
+const testSeed = 1
+
+// Guards against changes of admission control or selection that pass a bound of section 9 of the
+// design under a flood, alone or together with a failure.
+func TestBounds(t *testing.T) {
+	for _, u := range users() {
+		for _, sc := range scenarios {
+			t.Run(u.name+"/"+sc.name, func(t *testing.T) {
+				t.Parallel()
+				for _, r := range rows(u, sc, policyRanked, runScenario(u, sc, policyRanked, testSeed)) {
+					if r.over() {
+						t.Errorf("%s: %.2f %s, bound %.0f", r.name, r.value, r.unit, r.bound)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a comparison in which the floods are too weak to show a difference: the baselines
+// must fail where the design says that they do.
+func TestBaselinesPassBounds(t *testing.T) {
+	is := is.New(t)
+	u := pages()
+	fifo := runScenario(u, scenario{}, policyFIFO, testSeed)
+	is.True(fifo.servedShare("save") < topRankBound)
+	strict := runScenario(u, scenario{floodMost: true}, policyStrict, testSeed)
+	is.True(strict.servedShare("preview") < declaredBound)
+}
+
+// Guards against runs that depend on anything but the seed, such as the order of a map.
+func TestRunsAreRepeatable(t *testing.T) {
+	is := is.New(t)
+	u, sc := catalogue(), scenario{begin: failingServer}
+	a := runScenario(u, sc, policyRanked, testSeed)
+	b := runScenario(u, sc, policyRanked, testSeed)
+	is.Equal(a.counts, b.counts)
+}
--- a/tools/bench/flood/rows.go
+++ b/tools/bench/flood/rows.go
@@ -56,6 +56,8 @@
 
 func bound(sc scenario, top bool) float64 {
 	switch {
+	case sc.unbounded:
+		return 0
 	case sc.floodMost && !top:
 		return declaredBound
 	case !sc.floodMost && top:
--- a/tools/bench/flood/scenario.go
+++ b/tools/bench/flood/scenario.go
@@ -24,25 +24,42 @@
 // flood of the least urgent kind, because section 3 asks for any two at a time.
 type scenario struct {
 	name      string
+	calm      bool // no flood
 	floodMost bool // flood of the most urgent kind, otherwise of the least urgent one
 	// declared changes the declared rates to this share of the capacity, unless it is zero.
 	declared float64
-	begin    func(w *world)
+	// unbounded marks a scenario for which section 9 sets no bound; its rows are information.
+	unbounded bool
+	begin     func(w *world)
 }
 
 var scenarios = []scenario{
+	{name: "calm", calm: true},
 	{name: "flood-least"},
 	{name: "flood-most", floodMost: true},
 	{name: "flood-most-tight", floodMost: true, declared: tightShare},
 	{name: "cold-server", begin: coldServer},
-	{name: "slow-server", begin: func(w *world) {
-		w.servers[0].slowdown = func(time.Duration) float64 { return slowFactor }
+	{name: "cold-server-flood-most", floodMost: true, begin: coldServer},
+	{name: "slow-server", begin: slowServer},
+	{name: "slow-server-flood-most", floodMost: true, begin: slowServer},
+	{name: "lying-server", begin: lyingServer},
+	{name: "lying-server-flood-most", floodMost: true, begin: lyingServer},
+	{name: "failing-server", begin: failingServer},
+	{name: "failing-server-flood-most", floodMost: true, begin: failingServer},
+	{name: "domain-lost", begin: func(w *world) { loseDomain(w); w.tally.from += detection }},
+	{name: "domain-lost-undetected", unbounded: true, begin: func(w *world) {
+		loseDomain(w)
+		w.tally.to = w.tally.from + detection
 	}},
-	{name: "lying-server", begin: func(w *world) { w.servers[0].reports0 = true }},
-	{name: "failing-server", begin: func(w *world) { w.servers[0].failsFast = true }},
-	{name: "domain-lost", begin: loseDomain},
 }
 
+func slowServer(w *world) {
+	w.servers[0].slowdown = func(time.Duration) float64 { return slowFactor }
+}
+
+func lyingServer(w *world)   { w.servers[0].reports0 = true }
+func failingServer(w *world) { w.servers[0].failsFast = true }
+
 // coldServer restarts the first server: it is slow at first and has become ready just now.
 func coldServer(w *world) {
 	s, start := w.servers[0], w.at
@@ -55,11 +72,23 @@
 }
 
 // loseDomain cuts off the domain with the most servers. Senders learn of it after the detection
-// time; until then their attempts hang. The window starts after detection.
+// time; until then their attempts hang.
 func loseDomain(w *world) {
 	w.lost = w.servers[0].record.Domain
 	w.after(detection, func() { w.publish(map[string]bool{w.lost: true}) })
-	w.tally.from += detection
+}
+
+// rate returns the rate at which requests of the kind with index i are sent.
+func (sc scenario) rate(u *user, i int) float64 {
+	k := &u.kinds[i]
+	flooding := i == len(u.kinds)-1
+	if sc.floodMost {
+		flooding = i == 0
+	}
+	if flooding && !sc.calm {
+		return u.floodRate(k, floodTimes)
+	}
+	return k.Rate
 }
 
 // runScenario runs sc for u and returns what was measured.
@@ -69,23 +98,14 @@
 	}
 	w := newWorld(u, policy, seed)
 	w.tally.from, w.tally.to = warmUp, warmUp+measured
-	flood := u.leastUrgent()
-	if sc.floodMost {
-		flood = u.mostUrgent()
-	}
 	for i := range u.kinds {
-		k := &u.kinds[i]
-		if k.Name == flood.Name {
-			w.call(k, u.floodRate(k, floodTimes))
-		} else {
-			w.call(k, k.Rate)
-		}
+		w.call(&u.kinds[i], sc.rate(u, i))
 	}
 	w.after(warmUp, func() {
 		if sc.begin != nil {
 			sc.begin(w)
 		}
 	})
-	w.run(warmUp + measured + flood.Deadline)
+	w.run(warmUp + measured + u.longestDeadline())
 	return w.tally
 }
--- a/tools/bench/flood/users.go
+++ b/tools/bench/flood/users.go
@@ -123,5 +123,10 @@
 	return times * float64(u.slots*len(u.servers)) / k.ServiceTime.Seconds()
 }
 
-func (u *user) mostUrgent() *kind  { return &u.kinds[0] }
-func (u *user) leastUrgent() *kind { return &u.kinds[len(u.kinds)-1] }
+func (u *user) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, k := range u.kinds {
+		longest = max(longest, k.Deadline)
+	}
+	return longest
+}
