Keep mass restarts off the platform and measure the traffic

A mass restart of 8,000 daemons would have read the head 8,000 times for the version floor, and fresh lease holders would have read 1,400 objects each, far over the 2,000 reads/s that the platform provides. A restarted daemon now asks a lease holder for a read of the head that starts after the question, which the holder makes anyway; bulk content is taken from peers first, and object reads are limited to 40/s for each daemon.

--- /dev/null
+++ b/agent/peer/sync/bench_test.go
@@ -0,0 +1,141 @@
+package sync
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// benchMembers is a membership without a network.
+type benchMembers struct{ state *membership.State }
+
+func (m *benchMembers) Do(f func(now time.Time, s *membership.State)) { f(time.Now(), m.state) }
+func (m *benchMembers) View() *endpoint.View                          { return m.state.View() }
+
+// countingConn counts what the asking daemon sends and receives, without TCP and IP headers.
+type countingConn struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func benchEntries(n int) []membership.Entry {
+	var list []membership.Entry
+	for i := range n {
+		list = append(list, membership.Entry{Record: endpoint.Record{
+			Instance: endpoint.InstanceID(fmt.Sprintf("instance-%05d", i)), Domain: fmt.Sprintf("domain-%d", i%19), Incarnation: 1_764_835_200_000,
+			CallAddr: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), RPCAddr: fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250),
+			ProbeAddr: fmt.Sprintf("10.0.%d.%d:7002", i/250, i%250), AdminAddr: fmt.Sprintf("10.0.%d.%d:7003", i/250, i%250),
+			Service: fmt.Sprintf("service-%04d", i%1400), State: endpoint.Ready, Slots: 12,
+		}})
+	}
+	return list
+}
+
+// BenchmarkMessages reports the bytes and the time of each exchange between two daemons that hold
+// the given number of records: an anti-entropy comparison without and with one difference, an idle
+// poll, a poll that brings a change, and the full exchange at join.
+func BenchmarkMessages(b *testing.B) {
+	for _, n := range []int{1_000, 16_000} {
+		entries := benchEntries(n)
+		asking, asked := newBenchPair(entries)
+		measure := func(name string, f func() error) {
+			b.Run(fmt.Sprintf("%s/records-%d", name, n), func(b *testing.B) {
+				asking.sent.Store(0)
+				asking.received.Store(0)
+				for b.Loop() {
+					if err := f(); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(asking.sent.Load())/float64(b.N), "sentB/op")
+				b.ReportMetric(float64(asking.received.Load())/float64(b.N), "receivedB/op")
+			})
+		}
+		ctx := context.Background()
+		repair := func() error {
+			_, err := asking.repairWith(ctx, "asked")
+			return err
+		}
+		measure("repair-equal", repair)
+		counter := uint64(0)
+		measure("repair-one", func() error {
+			counter++
+			changed := entries[n/2]
+			changed.Record.Counter = counter
+			asked.cfg.Members.Do(func(now time.Time, s *membership.State) { s.Merge(now, []membership.Entry{changed}) })
+			return repair()
+		})
+		s, err := open(ctx, asking.cfg.Dial, "asked")
+		if err != nil {
+			b.Fatal(err)
+		}
+		measure("poll-idle", func() error { return asking.poll(ctx, s, time.Nanosecond) })
+		version := asked.cfg.Store.Version()
+		measure("poll-change", func() error {
+			version++
+			d, _ := asked.cfg.Store.codec.Delta(snapshotOf(version-1), snapshotOf(version))
+			if _, err := asked.cfg.Store.Apply(d); err != nil {
+				return err
+			}
+			return asking.poll(ctx, s, pollWait)
+		})
+		s.close()
+		measure("join", func() error {
+			_, err := asking.exchange(ctx, "asked")
+			return err
+		})
+	}
+}
+
+type benchFollower struct {
+	*Follower
+	sent, received atomic.Int64
+}
+
+func newBenchPair(entries []membership.Entry) (asking, asked *benchFollower) {
+	pair := [2]*benchFollower{}
+	server := rpc.NewServer()
+	for i := range pair {
+		b := &benchFollower{}
+		store := NewStore(&fakeCodec{})
+		if _, err := store.Apply(mustComplete(&fakeCodec{}, snapshot.Version(1))); err != nil {
+			panic(err)
+		}
+		state := membership.New(membership.Config{Local: entries[i].Record}, time.Now(), 1)
+		state.Merge(time.Now(), entries)
+		b.Follower = NewFollower(Config{
+			Self: entries[i].Record, Members: &benchMembers{state}, Store: store, Log: event.Nop(),
+			Dial: func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go server.ServeConn(far)
+				return countingConn{near, &b.sent, &b.received}, nil
+			},
+		})
+		pair[i] = b
+	}
+	if err := NewServer(pair[1].Follower).Register(context.Background(), server); err != nil {
+		panic(err)
+	}
+	return pair[0], pair[1]
+}
--- a/agent/peer/sync/client.go
+++ b/agent/peer/sync/client.go
@@ -37,7 +37,8 @@
 	return &session{addr: addr, rpc: rpc.NewClient(deadlineConn{conn})}, nil
 }
 
-// call runs a method and waits for at most timeout. After an error the session must be closed.
+// call runs a method and waits for at most timeout. After an error the session must be closed and
+// reply must not be read, as a late answer may still be written to it.
 func (s *session) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
--- a/agent/peer/sync/cluster_test.go
+++ b/agent/peer/sync/cluster_test.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	server := rpc.NewServer()
-	if err := NewServer(d, d.store).Register(ctx, server); err != nil {
+	if err := NewServer(d.Follower).Register(ctx, server); err != nil {
 		c.t.Fatal(err)
 	}
 	c.mu.Lock()
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/distribution"
@@ -82,17 +83,25 @@
 	// leading tells that this daemon holds a lease and reads the head itself.
 	leading atomic.Bool
 
-	// mu guards rng and refusals.
+	// objects limits the reads of the object store.
+	objects *rate.Limiter
+
+	// mu guards rng, refusals and headWaiters.
 	mu       sync.Mutex
 	rng      *rand.Rand
 	refusals []Refusal
+	// headWaiters get the version of the next read of the head; they are closed if it fails.
+	headWaiters []chan snapshot.Version
 	// applyMu keeps calls of OnApply in order of version.
 	applyMu sync.Mutex
 }
 
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
-	return &Follower{cfg: cfg, joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	return &Follower{
+		cfg: cfg, joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		objects: rate.NewLimiter(objectRate, objectBurst),
+	}
 }
 
 // Run joins the membership, determines the version floor and keeps the snapshot up to date until
--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -18,6 +18,10 @@
 // startLimit bounds the start of a cluster: join, leases and the first version.
 const startLimit = 30 * time.Second
 
+// requestsPerSecond bounds the requests to the platform in three domains: reads of the head,
+// renewals and attempts for leases.
+const requestsPerSecond = 3*2*4 + 3*2 + 3*leaseCandidates
+
 // run starts n daemons in three domains at version head and runs f in virtual time.
 func run(t *testing.T, n int, head snapshot.Version, f func(is *is.I, c *cluster)) {
 	t.Helper()
@@ -65,7 +69,7 @@
 		c.platform.set(func() { c.platform.reads = 0 })
 		time.Sleep(10 * time.Second)
 		c.platform.set(func() { reads = c.platform.reads })
-		is.True(reads < 10*(3*2*4+3*2+3*leaseCandidates)) // heads, renewals, attempts for leases
+		is.True(reads < 10*requestsPerSecond)
 	})
 }
 
@@ -241,6 +245,28 @@
 	})
 }
 
+// Guards against a mass restart that turns to the platform: the restarted daemons must take floor
+// and snapshot from lease holders and peers.
+func TestMassRestartSparesPlatform(t *testing.T) {
+	run(t, 24, 3, func(is *is.I, c *cluster) {
+		reads := 0
+		c.platform.set(func() { c.platform.reads = 0 })
+		for i := range c.daemons {
+			if d := c.daemons[i]; !d.Leading() && i%2 == 1 {
+				d.kill()
+				c.start(i, d.record.Domain)
+			}
+		}
+		c.until("ready", changeLimit, c.daemons, (*daemon).Ready)
+		for _, d := range c.daemons {
+			is.True(d.floor.Exact())
+		}
+		time.Sleep(10 * time.Second)
+		c.platform.set(func() { reads = c.platform.reads })
+		is.True(reads < 15*requestsPerSecond)
+	})
+}
+
 // Guards against an invalid version that is put in force, applied in part, or blocks the next one.
 func TestInvalidVersionIsRefused(t *testing.T) {
 	run(t, 9, 3, func(is *is.I, c *cluster) {
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -26,6 +26,11 @@
 	// busyRepairChanges records, as after a mass restart or a partition.
 	busyRepairInterval = time.Second
 	busyRepairChanges  = 32
+	// floorHolders is the number of lease holders asked for the head after a restart.
+	floorHolders = 2
+	// floorReadSpread spreads the reads of the head by restarted daemons that reach no lease holder:
+	// the whole of them reads less than 1,000 times/s.
+	floorReadSpread = time.Millisecond
 	// seedEvery is the number of anti-entropy exchanges for each one with a seed, which reunites
 	// groups of daemons that started without seeing each other.
 	seedEvery = 6
@@ -123,39 +128,59 @@
 
 // askFloor adds one round of answers to the floor and returns the highest one of a member.
 func (f *Follower) askFloor(ctx context.Context) answer {
-	addrs := f.floorMembers()
-	answers := make([]answer, len(addrs))
+	addrs := f.someMembers(distribution.FloorMembers)
+	replies := make([]HighestReply, len(addrs))
 	var g errgroup.Group
-	if f.cfg.Platform != nil {
-		g.Go(func() error {
-			if head, err := f.head(ctx); err == nil {
-				f.floor.Platform(head.Version)
-			}
-			return nil
-		})
-	}
 	for i, addr := range addrs {
 		g.Go(func() error {
+			// A late answer may still be written to reply after the timeout, so it is copied.
 			var reply HighestReply
 			if err := callOnce(ctx, f.cfg.Dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
-				f.floor.Member(reply.Highest)
-				answers[i] = answer{addr, reply.Highest}
+				replies[i] = reply
 			}
 			return nil
 		})
 	}
 	_ = g.Wait() // the functions above return no errors
 	var best answer
-	for _, a := range answers {
-		if a.version > best.version {
-			best = a
+	var holders []string
+	for i, reply := range replies {
+		f.floor.Member(reply.Highest)
+		if reply.Highest > best.version {
+			best = answer{addrs[i], reply.Highest}
 		}
+		holders = append(holders, reply.Holders...)
 	}
+	f.askHead(ctx, holders)
 	return best
 }
 
-// floorMembers returns the addresses of FloorMembers random members, or the seeds if none is known.
-func (f *Follower) floorMembers() []string {
+// askHead adds the version of the head to the floor: from a lease holder that reads it anyway, or
+// else from the platform itself, spread out by the number of members.
+func (f *Follower) askHead(ctx context.Context, holders []string) {
+	for range min(len(holders), floorHolders) {
+		var reply HighestReply
+		addr := holders[f.random(int64(len(holders)))]
+		err := callOnce(ctx, f.cfg.Dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
+		if err == nil && reply.Fresh {
+			f.floor.Platform(reply.Head)
+			return
+		}
+	}
+	if f.cfg.Platform == nil {
+		return
+	}
+	spread := int64(len(f.cfg.Members.View().Records)) * int64(floorReadSpread)
+	if !pause(ctx, time.Duration(f.random(spread))) {
+		return
+	}
+	if head, err := f.head(ctx); err == nil {
+		f.floor.Platform(head.Version)
+	}
+}
+
+// someMembers returns the addresses of up to n random members, or of seeds if no member is known.
+func (f *Follower) someMembers(n int) []string {
 	addrs := f.reachable(false)
 	if len(addrs) == 0 {
 		addrs = f.otherSeeds()
@@ -164,7 +189,7 @@
 		j := int(f.random(int64(i + 1)))
 		addrs[i], addrs[j] = addrs[j], addrs[i]
 	}
-	return addrs[:min(len(addrs), distribution.FloorMembers)]
+	return addrs[:min(len(addrs), n)]
 }
 
 // reachable returns the addresses of the other members in reachable domains, or only in the own
--- a/agent/peer/sync/lead.go
+++ b/agent/peer/sync/lead.go
@@ -38,6 +38,15 @@
 	joinGrace = 5 * time.Second
 	// refusedPause is how long a refused version is not fetched again.
 	refusedPause = 2 * time.Second
+	// objectRate (reads/s) and objectBurst limit the object reads of one daemon: 38 lease holders
+	// that start without peers stay below the 2,000 reads/s of the platform, with their reads of
+	// the head. A change needs one object.
+	objectRate  = 40
+	objectBurst = 64
+	// bulkObjects is the number of missing objects above which peers are asked first.
+	bulkObjects = 16
+	// bulkPeers is the number of peers asked.
+	bulkPeers = 3
 	// objectFetches bounds the concurrent object reads of one daemon.
 	objectFetches = 8
 )
@@ -138,7 +147,14 @@
 	var refused Head
 	var refusedUntil time.Time
 	for ctx.Err() == nil {
+		waiters := f.takeHeadWaiters()
 		head, err := f.head(ctx)
+		for _, w := range waiters {
+			if err == nil {
+				w <- head.Version
+			}
+			close(w)
+		}
 		if err != nil && !failing && ctx.Err() == nil {
 			f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
 		}
@@ -153,6 +169,35 @@
 	}
 }
 
+// freshHead returns the version of the head from a read that starts after the call. It costs the
+// platform nothing, as a lease holder reads the head all the time, so a mass restart can ask for
+// exact floors. It returns false if this daemon does not lead or the read fails.
+func (f *Follower) freshHead(ctx context.Context) (snapshot.Version, bool) {
+	if !f.leading.Load() {
+		return 0, false
+	}
+	w := make(chan snapshot.Version, 1)
+	f.mu.Lock()
+	f.headWaiters = append(f.headWaiters, w)
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	select {
+	case v, ok := <-w:
+		return v, ok
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+func (f *Follower) takeHeadWaiters() []chan snapshot.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	waiters := f.headWaiters
+	f.headWaiters = nil
+	return waiters
+}
+
 func (f *Follower) head(ctx context.Context) (Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
@@ -178,8 +223,11 @@
 		f.refuse(head.Version, "platform", err)
 		return err
 	}
-	for {
+	for f.cfg.Store.Version() < head.Version {
 		d := distribution.FromManifest(f.cfg.Store.Load(), m, head.Manifest)
+		if len(d.Changed) > bulkObjects && f.pullAny(ctx) {
+			continue
+		}
 		if err := f.fetchObjects(ctx, d); err != nil {
 			f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
 			return nil
@@ -189,6 +237,19 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// pullAny pulls from a few random peers, so that a daemon which lacks most of the configuration
+// spares the platform. It reports whether a higher version is in force now.
+func (f *Follower) pullAny(ctx context.Context) bool {
+	have := f.cfg.Store.Version()
+	for _, addr := range f.someMembers(bulkPeers) {
+		if f.pullFrom(ctx, addr) == nil && f.cfg.Store.Version() > have {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *Follower) fetchObjects(ctx context.Context, d *snapshot.Delta) error {
@@ -197,6 +258,9 @@
 	g.SetLimit(objectFetches)
 	for i, e := range d.Changed {
 		g.Go(func() error {
+			if err := f.objects.Wait(ctx); err != nil {
+				return errors.Wrap(err, "object reads are limited")
+			}
 			ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 			defer cancel()
 			data, err := f.cfg.Platform.Object(ctx, e.Hash)
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -82,11 +82,19 @@
 }
 
 // HighestArgs asks for the highest version that a daemon knows of.
-type HighestArgs struct{}
+type HighestArgs struct {
+	// Fresh asks a lease holder for a read of the head that starts after this question.
+	Fresh bool
+}
 
 // HighestReply answers HighestArgs.
 type HighestReply struct {
 	Highest snapshot.Version
+	// Fresh tells that Head is the version of the head read after the question.
+	Fresh bool
+	Head  snapshot.Version
+	// Holders lists the net/rpc addresses of the lease holders that the daemon knows.
+	Holders []string
 }
 
 // maxEntries bounds the entries accepted from a peer, twice the target of 16,000.
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -35,14 +35,15 @@
 
 // Server answers the requests of other daemons.
 type Server struct {
-	members Members
-	store   *Store
-	full    chan struct{}
+	members  Members
+	store    *Store
+	follower *Follower
+	full     chan struct{}
 }
 
-// NewServer returns a Server for the given membership and snapshot store.
-func NewServer(members Members, store *Store) *Server {
-	return &Server{members: members, store: store, full: make(chan struct{}, maxFullSyncs)}
+// NewServer returns a Server for the membership and the snapshot store of f.
+func NewServer(f *Follower) *Server {
+	return &Server{members: f.cfg.Members, store: f.cfg.Store, follower: f, full: make(chan struct{}, maxFullSyncs)}
 }
 
 // Register adds the methods of s to r under ServiceName. Polls end early when ctx is done.
@@ -207,8 +208,18 @@
 }
 
 // Highest returns the highest version that this daemon knows of.
-func (s *service) Highest(_ HighestArgs, reply *HighestReply) error {
-	s.members.Do(func(_ time.Time, m *membership.State) { reply.Highest = m.Highest() })
+func (s *service) Highest(args HighestArgs, reply *HighestReply) error {
+	if args.Fresh {
+		reply.Head, reply.Fresh = s.follower.freshHead(s.ctx)
+	}
+	var holders []membership.Holder
+	s.members.Do(func(_ time.Time, m *membership.State) { reply.Highest, holders = m.Highest(), m.Holders() })
+	records := s.members.View().Records
+	for _, h := range holders {
+		if r, live := records[h.Instance]; live {
+			reply.Holders = append(reply.Holders, r.RPCAddr)
+		}
+	}
 	return nil
 }
 
--- a/agent/peer/sync/store_test.go
+++ b/agent/peer/sync/store_test.go
@@ -63,7 +63,7 @@
 func TestFullSyncsAreBounded(t *testing.T) {
 	run(t, 3, 3, func(is *is.I, c *cluster) {
 		d := c.daemons[0]
-		server := &service{Server: NewServer(d, d.store), ctx: context.Background()}
+		server := &service{Server: NewServer(d.Follower), ctx: context.Background()}
 		for range maxFullSyncs {
 			is.True(server.beginFull())
 		}
