--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -133,6 +134,32 @@
 	return slices.Clone(f.refusals)
 }
 
+// Status is the state of the distribution at one daemon, for operators.
+type Status struct {
+	// Version is the version in force, Highest the highest one heard of.
+	Version, Highest snapshot.Version
+	// Floor is the version floor; FloorExact tells that the platform was asked.
+	Floor                  snapshot.Version
+	FloorKnown, FloorExact bool
+	Ready, Leading         bool
+	// Parents lists the daemons polled for new versions, the preferred one first.
+	Parents     []endpoint.InstanceID
+	Unreachable []string
+	Refusals    []Refusal
+}
+
+// Status returns the present state.
+func (f *Follower) Status() Status {
+	s := Status{
+		Version: f.cfg.Store.Version(), FloorExact: f.floor.Exact(), Ready: f.Ready(), Leading: f.Leading(),
+		Parents: f.parents(), Refusals: f.Refusals(),
+		Unreachable: slices.Sorted(maps.Keys(f.cfg.Members.View().Unreachable)),
+	}
+	s.Floor, s.FloorKnown = f.floor.Value()
+	f.cfg.Members.Do(func(_ time.Time, m *membership.State) { s.Highest = m.Highest() })
+	return s
+}
+
 // apply puts d in force or reports why not. It returns ErrOtherBase if a complete delta is needed.
 func (f *Follower) apply(d *snapshot.Delta, source string) error {
 	f.applyMu.Lock()
--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -43,6 +44,11 @@
 	c.platform.set(func() { c.platform.head = v })
 }
 
+func (c *cluster) head() (v snapshot.Version) {
+	c.platform.set(func() { v = c.platform.head })
+	return v
+}
+
 func (c *cluster) setDown(down bool) { c.platform.set(func() { c.platform.down = down }) }
 
 // leaders returns the daemons that hold a lease.
@@ -267,6 +273,68 @@
 	})
 }
 
+// step is one event of a generated history, after which the given time passes.
+type step struct {
+	action, instance int
+	wait             time.Duration
+}
+
+// do runs a step; incarnations of restarted daemons follow the clock.
+func (c *cluster) do(s step) {
+	d := c.daemons[s.instance]
+	switch s.action {
+	case 0:
+		c.accept(c.head() + 1)
+	case 1:
+		d.kill()
+		c.start(s.instance, d.record.Domain)
+	case 2:
+		d.frozen.Store(true)
+	case 3:
+		c.setCut(d.record.Domain, true)
+	case 4:
+		c.setDown(true)
+	case 5:
+		c.heal()
+	}
+	time.Sleep(s.wait)
+}
+
+func (c *cluster) heal() {
+	c.setDown(false)
+	for _, d := range c.daemons {
+		d.frozen.Store(false)
+		c.setCut(d.record.Domain, false)
+	}
+}
+
+// Guards against any history of failures, several at a time, after which a daemon does not reach
+// the head or is not ready, or in which a version falls (checked in onApply).
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var steps []step
+		for range rapid.IntRange(1, 8).Draw(rt, "steps") {
+			steps = append(steps, step{
+				rapid.IntRange(0, 5).Draw(rt, "action"), rapid.IntRange(0, 8).Draw(rt, "instance"),
+				time.Duration(rapid.IntRange(1, 8000).Draw(rt, "wait")) * time.Millisecond,
+			})
+		}
+		missing := ""
+		run(t, 9, 3, func(_ *is.I, c *cluster) {
+			for _, s := range steps {
+				c.do(s)
+			}
+			c.heal()
+			missing = c.within(3*changeLimit, c.daemons, func(d *daemon) bool {
+				return d.Ready() && d.store.Version() == c.head()
+			})
+		})
+		if missing != "" {
+			rt.Fatalf("after %v:%s", steps, missing)
+		}
+	})
+}
+
 // Guards against an invalid version that is put in force, applied in part, or blocks the next one.
 func TestInvalidVersionIsRefused(t *testing.T) {
 	run(t, 9, 3, func(is *is.I, c *cluster) {
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -180,16 +180,27 @@
 }
 
 // someMembers returns the addresses of up to n random members, or of seeds if no member is known.
+// At least half of them are in the own domain if it has enough, as the others may be cut off.
 func (f *Follower) someMembers(n int) []string {
-	addrs := f.reachable(false)
+	own := f.shuffle(f.reachable(true))
+	addrs := own[:min(len(own), n/2)]
+	for _, addr := range f.shuffle(f.reachable(false)) {
+		if len(addrs) < n && !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
 	if len(addrs) == 0 {
-		addrs = f.otherSeeds()
+		addrs = f.shuffle(f.otherSeeds())
 	}
-	for i := len(addrs) - 1; i > 0; i-- {
+	return addrs[:min(len(addrs), n)]
+}
+
+func (f *Follower) shuffle(list []string) []string {
+	for i := len(list) - 1; i > 0; i-- {
 		j := int(f.random(int64(i + 1)))
-		addrs[i], addrs[j] = addrs[j], addrs[i]
+		list[i], list[j] = list[j], list[i]
 	}
-	return addrs[:min(len(addrs), n)]
+	return list
 }
 
 // reachable returns the addresses of the other members in reachable domains, or only in the own
--- a/agent/peer/sync/store_test.go
+++ b/agent/peer/sync/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"testing"
 	"time"
 
@@ -11,6 +12,13 @@
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
+// A fixed seed gives each run the same histories and the same verdict; -rapid.seed and
+// -rapid.checks override it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "30")
+}
+
 func snapshotOf(v snapshot.Version) *snapshot.Snapshot {
 	return &snapshot.Snapshot{Version: v, ManifestHash: hashOf("manifest", uint64(v)), Manifest: *manifestOf(v)}
 }
--- a/pkg/distribution/distribution_test.go
+++ b/pkg/distribution/distribution_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -13,6 +14,9 @@
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
+// A fixed seed gives each run the same histories and the same verdict; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 func instances(n int) []endpoint.InstanceID {
 	var list []endpoint.InstanceID
 	for i := range n {
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -134,7 +134,8 @@
 			return
 		}
 	}
-	if len(s.ahead) < maxAhead {
-		s.ahead = append(s.ahead, Ahead{Instance: m.From, Version: m.Version, Since: now})
+	if len(s.ahead) == maxAhead {
+		s.ahead = slices.Delete(s.ahead, 0, 1) // it may be dead by now
 	}
+	s.ahead = append(s.ahead, Ahead{Instance: m.From, Version: m.Version, Since: now})
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -38,11 +38,9 @@
 }
 
 func (s *State) updateRecords(old, next *endpoint.View) {
-	next.Records = make(map[endpoint.InstanceID]endpoint.Record, s.Size())
-	maps.Copy(next.Records, old.Records)
-	next.ByService = maps.Clone(old.ByService)
-	if next.ByService == nil {
-		next.ByService = map[string][]endpoint.Record{}
+	next.Records, next.ByService = maps.Clone(old.Records), maps.Clone(old.ByService)
+	if old.Records == nil {
+		next.Records, next.ByService = map[endpoint.InstanceID]endpoint.Record{}, map[string][]endpoint.Record{}
 	}
 	added := map[string][]endpoint.Record{}
 	for id := range s.changed {
