Events: give the call transport numbers of its own, log UTC times

The probes and the call transport both used 4101 to 4103, so that an alert on one of these numbers meant two things. The events of the call transport are now 4301 to 4305. The time of a log line was in seconds since 1970; it is now an RFC 3339 time in UTC with milliseconds under the key "time", which can be compared by eye with config status and with other instances.

--- a/lib/event/event.go
+++ b/lib/event/event.go
@@ -3,6 +3,8 @@
 package event
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -30,6 +32,8 @@
 	config.Sampling = nil
 	config.DisableStacktrace = true
 	config.DisableCaller = true
+	config.EncoderConfig.TimeKey = "time"
+	config.EncoderConfig.EncodeTime = encodeTime
 	base, err := config.Build()
 	if err != nil {
 		return nil, err
@@ -37,6 +41,12 @@
 	return &Logger{zap: base}, nil
 }
 
+// encodeTime writes the time in UTC with milliseconds, so that the lines of many instances can be
+// compared by eye.
+func encodeTime(t time.Time, encoder zapcore.PrimitiveArrayEncoder) {
+	encoder.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
+}
+
 // Nop returns a Logger that drops everything.
 func Nop() *Logger { return &Logger{zap: zap.NewNop()} }
 
--- a/lib/event/transport.go
+++ b/lib/event/transport.go
@@ -8,11 +8,11 @@
 	BackendGone        = Event{3002, zapcore.WarnLevel, "backend server is gone"}
 	BackendConnFailed  = Event{3003, zapcore.WarnLevel, "cannot open a connection to the backend server"}
 	AnnounceRejected   = Event{3004, zapcore.WarnLevel, "announcement rejected"}
-	CallConnRejected   = Event{4101, zapcore.WarnLevel, "call connection closed because of a protocol error"}
-	CallConnLimit      = Event{4102, zapcore.WarnLevel, "call connection refused at the connection limit"}
-	CallAttemptRefused = Event{4103, zapcore.WarnLevel, "attempt refused because it is fenced or a duplicate"}
-	CallResponseLost   = Event{4104, zapcore.DebugLevel, "response could not be delivered to the sending daemon"}
-	CallFenceFailed    = Event{4105, zapcore.WarnLevel, "fence got no answer"}
+	CallConnRejected   = Event{4301, zapcore.WarnLevel, "call connection closed because of a protocol error"}
+	CallConnLimit      = Event{4302, zapcore.WarnLevel, "call connection refused at the connection limit"}
+	CallAttemptRefused = Event{4303, zapcore.WarnLevel, "attempt refused because it is fenced or a duplicate"}
+	CallResponseLost   = Event{4304, zapcore.DebugLevel, "response could not be delivered to the sending daemon"}
+	CallFenceFailed    = Event{4305, zapcore.WarnLevel, "fence got no answer"}
 
 	StandinBackendStarted  = Event{8101, zapcore.InfoLevel, "stand-in backend server started"}
 	StandinBackendDraining = Event{8102, zapcore.InfoLevel, "stand-in backend server is draining"}
