--- a/agent/settings.go
+++ b/agent/settings.go
@@ -66,18 +66,20 @@
 	fail := func(section, key, reason string) {
 		faults = append(faults, &settings.Error{File: path, Section: section, Key: key, Reason: reason})
 	}
-	for key, value := range map[string]string{"instance": s.Daemon.Instance, "failure-domain": s.Daemon.FailureDomain} {
-		if strings.TrimSpace(value) == "" {
-			fail("daemon", key, "must not be empty")
-		}
+	if strings.TrimSpace(s.Daemon.Instance) == "" {
+		fail("daemon", "instance", "must not be empty")
+	}
+	if strings.TrimSpace(s.Daemon.FailureDomain) == "" {
+		fail("daemon", "failure-domain", "must not be empty")
 	}
 	if _, err := s.logLevel(); err != nil {
 		fail("daemon", "log-level", err.Error())
 	}
-	for key, value := range map[string]string{"table-url": s.Platform.TableURL, "object-url": s.Platform.ObjectURL} {
-		if !strings.HasPrefix(value, "http://") && !strings.HasPrefix(value, "https://") {
-			fail("platform", key, "must start with http:// or https://")
-		}
+	if !isHTTP(s.Platform.TableURL) {
+		fail("platform", "table-url", "must start with http:// or https://")
+	}
+	if !isHTTP(s.Platform.ObjectURL) {
+		fail("platform", "object-url", "must start with http:// or https://")
 	}
 	if len(faults) > 0 {
 		return faults
@@ -85,7 +87,14 @@
 	return nil
 }
 
+func isHTTP(url string) bool {
+	return strings.HasPrefix(url, "http://") || strings.HasPrefix(url, "https://")
+}
+
 func (s *Settings) logLevel() (zapcore.Level, error) {
 	level, err := zapcore.ParseLevel(s.Daemon.LogLevel)
-	return level, errors.Wrap(err, "log level")
+	if err != nil || level > zapcore.ErrorLevel {
+		return level, errors.Errorf("%q is not debug, info, warn or error", s.Daemon.LogLevel)
+	}
+	return level, nil
 }
--- a/cli/cmd/administration.go
+++ b/cli/cmd/administration.go
@@ -19,7 +19,7 @@
 
 // administrationOptions are the options of every command that calls the administration API.
 type administrationOptions struct {
-	Settings string `long:"settings" env:"KINGCUPWOOD_SETTINGS" required:"true" value-name:"FILE" description:"INI settings file with the section [administration]"`
+	Settings string `long:"settings" env:"KINGCUPWOOD_SETTINGS" required:"true" value-name:"FILE" description:"INI settings file with the section [administration] (required)"`
 }
 
 // administrationSettings is the settings file of an operator.
@@ -62,8 +62,8 @@
 // changeOptions are the options of the commands that change the configuration.
 type changeOptions struct {
 	administrationOptions
-	Seen  uint64 `long:"seen" required:"true" value-name:"VERSION" description:"version that you saw; the change is refused if another one is in force"`
-	Token string `long:"token" value-name:"TOKEN" description:"change token; repeat a command with the token of the first run"`
+	Seen  uint64 `long:"seen" required:"true" value-name:"VERSION" description:"version that you saw, as printed by config diff and config status; the change is refused if another one is in force (required)"`
+	Token string `long:"token" value-name:"TOKEN" description:"change token; repeat a command with the token of the first run (default: a new random token)"`
 }
 
 // unknownOutcomeError means that the change may have taken effect or may still do so.
--- a/cli/cmd/administration_test.go
+++ b/cli/cmd/administration_test.go
@@ -59,6 +59,8 @@
 	is.Equal(Main([]string{"config", "accept", "pages"}), exitUsage)
 	is.Equal(Main([]string{"config", "status", "--settings", settingsFile(t, "[administration]\ntokn = x\n")}), exitFailed)
 	is.Equal(Main([]string{"platform", "--settings", settingsFile(t, "[platform]\n")}), exitFailed)
+	// A missing version could make an open change look refused.
+	is.Equal(Main([]string{"config", "status", "--settings", settingsFile(t, ""), "--change", "token"}), exitUsage)
 	for _, c := range []string{"show", "diff", "accept", "withdraw", "status"} {
 		is.Equal(Main([]string{"config", c, "--help"}), exitOK)
 	}
--- a/cli/cmd/backend.go
+++ b/cli/cmd/backend.go
@@ -14,7 +14,7 @@
 )
 
 type backendCommand struct {
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file"`
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file, see docs/settings.md (required)"`
 }
 
 // Execute runs the stand-in backend server until SIGTERM, SIGINT or a request to drain.
--- a/cli/cmd/config_accept.go
+++ b/cli/cmd/config_accept.go
@@ -9,7 +9,7 @@
 
 type configAcceptCommand struct {
 	changeOptions
-	Draft string          `long:"draft" required:"true" value-name:"HASH" description:"hash of the draft, as printed by answers submit and config diff"`
+	Draft string          `long:"draft" required:"true" value-name:"HASH" description:"hash of the draft, as printed by answers submit and config diff (required)"`
 	Args  serviceArgument `positional-args:"yes"`
 }
 
--- a/cli/cmd/config_status.go
+++ b/cli/cmd/config_status.go
@@ -5,24 +5,30 @@
 	"fmt"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
 	"kingcupwood.example/kingcupwood/agent/operator"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
 type configStatusCommand struct {
 	administrationOptions
-	Change string `long:"change" value-name:"TOKEN" description:"ask what became of the change with this token"`
-	Seen   uint64 `long:"seen" value-name:"VERSION" description:"version on which that change was made"`
+	Change string  `long:"change" value-name:"TOKEN" description:"ask what became of the change with this token; needs --seen"`
+	Seen   *uint64 `long:"seen" value-name:"VERSION" description:"the --seen of that change"`
 }
 
 // Execute prints the state of the platform and of one daemon, or the outcome of a change.
 func (c *configStatusCommand) Execute([]string) error {
+	// Without the version, a change that may still take effect could be taken for a refused one.
+	if (c.Change != "") != (c.Seen != nil) {
+		return &flags.Error{Type: flags.ErrRequired, Message: "--change and --seen go together"}
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
 	}
 	if c.Change != "" {
-		outcome, err := client.Outcome(context.Background(), c.Change, snapshot.Version(c.Seen))
+		outcome, err := client.Outcome(context.Background(), c.Change, snapshot.Version(*c.Seen))
 		if err != nil {
 			return err
 		}
--- a/cli/cmd/config_withdraw.go
+++ b/cli/cmd/config_withdraw.go
@@ -9,7 +9,7 @@
 
 type configWithdrawCommand struct {
 	changeOptions
-	To   uint64          `long:"to" required:"true" value-name:"REVISION" description:"earlier revision to put in force again; 0 removes the service"`
+	To   uint64          `long:"to" required:"true" value-name:"REVISION" description:"earlier revision to put in force again; 0 removes the service (required)"`
 	Args serviceArgument `positional-args:"yes"`
 }
 
--- a/cli/cmd/daemon.go
+++ b/cli/cmd/daemon.go
@@ -14,7 +14,7 @@
 )
 
 type daemonCommand struct {
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file"`
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file, see docs/settings.md (required)"`
 }
 
 // Execute runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
--- a/cli/cmd/platform.go
+++ b/cli/cmd/platform.go
@@ -20,7 +20,7 @@
 const platformHeaderTimeout = 10 * time.Second
 
 type platformCommand struct {
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file"`
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file, see docs/settings.md (required)"`
 }
 
 // Execute runs the stand-in for the table service and the object store until a signal arrives.
--- a/cli/cmd/report.go
+++ b/cli/cmd/report.go
@@ -28,7 +28,7 @@
 type reportCommand struct {
 	administrationOptions
 	Format string `long:"format" choice:"text" choice:"json" choice:"html" choice:"png" default:"text" description:"format of the report"`
-	Output string `long:"output" value-name:"FILE" description:"file to write to instead of standard output"`
+	Output string `long:"output" value-name:"FILE" description:"file to write to instead of standard output; an existing one is overwritten"`
 }
 
 // Execute asks all daemons for their counts and prints the service level of the whole system.
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -46,7 +46,7 @@
 
 // NewServer returns a server for checked settings.
 func NewServer(s *Settings, log *event.Logger) (*Server, error) {
-	times, err := parseRules(s.Work.ServiceTimes, time.ParseDuration)
+	times, err := parseRules(s.Work.ServiceTimes, parseServiceTime)
 	if err != nil {
 		return nil, errors.Wrap(err, "service-times")
 	}
--- a/standin/backend/settings.go
+++ b/standin/backend/settings.go
@@ -87,17 +87,19 @@
 	fault := func(section, key, reason string) {
 		faults = append(faults, &settings.Error{File: path, Section: section, Key: key, Reason: reason})
 	}
-	for key, n := range map[string]int{"slots": s.Server.Slots, "connections": s.Server.Connections} {
-		if n < 1 {
-			fault("backend", key, "must be at least 1")
-		}
+	if s.Server.Slots < 1 {
+		fault("backend", "slots", "must be at least 1")
 	}
-	for key, n := range map[string]int{"response-bytes": s.Work.ResponseBytes, "queue": s.Work.Queue} {
-		if n < 0 {
-			fault("work", key, "must not be negative")
-		}
+	if s.Server.Connections < 1 {
+		fault("backend", "connections", "must be at least 1")
+	}
+	if s.Work.ResponseBytes < 0 {
+		fault("work", "response-bytes", "must not be negative")
+	}
+	if s.Work.Queue < 0 {
+		fault("work", "queue", "must not be negative")
 	}
-	if _, err := parseRules(s.Work.ServiceTimes, time.ParseDuration); err != nil {
+	if _, err := parseRules(s.Work.ServiceTimes, parseServiceTime); err != nil {
 		fault("work", "service-times", err.Error())
 	}
 	if _, err := parseRules(s.Work.Calls, parseTarget); err != nil {
@@ -125,6 +127,14 @@
 	return rules, nil
 }
 
+func parseServiceTime(raw string) (time.Duration, error) {
+	value, err := time.ParseDuration(raw)
+	if err != nil || value < 0 {
+		return 0, errors.Errorf("%q is not a duration with a unit, such as 5ms", raw)
+	}
+	return value, nil
+}
+
 func parseTarget(raw string) (target, error) {
 	service, path, ok := strings.Cut(raw, "/")
 	if !ok || service == "" {
