Administration: say what a withdraw did in lists of changes

A withdraw that removed a service and one that repeated an earlier revision read the same in config show and in conflicts. The line now names the repeated revision or the removal.

--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -57,8 +57,15 @@
 
 // String describes the change in one line.
 func (c ChangeMessage) String() string {
-	return fmt.Sprintf("version %d: %s of %s revision %d by %s at %s",
-		c.Version, c.Action, c.Service, c.Revision, c.Operator, c.At.UTC().Format(time.RFC3339))
+	effect := ""
+	switch {
+	case c.Removed:
+		effect = ", which removed the service,"
+	case c.To > 0:
+		effect = fmt.Sprintf(", which repeats revision %d,", c.To)
+	}
+	return fmt.Sprintf("version %d: %s of %s revision %d%s by %s at %s",
+		c.Version, c.Action, c.Service, c.Revision, effect, c.Operator, c.At.UTC().Format(time.RFC3339))
 }
 
 // AcceptRequest asks to put a draft in force.
