Report: mark the only point of a rank in the plot

In its first minute a daemon has one bucket, and a line of one point is invisible, so that the PNG and HTML reports showed an empty plot. A single point is now drawn as a circle. The test fails without the mark.

--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -208,6 +208,12 @@
 	decoded, err := Decode(data.Bytes())
 	is.NoErr(err)
 	is.True(reflect.DeepEqual(decoded, r))
+	// The only point of a young daemon must be drawn as a mark, since a line of one point is invisible.
+	one := sampleReport(1)
+	one.Series = one.Series[:1]
+	var point bytes.Buffer
+	is.NoErr(one.WriteSVG(&point))
+	is.True(strings.Contains(point.String(), "fill:#D55E00"))
 	var empty bytes.Buffer
 	is.NoErr(New(Config{}, newClock().now).Report().WriteHTML(&empty))
 	if dir := os.Getenv("KINGCUPWOOD_PLOT"); dir != "" {
--- a/pkg/burn/plot.go
+++ b/pkg/burn/plot.go
@@ -171,6 +171,12 @@
 		line.Width = vg.Points(1.5)
 		line.Color = rankColors[(points[0].Rank-1)%len(rankColors)]
 		p.Add(line)
+		if len(xys) == 1 {
+			// A line of one point, as in the first minute, would be invisible.
+			if err := addPoint(p, xys, line.Color); err != nil {
+				return err
+			}
+		}
 		if p == share {
 			legend.Add(fmt.Sprintf("rank %d", points[0].Rank), line)
 		}
@@ -178,6 +184,17 @@
 	return nil
 }
 
+// addPoint marks the only point of a rank.
+func addPoint(p *plot.Plot, xys plotter.XYs, c color.Color) error {
+	points, err := plotter.NewScatter(xys)
+	if err != nil {
+		return errors.Wrap(err, "plot a point")
+	}
+	points.GlyphStyle = draw.GlyphStyle{Color: c, Radius: vg.Points(3), Shape: draw.CircleGlyph{}}
+	p.Add(points)
+	return nil
+}
+
 // arrange draws the plots below each other with the same time axis, and the legend beside them.
 func arrange(canvas draw.Canvas, legend plot.Legend, plots ...*plot.Plot) {
 	canvas.SetColor(color.White)
