Document every key of the settings files, checked by a test

docs/settings.md lists section, key, type, unit, default and meaning for the daemon, both stand-ins and the administration commands. The test compares section, key, type and default with the code: settings.Keys lists the keys of a settings struct, platform.Keys those of the platform stand-in, whose loader now rejects unknown keys from the same list. A second test loads the example settings.

--- /dev/null
+++ b/cli/cmd/settings_test.go
@@ -0,0 +1,111 @@
+package cmd
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/agent"
+	"kingcupwood.example/kingcupwood/lib/settings"
+	"kingcupwood.example/kingcupwood/standin/backend"
+	"kingcupwood.example/kingcupwood/standin/platform"
+)
+
+const (
+	settingsPage    = "../../docs/settings.md"
+	settingsExample = "../../examples/settings"
+)
+
+// Guards against settings that are documented differently from what the program reads: a key that is
+// missing, extra, in another order, or has another type or default.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for heading, keys := range map[string][]settings.Key{
+		"Daemon":                  settings.Keys(&agent.Settings{}),
+		"Platform stand-in":       platform.Keys,
+		"Backend server stand-in": settings.Keys(&backend.Settings{}),
+		"Administration":          settings.Keys(&administrationSettings{}),
+	} {
+		t.Run(heading, func(t *testing.T) {
+			is := is.New(t)
+			_, after, found := strings.Cut(string(page), "\n## "+heading+"\n")
+			is.True(found) // the page has no such heading
+			chapter, _, _ := strings.Cut(after, "\n## ")
+			rows := documentedKeys(t, chapter)
+			for n, key := range keys {
+				is.True(n < len(rows)) // a key is missing at the end
+				is.Equal(rows[n], documentedForm(key))
+			}
+			is.Equal(len(rows), len(keys)) // a row without a key
+		})
+	}
+}
+
+// documentedForm returns the cells for section, key, type and default of a key.
+func documentedForm(k settings.Key) string {
+	section, value := k.Section, k.Default
+	if strings.HasSuffix(section, " ") {
+		section += "NAME"
+	}
+	switch {
+	case k.Required:
+		value = "required"
+	case value == "":
+		value = "none"
+	}
+	return fmt.Sprintf("`[%s]` `%s` %s %s", section, k.Name, k.Type, value)
+}
+
+// documentedKeys returns the same cells of every row of the table in a chapter.
+func documentedKeys(t *testing.T, chapter string) []string {
+	t.Helper()
+	var rows []string
+	for line := range strings.Lines(chapter) {
+		if !strings.HasPrefix(line, "| `[") {
+			continue
+		}
+		cells := strings.Split(strings.ReplaceAll(strings.TrimSpace(line), `\|`, ""), "|")
+		const cellsOfRow = 8 // six and the empty text outside the outer bars
+		if len(cells) != cellsOfRow {
+			t.Fatalf("row has %d cells: %s", len(cells), line)
+		}
+		for n := range cells {
+			cells[n] = strings.TrimSpace(cells[n])
+		}
+		needsUnit := cells[3] == settings.TypeInt || cells[3] == settings.TypeFloat || cells[3] == settings.TypeDuration
+		if cells[6] == "" || needsUnit != (cells[4] != "") {
+			t.Errorf("meaning or unit is missing: %s", line)
+		}
+		rows = append(rows, strings.Join([]string{cells[1], cells[2], cells[3], cells[5]}, " "))
+	}
+	return rows
+}
+
+// Guards against example settings that README.md uses and the program refuses.
+func TestExampleSettings(t *testing.T) {
+	is := is.New(t)
+	names, err := filepath.Glob(filepath.Join(settingsExample, "*.ini"))
+	is.NoErr(err)
+	loaders := map[string]func(string) error{
+		"daemon":         func(path string) error { _, err := agent.LoadSettings(path); return err },
+		"platform":       func(path string) error { _, err := platform.LoadConfig(path); return err },
+		"backend":        func(path string) error { _, err := backend.Load(path); return err },
+		"administration": func(path string) error { _, err := administrationOptions{Settings: path}.load(); return err },
+	}
+	loaded := map[string]int{}
+	for _, name := range names {
+		kind, _, _ := strings.Cut(strings.TrimSuffix(filepath.Base(name), ".ini"), "-")
+		load, known := loaders[kind]
+		is.True(known) // the name of an example does not tell what it is for
+		is.NoErr(load(name))
+		loaded[kind]++
+	}
+	is.Equal(loaded, map[string]int{"daemon": 2, "platform": 1, "backend": 2, "administration": 1})
+}
--- a/standin/platform/settings.go
+++ b/standin/platform/settings.go
@@ -25,6 +25,16 @@
 	sha256Bytes    = 32
 )
 
+// Keys describes the keys of a settings file. The section of an operator ends with the name of the
+// operator and may occur several times.
+var Keys = []settings.Key{
+	{Section: mainSection, Name: "listen", Type: settings.TypeAddress, Required: true},
+	{Section: mainSection, Name: "table", Type: settings.TypeText, Default: DefaultTable},
+	{Section: mainSection, Name: "bucket", Type: settings.TypeText, Default: DefaultBucket},
+	{Section: operatorPrefix, Name: "token-sha256", Type: settings.TypeText, Required: true},
+	{Section: operatorPrefix, Name: "services", Type: settings.TypeList, Required: true},
+}
+
 // Operator is one operator in the table.
 type Operator struct {
 	Name string
@@ -95,7 +105,7 @@
 }
 
 func (l *loader) main(section *ini.Section, config *Config) {
-	l.rejectUnknown(section, "listen", "table", "bucket")
+	l.rejectUnknown(section, mainSection)
 	addr, err := netip.ParseAddrPort(section.Key("listen").String())
 	if err != nil {
 		l.fail(mainSection, "listen", "%q is not an IP address with a port, such as 127.0.0.1:7000", section.Key("listen").String())
@@ -106,7 +116,7 @@
 }
 
 func (l *loader) operator(section *ini.Section) Operator {
-	l.rejectUnknown(section, "token-sha256", "services")
+	l.rejectUnknown(section, operatorPrefix)
 	operator := Operator{
 		Name:        strings.TrimSpace(strings.TrimPrefix(section.Name(), operatorPrefix)),
 		TokenSHA256: section.Key("token-sha256").String(),
@@ -122,9 +132,11 @@
 	return operator
 }
 
-func (l *loader) rejectUnknown(section *ini.Section, known ...string) {
+// rejectUnknown reports the keys of section that Keys does not list for its kind of section.
+func (l *loader) rejectUnknown(section *ini.Section, kind string) {
 	for _, key := range section.Keys() {
-		if !slices.Contains(known, key.Name()) {
+		isKnown := func(k settings.Key) bool { return k.Section == kind && k.Name == key.Name() }
+		if !slices.ContainsFunc(Keys, isKnown) {
 			l.fail(section.Name(), key.Name(), "unknown key")
 		}
 	}
