Report the outcome of all attempts of a request to its caller

Cause: the outcome of the last step alone decided what a caller got. With no server left for a retry the caller got "no endpoint" in place of the complete response or the cause and Retry-After of the attempt before. A refusal after an attempt that may have run had status 503, which stands for not run. A truncated response passed as a complete one with an empty body, so that views were not retried and the reason was lost. A timeout behind the receiving daemon gave 502 in place of 504, and a header too large for a frame 503 and three useless retries.

Change: result collects the strongest verdict and keeps a complete response until there is another one. A response with a reason is a failure. The status of the receiving daemon stands. A fence is asked only if no response arrived.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,22 +25,6 @@
 	maxFenceTimeout = 250 * time.Millisecond
 )
 
-// result is the outcome of a request after its last attempt: a complete response of a backend
-// server, or a refusal.
-type result struct {
-	response *call.Response
-	refusal  *refusal
-	attempts int
-}
-
-// verdict returns what is known about the request as a whole.
-func (r *result) verdict() verdict.Verdict {
-	if r.response != nil {
-		return verdict.Ran
-	}
-	return r.refusal.verdict
-}
-
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	response *call.Response
@@ -52,49 +35,35 @@
 // run sends e to backend servers until one answers or no further attempt is allowed. It never
 // sends a non-idempotent request again unless the earlier attempt is proved not to have run.
 func (h *Handler) run(ctx context.Context, e *exchange) *result {
-	res := &result{}
-	mayHaveRun := false
+	res := newResult()
 	var tried []endpoint.InstanceID
 	h.config.Budget.Deposit()
 	for {
 		left := retry.HopTimeout(e.deadline.Sub(h.config.Now()))
 		if left <= 0 {
-			res.refusal = timeoutRefusal(mayHaveRun)
-			return res
+			return res.end(timeoutRefusal())
 		}
 		pick, err := h.config.Selector.Pick(e.service.Name, tried)
 		if err != nil {
-			return res.fail(h.noEndpoint(e, err), mayHaveRun)
+			if res.attempts > 0 {
+				return res.end(res.refusal) // tells more than that no further server is left
+			}
+			return res.end(h.noEndpoint(e, err))
 		}
-		res.attempts++
 		a := h.attempt(ctx, e, pick, left)
+		res.add(&a)
 		if a.err == nil && !h.retryResponse(e, a.response, res.attempts) {
-			res.response = a.response
 			return res
 		}
-		mayHaveRun = mayHaveRun || a.verdict != verdict.NotRun
 		if !h.mayRetry(ctx, e, &a, res.attempts) {
-			return res.fail(attemptRefusal(&a), mayHaveRun)
+			return res.end(res.refusal)
 		}
 		tried = append(tried, pick.Record().Instance)
 	}
 }
 
-// fail ends r with refusal f, whose verdict accounts for all attempts.
-func (r *result) fail(f *refusal, mayHaveRun bool) *result {
-	if mayHaveRun {
-		f.verdict = verdict.MayHaveRun
-	}
-	r.refusal = f
-	return r
-}
-
-func timeoutRefusal(mayHaveRun bool) *refusal {
-	f := refuse(http.StatusGatewayTimeout, "the deadline has passed")
-	if mayHaveRun {
-		f.verdict = verdict.MayHaveRun
-	}
-	return f
+func timeoutRefusal() *refusal {
+	return refuse(http.StatusGatewayTimeout, "the deadline has passed")
 }
 
 func (h *Handler) noEndpoint(e *exchange, err error) *refusal {
@@ -103,14 +72,19 @@
 	return f
 }
 
-// attemptRefusal turns a failed attempt into the answer for the caller.
+// attemptRefusal turns a failed attempt into the answer for the caller. The status of a receiving
+// daemon stands, since it knows the cause.
 func attemptRefusal(a *attemptResult) *refusal {
 	f := &refusal{status: http.StatusBadGateway, verdict: a.verdict, reason: a.err.Error()}
-	if a.verdict == verdict.NotRun {
-		f.status = http.StatusServiceUnavailable
-	}
-	if errors.Is(a.err, context.DeadlineExceeded) {
+	switch {
+	case a.response != nil && a.response.Status != 0:
+		f.status = a.response.Status
+	case errors.Is(a.err, call.ErrRequestTooLarge):
+		f.status = http.StatusRequestEntityTooLarge
+	case errors.Is(a.err, context.DeadlineExceeded):
 		f.status = http.StatusGatewayTimeout
+	case a.verdict == verdict.NotRun:
+		f.status = http.StatusServiceUnavailable
 	}
 	if a.response != nil {
 		f.retryAfter = a.response.RetryAfter
@@ -131,7 +105,7 @@
 	if a.err == nil {
 		return true // paid for in retryResponse
 	}
-	if attempts >= maxAttempts || ctx.Err() != nil {
+	if attempts >= maxAttempts || ctx.Err() != nil || errors.Is(a.err, call.ErrRequestTooLarge) {
 		return false
 	}
 	if a.verdict != verdict.NotRun && !e.kind.Idempotent {
@@ -153,7 +127,7 @@
 	sendCtx, cancel := context.WithTimeout(ctx, left)
 	a := classify(h.send(sendCtx, record, &req))
 	cancel()
-	if a.verdict == verdict.MayHaveRun && !e.kind.Idempotent {
+	if a.verdict == verdict.MayHaveRun && a.response == nil && !e.kind.Idempotent {
 		a.verdict = h.fence(ctx, e, record, req.Attempt)
 	}
 	pick.Done(pickResult(&a, h.config.Now().Sub(started)))
@@ -167,13 +141,13 @@
 	return h.config.Remote.Do(ctx, record.CallAddr, req)
 }
 
-// classify reads the outcome of one send. A response whose verdict is not Ran is a refusal by the
-// receiving daemon or a failure behind it.
+// classify reads the outcome of one send. A response with a reason was made by the receiving daemon:
+// a refusal, or the report of a failure behind it.
 func classify(resp *call.Response, err error) attemptResult {
 	if err != nil {
 		return attemptResult{verdict: verdict.Of(err), err: err}
 	}
-	if resp.Verdict == verdict.Ran && resp.Status != 0 {
+	if resp.Verdict == verdict.Ran && resp.Reason == "" && resp.Status >= http.StatusOK {
 		return attemptResult{response: resp, verdict: verdict.Ran}
 	}
 	return attemptResult{response: resp, verdict: resp.Verdict, err: errors.New(resp.Reason)}
@@ -199,21 +173,3 @@
 func (h *Handler) nextAttempt() fence.AttemptID {
 	return fence.AttemptID{Sender: h.config.Incarnation, Seq: h.sequence.Add(1)}
 }
-
-// writeResponse sends the complete response of a backend server to the caller.
-func (h *Handler) writeResponse(w http.ResponseWriter, e *exchange, res *result) {
-	header := w.Header()
-	for name, values := range res.response.Header {
-		header[name] = values
-	}
-	setCommon(header, e, res)
-	header.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
-	w.WriteHeader(res.response.Status)
-	_, _ = w.Write(res.response.Body) // the caller has gone if this fails
-}
-
-func setCommon(header http.Header, e *exchange, res *result) {
-	header.Set(verdict.Header, res.verdict().String())
-	header.Set(HeaderVersion, strconv.FormatUint(uint64(e.snap.Version), 10))
-	header.Set(HeaderAttempts, strconv.Itoa(res.attempts))
-}
--- /dev/null
+++ b/agent/caller/attempts_test.go
@@ -0,0 +1,234 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// script answers the attempts one after the other; the last entry repeats.
+type script []func(r *call.Request) (*call.Response, error)
+
+func (s script) do() func(context.Context, string, *call.Request) (*call.Response, error) {
+	n := 0
+	return func(_ context.Context, _ string, r *call.Request) (*call.Response, error) {
+		step := s[min(n, len(s)-1)]
+		n++
+		return step(r)
+	}
+}
+
+func runs(r *call.Request) (*call.Response, error)    { return ran(r), nil }
+func refuses(r *call.Request) (*call.Response, error) { return refused(r, false), nil }
+func drains(r *call.Request) (*call.Response, error)  { return refused(r, true), nil }
+func breaks(*call.Request) (*call.Response, error) {
+	return nil, verdict.Wrap(verdict.MayHaveRun, io.EOF)
+}
+func cannotConnect(*call.Request) (*call.Response, error) {
+	return nil, verdict.Wrap(verdict.NotRun, io.EOF)
+}
+func failsBehind(r *call.Request) (*call.Response, error) {
+	return call.ErrorResponse(r.Attempt, verdict.Wrap(verdict.MayHaveRun, io.EOF)), nil
+}
+func truncates(r *call.Request) (*call.Response, error) {
+	return call.ErrorResponse(r.Attempt, verdict.Wrap(verdict.Ran, io.ErrUnexpectedEOF)), nil
+}
+func unavailable(r *call.Request) (*call.Response, error) {
+	resp := ran(r)
+	resp.Status, resp.Body = http.StatusServiceUnavailable, []byte("overloaded")
+	return resp, nil
+}
+
+// Guards against a retry that could run a request twice, against giving up although a retry is safe,
+// and against a verdict that is not true.
+func TestRetries(t *testing.T) {
+	const never, started, unknown = fence.NeverWillRun, fence.HasStarted, fence.Unknown
+	for name, c := range map[string]struct {
+		method   string
+		script   script
+		fence    fence.Answer
+		attempts int
+		fences   int
+		status   int
+		verdict  string
+	}{
+		"view after a broken connection":          {"GET", script{breaks, runs}, unknown, 2, 0, 200, "ran"},
+		"view after a failure behind":             {"GET", script{failsBehind, runs}, unknown, 2, 0, 200, "ran"},
+		"view after a truncated response":         {"GET", script{truncates, runs}, unknown, 2, 0, 200, "ran"},
+		"view refused, then broken":               {"GET", script{refuses, breaks}, unknown, 4, 0, 502, "may-have-run"},
+		"view broken, then refused":               {"GET", script{breaks, refuses}, unknown, 4, 0, 502, "may-have-run"},
+		"view truncated, then refused":            {"GET", script{truncates, refuses}, unknown, 4, 0, 502, "ran"},
+		"view of an overloaded service":           {"GET", script{unavailable}, unknown, 4, 0, 503, "ran"},
+		"view of an overloaded server":            {"GET", script{unavailable, runs}, unknown, 2, 0, 200, "ran"},
+		"save after a refusal":                    {"POST", script{refuses, runs}, unknown, 2, 0, 200, "ran"},
+		"save without a connection":               {"POST", script{cannotConnect, runs}, unknown, 2, 0, 200, "ran"},
+		"save refused by all":                     {"POST", script{refuses}, unknown, 4, 0, 503, "not-run"},
+		"save after a failure behind":             {"POST", script{failsBehind, runs}, unknown, 1, 0, 502, "may-have-run"},
+		"save after a truncated response":         {"POST", script{truncates, runs}, unknown, 1, 0, 502, "ran"},
+		"save answered with 503":                  {"POST", script{unavailable, runs}, unknown, 1, 0, 503, "ran"},
+		"save lost, never will run":               {"POST", script{breaks, runs}, never, 2, 1, 200, "ran"},
+		"save lost, has started":                  {"POST", script{breaks, runs}, started, 1, 1, 502, "may-have-run"},
+		"save lost, no answer":                    {"POST", script{breaks, runs}, unknown, 1, 1, 502, "may-have-run"},
+		"save lost, never will run, then refused": {"POST", script{breaks, refuses}, never, 4, 1, 503, "not-run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench("a", "b", "c", "d", "e", "f")
+			b.remote.do = c.script.do()
+			b.remote.fenceDo = func(context.Context, string, fence.AttemptID) fence.Answer { return c.fence }
+			w := b.serveHTTP(request(c.method, "/pages/1", "text"))
+			is.Equal(w.Code, c.status)
+			is.Equal(verdictOf(w), c.verdict)
+			is.Equal(w.Header().Get(HeaderAttempts), strconv.Itoa(c.attempts))
+			is.Equal(len(b.remote.fenced), c.fences)
+			is.Equal(b.remote.sent[c.attempts-1].Attempt.Seq, uint64(c.attempts)) // each has its own ID
+			seen := map[string]bool{}
+			for _, addr := range b.remote.addrs {
+				is.True(!seen[addr]) // no server is tried twice
+				seen[addr] = true
+			}
+		})
+	}
+}
+
+// Guards against a response or a cause that is lost because no other server is left for a retry.
+func TestOutcomeWithoutAnotherServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		script  script
+		status  int
+		verdict string
+		body    string
+	}{
+		"unavailable": {script{unavailable}, 503, "ran", "overloaded"},
+		"refused":     {script{refuses}, 503, "not-run", "queue full\n"},
+		"broken":      {script{breaks}, 502, "may-have-run", "EOF (may-have-run)\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench("a")
+			b.remote.do = c.script.do()
+			w := b.serveHTTP(request("GET", "/pages/1", ""))
+			is.Equal(w.Code, c.status)
+			is.Equal(verdictOf(w), c.verdict)
+			is.Equal(w.Body.String(), c.body)
+		})
+	}
+}
+
+// Guards against retries beyond the budget, which multiply the load of an outage, and against
+// refusals by draining instances that use it up.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench("a", "b", "c", "d", "e", "f")
+		total := func(s script) int {
+			b.remote.sent = nil
+			b.remote.do = s.do()
+			for range 10 {
+				b.serveHTTP(request("POST", "/pages/1", ""))
+			}
+			return len(b.remote.sent)
+		}
+		is.Equal(total(script{cannotConnect}), 10+3) // 3 retries within the minimum
+		is.Equal(total(script{cannotConnect}), 10+1) // earned by 20 requests, less what the minimum covered
+		is.Equal(total(script{drains, runs}), 10+1)
+		is.Equal(total(script{runs}), 10)
+		for range 2 {
+			w := b.serveHTTP(request("POST", "/pages/1", ""))
+			is.Equal(w.Code, http.StatusOK)
+		}
+	})
+}
+
+// Guards against a retry that starts after the deadline, and against a request that outlives it.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench("a", "b")
+		start := time.Now()
+		b.remote.do = func(ctx context.Context, _ string, _ *call.Request) (*call.Response, error) {
+			<-ctx.Done()
+			return nil, verdict.Wrap(verdict.MayHaveRun, ctx.Err())
+		}
+		w := b.serveHTTP(request("GET", "/pages/1", "", HeaderTimeout, "300"))
+		is.Equal(w.Code, http.StatusGatewayTimeout)
+		is.Equal(verdictOf(w), "may-have-run")
+		is.Equal(b.remote.sent[0].Timeout, 294*time.Millisecond)
+		is.True(time.Since(start) < 300*time.Millisecond)
+
+		// A save that timed out and was fenced in time is known not to have run.
+		b.remote.fenceDo = func(context.Context, string, fence.AttemptID) fence.Answer { return fence.NeverWillRun }
+		w = b.serveHTTP(request("POST", "/pages/1", "", HeaderTimeout, "100"))
+		is.Equal(verdictOf(w), "not-run")
+		is.Equal(w.Code, http.StatusGatewayTimeout)
+	})
+}
+
+// Guards against a fence that holds the caller up, and against a late answer that is taken for a
+// proof.
+func TestLateFenceAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench("a", "b")
+		b.remote.do = script{breaks}.do()
+		b.remote.fenceDo = func(ctx context.Context, _ string, _ fence.AttemptID) fence.Answer {
+			<-ctx.Done()
+			return fence.Unknown // as call.Client answers when its context ends
+		}
+		start := time.Now()
+		w := b.serveHTTP(request("POST", "/pages/1", ""))
+		is.Equal(w.Code, http.StatusBadGateway)
+		is.Equal(verdictOf(w), "may-have-run")
+		is.Equal(len(b.remote.sent), 1)
+		is.Equal(time.Since(start), maxFenceTimeout)
+	})
+}
+
+// Guards against a chain of calls in which a hop has no time left for its own failure response: the
+// caller would see a broken connection or a plain timeout in place of a verdict.
+func TestChainOfCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var hops []*bench
+		start := time.Now()
+		for hop := range MaxDepth {
+			b := newBench("a")
+			b.remote.do = func(ctx context.Context, _ string, r *call.Request) (*call.Response, error) {
+				is.Equal(r.Depth, hop+1)
+				time.Sleep(time.Millisecond)
+				// The backend server calls the next service with the timeout and depth that it got.
+				if hop+1 < MaxDepth {
+					next := request("GET", "/pages/1", "", HeaderDepth, strconv.Itoa(r.Depth),
+						HeaderTimeout, strconv.FormatInt((r.Timeout-time.Millisecond).Milliseconds(), 10))
+					w := httptest.NewRecorder()
+					hops[hop+1].ServeHTTP(w, next.WithContext(ctx))
+					is.Equal(w.Code, http.StatusGatewayTimeout) // the failure of the next hop arrived in time
+					is.NoErr(ctx.Err())
+					resp := ran(r)
+					resp.Status, resp.Body = http.StatusGatewayTimeout, fmt.Appendf(nil, "hop %d failed", hop+1)
+					return resp, nil
+				}
+				<-ctx.Done()
+				return nil, verdict.Wrap(verdict.MayHaveRun, ctx.Err())
+			}
+			hops = append(hops, b)
+		}
+		w := hops[0].serveHTTP(request("GET", "/pages/1", ""))
+		is.Equal(w.Code, http.StatusGatewayTimeout)
+		is.Equal(w.Body.String(), "hop 1 failed")
+		is.True(time.Since(start) < viewDeadline)
+		is.True(time.Since(start) > viewDeadline/2) // the reserves do not eat up the deadline
+	})
+}
--- a/agent/caller/keys.go
+++ b/agent/caller/keys.go
@@ -55,7 +55,7 @@
 func (k *keyOwner) serve(ctx context.Context, e *exchange) *result {
 	owner, ok := Owner(k.handler.config.View(), e.service.Name, e.key)
 	if !ok {
-		return (&result{}).fail(k.handler.noEndpoint(e, errors.New("no backend server is ready")), false)
+		return newResult().end(k.handler.noEndpoint(e, errors.New("no backend server is ready")))
 	}
 	if owner.Instance == k.handler.config.Instance {
 		return k.runOwned(ctx, e)
@@ -91,24 +91,17 @@
 	req.Attempt = h.nextAttempt()
 	req.Timeout = retry.HopTimeout(e.deadline.Sub(h.config.Now()))
 	if req.Timeout <= 0 {
-		return (&result{}).fail(timeoutRefusal(false), false)
+		return newResult().end(timeoutRefusal())
 	}
-	res := &result{attempts: 1}
 	sendCtx, cancel := context.WithTimeout(ctx, req.Timeout)
 	a := classify(h.config.Remote.Do(sendCtx, owner.CallAddr, &req))
 	cancel()
-	if a.err == nil {
-		res.response = a.response
-		return res
-	}
 	if a.verdict == verdict.MayHaveRun && a.response == nil {
 		a.verdict = h.fence(ctx, e, owner, req.Attempt)
 	}
-	f := attemptRefusal(&a)
-	if a.response != nil && a.response.Status != 0 {
-		f.status = a.response.Status
-	}
-	return res.fail(f, false)
+	res := newResult()
+	res.add(&a)
+	return res.end(res.refusal)
 }
 
 // runOwned runs e unless its key was used before, and returns the outcome kept for the key.
@@ -125,7 +118,7 @@
 		return toOutcome(res), res.verdict() != verdict.NotRun
 	})
 	if err != nil {
-		return (&result{}).fail(keyRefusal(err), false)
+		return &result{refusal: keyRefusal(err)}
 	}
 	return outcome.result(attempts)
 }
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -1,8 +1,11 @@
 package caller
 
 import (
+	"net/http"
+	"strconv"
 	"time"
 
+	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/selection"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -10,6 +13,54 @@
 // unknownLoad marks a result without a load of the backend server.
 const unknownLoad = -1
 
+// result is the outcome of a request so far: a complete response of a backend server, or a refusal.
+type result struct {
+	response *call.Response
+	refusal  *refusal
+	attempts int
+	// known is the strongest verdict of all attempts: one that has run makes the request ran, one
+	// that may have run rules out not run.
+	known verdict.Verdict
+}
+
+func newResult() *result { return &result{known: verdict.NotRun} }
+
+// add takes over the outcome of an attempt. A complete response stays until there is another one,
+// because it is a better answer than the failure of a retry.
+func (r *result) add(a *attemptResult) {
+	r.attempts++
+	if r.known == verdict.NotRun || a.verdict == verdict.Ran {
+		r.known = a.verdict
+	}
+	if a.err == nil {
+		r.response = a.response
+		return
+	}
+	r.refusal = attemptRefusal(a)
+}
+
+// end makes f the answer of r unless there is a response. The verdict of f accounts for all attempts;
+// its status is not that of a refusal if one of them may have run.
+func (r *result) end(f *refusal) *result {
+	if r.response != nil {
+		return r
+	}
+	f.verdict = r.known
+	if r.known != verdict.NotRun && f.status == http.StatusServiceUnavailable {
+		f.status = http.StatusBadGateway
+	}
+	r.refusal = f
+	return r
+}
+
+// verdict returns what is known about the request as a whole.
+func (r *result) verdict() verdict.Verdict {
+	if r.response != nil {
+		return verdict.Ran
+	}
+	return r.refusal.verdict
+}
+
 // pickResult tells selection what came of an attempt. A refusal by admission control is no failure
 // of the endpoint; a broken connection or an unusable response is.
 func pickResult(a *attemptResult, latency time.Duration) selection.Result {
@@ -23,3 +74,21 @@
 	r.Failed = a.err != nil && a.verdict != verdict.NotRun
 	return r
 }
+
+// writeResponse sends the complete response of a backend server to the caller.
+func (h *Handler) writeResponse(w http.ResponseWriter, e *exchange, res *result) {
+	header := w.Header()
+	for name, values := range res.response.Header {
+		header[name] = values
+	}
+	setCommon(header, e, res)
+	header.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
+	w.WriteHeader(res.response.Status)
+	_, _ = w.Write(res.response.Body) // the caller has gone if this fails
+}
+
+func setCommon(header http.Header, e *exchange, res *result) {
+	header.Set(verdict.Header, res.verdict().String())
+	header.Set(HeaderVersion, strconv.FormatUint(uint64(e.snap.Version), 10))
+	header.Set(HeaderAttempts, strconv.Itoa(res.attempts))
+}
