Do not count a caller that leaves as a failure of the endpoint

Cause: an attempt that ended because its caller closed the connection was reported to selection as failed. Five such callers in a row ejected a healthy server.

Change: such an attempt is reported without a failure and without a load.

Before: TestCancellation found one of two servers without requests. After: both get requests.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -130,7 +130,12 @@
 	if a.verdict == verdict.MayHaveRun && a.response == nil && !e.kind.Idempotent {
 		a.verdict = h.fence(ctx, e, record, req.Attempt)
 	}
-	pick.Done(pickResult(&a, h.config.Now().Sub(started)))
+	result := pickResult(&a, h.config.Now().Sub(started))
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// The caller has left, which says nothing about the endpoint.
+		result = selection.Result{Verdict: verdict.MayHaveRun, Load: unknownLoad}
+	}
+	pick.Done(result)
 	return a
 }
 
