Keep the length of HEAD responses and label every refusal with the version

Cause: the response to HEAD was sent with Content-Length 0 in place of the length of the resource. Refusals made before a request was routed lacked Kingcupwood-Version and Kingcupwood-Attempts, which the design promises on every response.

Change: the length is set only where a response can have a body.

--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -93,7 +93,9 @@
 	}
 	e, err := newExchange(snap, r, h.config.Now())
 	if err != nil {
-		h.refuse(w, asRefusal(err))
+		f := asRefusal(err)
+		setCommon(w.Header(), snap, &result{refusal: f})
+		h.refuse(w, f)
 		return
 	}
 	res := h.serve(r.Context(), e)
@@ -103,7 +105,7 @@
 		h.writeResponse(w, e, res)
 		return
 	}
-	setCommon(w.Header(), e, res)
+	setCommon(w.Header(), snap, res)
 	h.refuse(w, res.refusal)
 }
 
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -7,6 +7,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/selection"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -81,14 +82,23 @@
 	for name, values := range res.response.Header {
 		header[name] = values
 	}
-	setCommon(header, e, res)
-	header.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
+	setCommon(header, e.snap, res)
+	if mayHaveBody(e.request.Method, res.response.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
+	}
 	w.WriteHeader(res.response.Status)
 	_, _ = w.Write(res.response.Body) // the caller has gone if this fails
 }
 
-func setCommon(header http.Header, e *exchange, res *result) {
+// mayHaveBody reports whether a response can have a body. If not, a length that the backend server
+// gave is that of the resource.
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// setCommon sets what every response of this daemon carries.
+func setCommon(header http.Header, snap *snapshot.Snapshot, res *result) {
 	header.Set(verdict.Header, res.verdict().String())
-	header.Set(HeaderVersion, strconv.FormatUint(uint64(e.snap.Version), 10))
+	header.Set(HeaderVersion, strconv.FormatUint(uint64(snap.Version), 10))
 	header.Set(HeaderAttempts, strconv.Itoa(res.attempts))
 }
