Let the table of idempotency keys tell which outcomes must move

Purpose: outcomes have to follow their key when its owner changes without a stop, for example when a restarted daemon joins again. Misplaced returns those that were not handed over yet, HandedOver marks them.

Fix: Import ignored the size limit, so that a handover could fill the memory of the next owner; it now stops at the limit. Tested by TestImportKeepsTheSizeLimit and TestMisplacedOutcomesAreHandedOverOnce.

--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -70,6 +70,8 @@
 	outcome T
 	expires time.Time
 	bytes   int
+	// holder is the daemon to which the outcome was handed over last, guarded by Table.mu.
+	holder string
 }
 
 // NewTable returns a table for at most limit keys and at most limitBytes bytes of outcomes, as given
@@ -162,6 +164,10 @@
 	}
 }
 
+func (e *entry[T]) record() Record[T] {
+	return Record[T]{Key: e.key, Digest: e.digest, Outcome: e.outcome, Expires: e.expires}
+}
+
 // Export returns the outcomes in the table, for the next owner of the keys.
 func (t *Table[T]) Export() []Record[T] {
 	t.mu.Lock()
@@ -169,12 +175,48 @@
 	t.expire()
 	records := make([]Record[T], 0, t.ended.Len())
 	for item := t.ended.Front(); item != nil; item = item.Next() {
-		e := item.Value.(*entry[T])
-		records = append(records, Record[T]{Key: e.key, Digest: e.digest, Outcome: e.outcome, Expires: e.expires})
+		records = append(records, item.Value.(*entry[T]).record())
 	}
 	return records
 }
 
+// Misplaced returns the outcomes that belong to another daemon, by the name of that daemon, unless
+// they were handed over to it before. owner returns the empty string for keys that stay. It is called
+// without locks held.
+func (t *Table[T]) Misplaced(owner func(Key) string) map[string][]Record[T] {
+	type held struct {
+		entry  *entry[T]
+		holder string
+	}
+	t.mu.Lock()
+	t.expire()
+	all := make([]held, 0, t.ended.Len())
+	for item := t.ended.Front(); item != nil; item = item.Next() {
+		e := item.Value.(*entry[T])
+		all = append(all, held{e, e.holder})
+	}
+	t.mu.Unlock()
+	misplaced := map[string][]Record[T]{}
+	for _, h := range all {
+		if to := owner(h.entry.key); to != "" && to != h.holder {
+			misplaced[to] = append(misplaced[to], h.entry.record())
+		}
+	}
+	return misplaced
+}
+
+// HandedOver records that records were handed over to holder. The table keeps its copies until they
+// expire, in case the keys return.
+func (t *Table[T]) HandedOver(records []Record[T], holder string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range records {
+		if e, ok := t.entries[r.Key]; ok {
+			e.holder = holder
+		}
+	}
+}
+
 // Import adds the outcomes of another table. A key that is already known keeps its own outcome. It
 // returns the number of outcomes added.
 func (t *Table[T]) Import(records []Record[T]) int {
@@ -183,7 +225,7 @@
 	t.expire()
 	added := 0
 	for _, r := range records {
-		if _, known := t.entries[r.Key]; known || len(t.entries) >= t.limit {
+		if _, known := t.entries[r.Key]; known || len(t.entries) >= t.limit || t.total >= t.limitSize {
 			continue
 		}
 		e := &entry[T]{key: r.Key, digest: r.Digest, outcome: r.Outcome, keep: true, done: make(chan struct{})}
--- a/pkg/idempotency/table_test.go
+++ b/pkg/idempotency/table_test.go
@@ -121,3 +121,33 @@
 		time.Sleep(time.Minute) // lets the first submission end
 	})
 }
+
+// Guards against an outcome that stays behind when its key moves to another daemon, and against one
+// that is sent again at every change.
+func TestMisplacedOutcomesAreHandedOverOnce(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(10)
+	_, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
+	is.NoErr(err)
+	to := func(name string) func(Key) string { return func(Key) string { return name } }
+	is.Equal(len(table.Misplaced(to(""))), 0)
+	moved := table.Misplaced(to("b"))["b"]
+	is.Equal(len(moved), 1)
+	is.Equal(moved[0].Outcome, "saved")
+	is.Equal(len(table.Misplaced(to("b"))), 1) // the transfer failed
+	table.HandedOver(moved, "b")
+	is.Equal(len(table.Misplaced(to("b"))), 0)
+	is.Equal(len(table.Misplaced(to("c"))["c"]), 1)
+}
+
+// Guards against a handover that fills the memory of the next owner beyond its limit.
+func TestImportKeepsTheSizeLimit(t *testing.T) {
+	is := is.New(t)
+	source := newTestTable(10)
+	for _, value := range []string{"k1", "k2", "k3"} {
+		_, err := source.Run(t.Context(), Key{Value: value}, saveDigest, func() (string, bool) { return "12345678", true })
+		is.NoErr(err)
+	}
+	small := NewTable(10, 10, func(s string) int { return len(s) }, time.Now)
+	is.Equal(small.Import(source.Export()), 2) // the second one reaches the limit
+}
