Keep keyed requests from running again when their owner changes

Cause: the owner of an idempotency key changed without its outcomes. A draining daemon stopped being the owner at once, but handed its keys over 2 s later, so that a repeated save in between ran again. A server that joined (also the same daemon after a restart) became the owner of keys whose outcomes stayed behind. Two daemons that stopped together handed keys to each other. Refusals lost Retry-After at the owner, and a run that panicked left an outcome with status 0.

Change: a draining daemon owns its keys until it is gone; the stop closes the table, hands over and then leaves. An owner that cannot be reached, or that has closed its table, is skipped for the next one. keys.Mover sends outcomes to their new owner after a change of the view and after a run that ended too late. Waiting submissions keep the reserve of their hop.

A short window remains in which a joined server may be asked before its outcomes arrive (moveInterval plus dissemination).

--- a/agent/caller/keys.go
+++ b/agent/caller/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,8 +30,14 @@
 	Header  http.Header     `cbor:"3,keyasint,omitempty"`
 	Body    []byte          `cbor:"4,keyasint,omitempty"`
 	Reason  string          `cbor:"5,keyasint,omitempty"`
+	// RetryAfter belongs to a refusal.
+	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
+// ownerRetryAfter is when a request may be submitted again if its owner did not answer. A stopping
+// owner has left the view of the other daemons by then.
+const ownerRetryAfter = time.Second
+
 // entryOverheadBytes is the size of a table entry beside the body of its outcome.
 const entryOverheadBytes = 400
 
@@ -44,6 +51,8 @@
 type keyOwner struct {
 	handler *Handler
 	table   *idempotency.Table[keyOutcome]
+	// strayed is set when an outcome was stored under a key that another daemon owns by then.
+	strayed atomic.Bool
 }
 
 func newKeyOwner(h *Handler) *keyOwner {
@@ -64,13 +73,14 @@
 }
 
 // Owner returns the record of the daemon that owns key, chosen by rendezvous hash among the
-// instances with a ready backend server of service.
+// instances with a ready or draining backend server of service. A draining one stays the owner until
+// it is gone, because it hands its keys over only when its last request has ended.
 func Owner(v *endpoint.View, service, key string) (endpoint.Record, bool) {
 	var best endpoint.Record
 	var bestScore uint64
 	found := false
 	for _, r := range v.ByService[service] {
-		if r.State != endpoint.Ready || v.Unreachable[r.Domain] {
+		if (r.State != endpoint.Ready && r.State != endpoint.Draining) || v.Unreachable[r.Domain] {
 			continue
 		}
 		score := xxhash.Sum64String(string(r.Instance) + "\x00" + key)
@@ -101,6 +111,9 @@
 	}
 	res := newResult()
 	res.add(&a)
+	if a.err != nil && a.response == nil {
+		res.refusal.retryAfter = ownerRetryAfter
+	}
 	return res.end(res.refusal)
 }
 
@@ -109,7 +122,7 @@
 	attempts := 0
 	key := idempotency.Key{Service: e.service.Name, Kind: e.kind.Name, Value: e.key}
 	digest := idempotency.DigestOf(e.request.Method+" "+e.request.Target, e.request.Body)
-	wait, cancel := context.WithDeadline(ctx, e.deadline)
+	wait, cancel := context.WithTimeout(ctx, retry.HopTimeout(e.deadline.Sub(k.handler.config.Now())))
 	defer cancel()
 	outcome, err := k.table.Run(wait, key, digest, func() (keyOutcome, bool) {
 		// The run goes on when its caller leaves, so that a second submission gets its outcome.
@@ -120,6 +133,9 @@
 	if err != nil {
 		return &result{refusal: keyRefusal(err)}
 	}
+	if attempts > 0 {
+		k.noteStrayed(key)
+	}
 	return outcome.result(attempts)
 }
 
@@ -128,7 +144,7 @@
 	switch {
 	case errors.Is(err, idempotency.ErrBodyMismatch):
 		return refuse(http.StatusUnprocessableEntity, "%v", err)
-	case errors.Is(err, idempotency.ErrTableFull):
+	case errors.Is(err, idempotency.ErrTableFull), errors.Is(err, idempotency.ErrClosed):
 		f := refuse(http.StatusServiceUnavailable, "%v", err)
 		f.retryAfter = time.Second
 		return f
@@ -142,15 +158,21 @@
 	if res.response != nil {
 		return keyOutcome{Verdict: verdict.Ran, Status: res.response.Status, Header: res.response.Header, Body: res.response.Body}
 	}
-	return keyOutcome{Verdict: res.refusal.verdict, Status: res.refusal.status, Reason: res.refusal.reason}
+	f := res.refusal
+	return keyOutcome{Verdict: f.verdict, Status: f.status, Reason: f.reason, RetryAfter: f.retryAfter}
 }
 
+// result returns the answer for a submission. The zero outcome, which a panic leaves, has no status.
 func (o keyOutcome) result(attempts int) *result {
-	if o.Verdict == verdict.Ran && o.Status != 0 {
+	if o.Verdict == verdict.Ran && o.Reason == "" && o.Status >= http.StatusOK {
 		response := &call.Response{Verdict: verdict.Ran, Status: o.Status, Header: o.Header, Body: o.Body}
 		return &result{response: response, attempts: attempts}
 	}
-	return &result{refusal: &refusal{status: o.Status, verdict: o.Verdict, reason: o.Reason}, attempts: attempts}
+	f := &refusal{status: o.Status, verdict: o.Verdict, reason: o.Reason, retryAfter: o.RetryAfter}
+	if f.status == 0 {
+		f.status, f.reason = http.StatusBadGateway, "the outcome of the run is not known"
+	}
+	return &result{refusal: f, attempts: attempts}
 }
 
 // IsOwned reports whether r was sent to this daemon as the owner of an idempotency key.
@@ -188,9 +210,3 @@
 	f := res.refusal
 	return &call.Response{Attempt: r.Attempt, Verdict: f.verdict, Status: f.status, Reason: f.reason, RetryAfter: f.retryAfter}
 }
-
-// ExportKeys returns the outcomes of the keys that this daemon owns.
-func (h *Handler) ExportKeys() []KeyRecord { return h.keys.table.Export() }
-
-// ImportKeys adds outcomes which a stopping owner has handed over. It returns how many were new.
-func (h *Handler) ImportKeys(records []KeyRecord) int { return h.keys.table.Import(records) }
--- /dev/null
+++ b/agent/caller/keys_test.go
@@ -0,0 +1,224 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// trio is three daemons with a server of pages each, connected without a network.
+type trio struct {
+	daemons map[string]*bench
+	runs    atomic.Int32
+	// server is the backend server of every instance.
+	server func(r *call.Request) *call.Response
+	// toOwner replaces the way to the owner of a key if it is set.
+	toOwner func(r *call.Request) (*call.Response, error)
+}
+
+func newTrio() *trio {
+	c := &trio{daemons: map[string]*bench{}, server: ran}
+	for _, name := range []string{"a", "b", "c"} {
+		b := newBench("a", "b", "c")
+		b.config.Instance = endpoint.InstanceID(name)
+		b.remote.do = c.do
+		c.daemons[name] = b
+	}
+	return c
+}
+
+func (c *trio) do(ctx context.Context, addr string, r *call.Request) (*call.Response, error) {
+	if IsOwned(r) {
+		if c.toOwner != nil {
+			return c.toOwner(r)
+		}
+		return c.daemons[addr].ServeOwned(ctx, r), nil
+	}
+	c.runs.Add(1)
+	return c.server(r), nil
+}
+
+// save submits a save through the daemon by.
+func (c *trio) save(by, key, body string) *httptest.ResponseRecorder {
+	return c.daemons[by].serveHTTP(request("POST", "/pages/1", body, HeaderIdempotencyKey, key))
+}
+
+// notOwner returns a daemon that does not own key.
+func (c *trio) notOwner(key string) string {
+	owner, _ := Owner(testView("a", "b", "c"), "pages", key)
+	if owner.Instance == "a" {
+		return "b"
+	}
+	return "a"
+}
+
+// Guards against daemons that disagree on the owner of a key, a second run for a second submission,
+// and a second submission that is answered with anything but the first response.
+func TestSameOwnerEverywhere(t *testing.T) {
+	is := is.New(t)
+	c := newTrio()
+	c.server = func(r *call.Request) *call.Response {
+		resp := ran(r)
+		resp.Body = fmt.Appendf(resp.Body, " run %d", c.runs.Load())
+		return resp
+	}
+	for n := range 30 {
+		key, want := fmt.Sprint("key-", n), fmt.Sprint("POST /pages/1 text run ", n+1)
+		for _, by := range []string{"a", "b", "c", "a"} {
+			w := c.save(by, key, "text")
+			is.Equal(w.Code, http.StatusOK)
+			is.Equal(verdictOf(w), "ran")
+			is.Equal(w.Body.String(), want)
+		}
+	}
+	is.Equal(c.runs.Load(), int32(30))
+	total := 0
+	for _, b := range c.daemons {
+		is.True(len(b.ExportKeys()) > 0) // the keys are spread over the daemons
+		total += len(b.ExportKeys())
+	}
+	is.Equal(total, 30)
+}
+
+// Guards against a second run while the first submission is still in progress, and against a waiting
+// submission that is told nothing before its deadline.
+func TestSecondSubmissionWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newTrio()
+		c.server = func(r *call.Request) *call.Response {
+			time.Sleep(300 * time.Millisecond)
+			return ran(r)
+		}
+		began := time.Now()
+		var group sync.WaitGroup
+		for _, by := range []string{"a", "b", "c"} {
+			group.Go(func() {
+				w := c.save(by, "key", "text")
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), "POST /pages/1 text")
+			})
+		}
+		// A submission with less time gives up before the run ends, and may not claim "not run".
+		time.Sleep(10 * time.Millisecond)
+		for _, by := range []string{"a", "b", "c"} {
+			w := c.daemons[by].serveHTTP(request("POST", "/pages/1", "text", HeaderIdempotencyKey, "key", HeaderTimeout, "50"))
+			is.Equal(w.Code, http.StatusGatewayTimeout)
+			is.Equal(verdictOf(w), "may-have-run")
+		}
+		is.True(time.Since(began) < 300*time.Millisecond)
+		group.Wait()
+		is.Equal(c.runs.Load(), int32(1))
+	})
+}
+
+// Guards against another order being taken for a repetition of the first.
+func TestKeyWithAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	c := newTrio()
+	c.save("a", "key", "text")
+	for _, by := range []string{"a", "b", "c"} {
+		w := c.save(by, "key", "other text")
+		is.Equal(w.Code, http.StatusUnprocessableEntity)
+		is.Equal(verdictOf(w), "not-run")
+	}
+	w := c.daemons["b"].serveHTTP(request("POST", "/pages/2", "text", HeaderIdempotencyKey, "key"))
+	is.Equal(w.Code, http.StatusUnprocessableEntity)
+	is.Equal(c.runs.Load(), int32(1))
+}
+
+// Guards against a refusal that loses its status, its verdict or its hint on the way through the
+// owner, or that blocks the key.
+func TestOwnerRefuses(t *testing.T) {
+	is := is.New(t)
+	c := newTrio()
+	by := c.notOwner("key")
+	c.server = func(r *call.Request) *call.Response { return refused(r, false) }
+	w := c.save(by, "key", "text")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(verdictOf(w), "not-run")
+	is.Equal(w.Header().Get("Retry-After"), "2")
+
+	owner, _ := Owner(c.daemons["a"].view, "pages", "key")
+	c.daemons[string(owner.Instance)].accept(nil) // the owner has just started
+	w = c.save(by, "key", "text")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(verdictOf(w), "not-run")
+
+	c.daemons[string(owner.Instance)].accept(testSnapshot(1))
+	c.server = ran
+	is.Equal(c.save(by, "key", "text").Code, http.StatusOK)
+}
+
+// Guards against a run on another daemon when the owner is lost, and against a false "not run".
+func TestOwnerLost(t *testing.T) {
+	for answer, want := range map[fence.Answer]string{
+		fence.NeverWillRun: "not-run", fence.HasStarted: "may-have-run", fence.Unknown: "may-have-run",
+	} {
+		is := is.New(t)
+		c := newTrio()
+		by := c.notOwner("key")
+		b := c.daemons[by]
+		b.remote.fenceDo = func(context.Context, string, fence.AttemptID) fence.Answer { return answer }
+		c.toOwner = func(*call.Request) (*call.Response, error) { return nil, verdict.Wrap(verdict.MayHaveRun, io.EOF) }
+		w := c.save(by, "key", "text")
+		is.Equal(verdictOf(w), want)
+		is.Equal(w.Code == http.StatusServiceUnavailable, want == "not-run")
+		is.Equal(w.Header().Get("Retry-After"), "1")
+		is.Equal(len(b.remote.sent), 1)
+		is.Equal(c.runs.Load(), int32(0))
+	}
+}
+
+// Guards against keys that move while their owner drains: it still holds their outcomes then.
+func TestDrainingOwnerKeepsItsKeys(t *testing.T) {
+	is := is.New(t)
+	view := testView("a", "b", "c")
+	owner, _ := Owner(view, "pages", "key")
+	set := func(state endpoint.State) {
+		for i, r := range view.ByService["pages"] {
+			if r.Instance == owner.Instance {
+				view.ByService["pages"][i].State = state
+			}
+		}
+	}
+	set(endpoint.Draining)
+	kept, _ := Owner(view, "pages", "key")
+	is.Equal(kept.Instance, owner.Instance)
+	set(endpoint.Gone)
+	next, ok := Owner(view, "pages", "key")
+	is.True(ok)
+	is.True(next.Instance != owner.Instance)
+}
+
+// Guards against a panic of the run that leaves a key whose outcome cannot be sent.
+func TestUnknownOutcomeOfAKey(t *testing.T) {
+	is := is.New(t)
+	c := newTrio()
+	func() {
+		defer func() { _ = recover() }()
+		c.server = func(*call.Request) *call.Response { panic("fault in the handler") }
+		c.save("a", "key", "text")
+	}()
+	c.server = ran
+	for _, by := range []string{"a", "b", "c"} { // the owner is among them
+		w := c.save(by, "key", "text")
+		is.Equal(w.Code, http.StatusBadGateway)
+		is.Equal(verdictOf(w), "may-have-run")
+	}
+	is.Equal(c.runs.Load(), int32(1))
+}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -202,6 +202,7 @@
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
+	group.Go(func() error { keys.NewMover(d.callers, d.prober.View, d.log).Run(ctx); return nil })
 	for server, listener := range map[*http.Server]net.Listener{
 		admin: d.listeners.admin, callers: d.listeners.callers, announcements: d.listeners.announcements,
 	} {
--- a/agent/peer/keys/keys.go
+++ b/agent/peer/keys/keys.go
@@ -1,4 +1,5 @@
-// Package keys hands the outcomes of idempotency keys from a stopping daemon to their next owners.
+// Package keys hands the outcomes of idempotency keys over to their next owners, when a daemon stops
+// and when the keys move to another daemon.
 package keys
 
 import (
@@ -16,6 +17,8 @@
 	serviceName = "Keys"
 	// batchSize bounds the outcomes sent in one message.
 	batchSize = 256
+	// maxOwners bounds the owners that are tried for a record at the stop of a daemon.
+	maxOwners = 3
 )
 
 // Args carries outcomes to their next owner.
@@ -24,9 +27,9 @@
 // Reply tells how many of them were new to the receiver.
 type Reply struct{ Added int }
 
-// Importer takes over outcomes.
+// Importer takes over outcomes; an error means that it took none.
 type Importer interface {
-	ImportKeys(records []caller.KeyRecord) int
+	ImportKeys(records []caller.KeyRecord) (int, error)
 }
 
 // Service is the net/rpc service of the receiving daemon.
@@ -34,8 +37,9 @@
 
 // HandOver takes over the outcomes in args.
 func (s *Service) HandOver(args Args, reply *Reply) error {
-	reply.Added = s.importer.ImportKeys(args.Records)
-	return nil
+	added, err := s.importer.ImportKeys(args.Records)
+	reply.Added = added
+	return err
 }
 
 // Register adds the service to the net/rpc server of a daemon.
@@ -43,28 +47,44 @@
 	return server.RegisterName(serviceName, &Service{importer: importer})
 }
 
-// HandOver sends each record to the daemon that owns its key once self has left. It returns the
-// number of records sent and the first error; it goes on with the other owners after an error.
+// HandOver sends each record to the daemon that owns its key once self has left. Records whose next
+// owner cannot be reached go to the one after it, since such an owner is about to leave as well. It
+// returns the number of records sent and the first error.
 func HandOver(ctx context.Context, view *endpoint.View, self endpoint.InstanceID, records []caller.KeyRecord) (int, error) {
-	byOwner := map[string][]caller.KeyRecord{}
 	rest := without(view, self)
-	for _, r := range records {
-		if owner, ok := caller.Owner(rest, r.Key.Service, r.Key.Value); ok {
-			byOwner[owner.RPCAddr] = append(byOwner[owner.RPCAddr], r)
-		}
-	}
 	sent := 0
 	var first error
-	for addr, list := range byOwner {
-		n, err := send(ctx, addr, list)
-		sent += n
-		if err != nil && first == nil {
-			first = errors.Wrapf(err, "hand over to %s", addr)
+	for range maxOwners {
+		var failed []caller.KeyRecord
+		for owner, list := range byOwner(rest, records) {
+			n, err := send(ctx, owner.RPCAddr, list)
+			sent += n
+			if err != nil {
+				failed = append(failed, list[n:]...)
+				rest = without(rest, owner.Instance)
+				if first == nil {
+					first = errors.Wrapf(err, "hand over to %s", owner.RPCAddr)
+				}
+			}
+		}
+		if records = failed; len(records) == 0 {
+			break
 		}
 	}
 	return sent, first
 }
 
+// byOwner groups records by the owner of their keys; keys without an owner are left out.
+func byOwner(view *endpoint.View, records []caller.KeyRecord) map[endpoint.Record][]caller.KeyRecord {
+	groups := map[endpoint.Record][]caller.KeyRecord{}
+	for _, r := range records {
+		if owner, ok := caller.Owner(view, r.Key.Service, r.Key.Value); ok {
+			groups[owner] = append(groups[owner], r)
+		}
+	}
+	return groups
+}
+
 // without returns a view without the records of self.
 func without(view *endpoint.View, self endpoint.InstanceID) *endpoint.View {
 	rest := &endpoint.View{ByService: map[string][]endpoint.Record{}, Unreachable: view.Unreachable}
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -59,9 +59,10 @@
 	d.handOverKeys(ctx)
 }
 
-// handOverKeys gives the outcomes of the idempotency keys of this daemon to their next owners.
+// handOverKeys gives the outcomes of the idempotency keys of this daemon to their next owners. The other
+// daemons take this one for the owner until it leaves the membership, which it does afterwards.
 func (d *Daemon) handOverKeys(ctx context.Context) {
-	records := d.callers.ExportKeys()
+	records := d.callers.CloseKeys()
 	if len(records) == 0 {
 		return
 	}
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -21,6 +21,9 @@
 // ErrTableFull is returned when no more keys can be kept; the request has not run.
 var ErrTableFull = errors.New("too many idempotency keys are in use")
 
+// ErrClosed is returned by a table whose outcomes have been handed over; the request has not run.
+var ErrClosed = errors.New("the owner of the idempotency key is stopping")
+
 // Key names one submission: the service, the kind and the key which the caller chose.
 type Key struct {
 	Service string `cbor:"1,keyasint"`
@@ -56,6 +59,7 @@
 	size      func(T) int
 
 	mu      sync.Mutex
+	closed  bool
 	total   int
 	entries map[Key]*entry[T]
 	// ended lists the entries with an outcome in order of expiry.
@@ -84,7 +88,7 @@
 // that outcome and get the same one, without a run. If run reports keep as false (the request has
 // proved not to have run), the key is forgotten and a waiting or later submission may run.
 //
-// Errors: ErrBodyMismatch, ErrTableFull, or the error of ctx while waiting; none of these submissions
+// Errors: ErrBodyMismatch, ErrTableFull, ErrClosed, or the error of ctx while waiting; none of these submissions
 // has run itself, though the first one may have.
 func (t *Table[T]) Run(ctx context.Context, key Key, digest Digest, run func() (outcome T, keep bool)) (T, error) {
 	var zero T
@@ -117,6 +121,9 @@
 		}
 		return e, false, nil
 	}
+	if t.closed {
+		return nil, false, ErrClosed
+	}
 	if len(t.entries) >= t.limit || t.total >= t.limitSize {
 		return nil, false, ErrTableFull
 	}
@@ -217,11 +224,23 @@
 	}
 }
 
+// Close ends the runs and imports of the table and returns its outcomes for the next owners. Without
+// it, what another stopping daemon hands over in the meantime would be lost.
+func (t *Table[T]) Close() []Record[T] {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	return t.Export()
+}
+
 // Import adds the outcomes of another table. A key that is already known keeps its own outcome. It
-// returns the number of outcomes added.
-func (t *Table[T]) Import(records []Record[T]) int {
+// returns the number of outcomes added, or ErrClosed.
+func (t *Table[T]) Import(records []Record[T]) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closed {
+		return 0, ErrClosed
+	}
 	t.expire()
 	added := 0
 	for _, r := range records {
@@ -234,7 +253,7 @@
 		t.retain(e)
 		added++
 	}
-	return added
+	return added, nil
 }
 
 // Len returns the number of keys in the table.
--- a/pkg/idempotency/table_test.go
+++ b/pkg/idempotency/table_test.go
@@ -93,7 +93,9 @@
 	first, next := newTestTable(10), newTestTable(10)
 	_, err := first.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
 	is.NoErr(err)
-	is.Equal(next.Import(first.Export()), 1)
+	added, err := next.Import(first.Export())
+	is.NoErr(err)
+	is.Equal(added, 1)
 	outcome, err := next.Run(t.Context(), saveKey, saveDigest, func() (string, bool) {
 		t.Error("the request has run on the next owner")
 		return "again", true
@@ -149,5 +151,24 @@
 		is.NoErr(err)
 	}
 	small := NewTable(10, 10, func(s string) int { return len(s) }, time.Now)
-	is.Equal(small.Import(source.Export()), 2) // the second one reaches the limit
+	added, err := small.Import(source.Export())
+	is.NoErr(err)
+	is.Equal(added, 2) // the second one reaches the limit
+}
+
+// Guards against outcomes that reach a stopping owner after it has handed over its own.
+func TestClosedTableTakesNothing(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(10)
+	run := func() (string, bool) { return "saved", true }
+	_, err := table.Run(t.Context(), saveKey, saveDigest, run)
+	is.NoErr(err)
+	is.Equal(len(table.Close()), 1)
+	_, err = table.Import([]Record[string]{{Key: Key{Value: "k2"}}})
+	is.True(errors.Is(err, ErrClosed))
+	_, err = table.Run(t.Context(), Key{Value: "k2"}, saveDigest, run)
+	is.True(errors.Is(err, ErrClosed))
+	outcome, err := table.Run(t.Context(), saveKey, saveDigest, run)
+	is.NoErr(err)
+	is.Equal(outcome, "saved") // known outcomes are still told
 }
