Count the control-plane bytes of the connections of a daemon

The design budgets 3 KB/s for the control plane of a daemon, but only the UDP probes were counted. Connections between daemons over net/rpc and those to the platform are now wrapped by counters of lib/traffic, published as peer_traffic and platform_traffic under /debug/vars. The net/rpc listener also carries fences and idempotency keys, so peer_traffic is an upper bound while callers are served.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -23,6 +23,7 @@
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
 	"kingcupwood.example/kingcupwood/agent/platform"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/traffic"
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
@@ -60,6 +61,9 @@
 	burn      *burn.Tracker
 	gate      *gate
 	record    recordKeeper
+	// peerTraffic counts the net/rpc connections between daemons, platformTraffic those to the
+	// platform.
+	peerTraffic, platformTraffic traffic.Counter
 }
 
 // New builds a daemon and opens its listeners. Errors: a listener or the platform client cannot be
@@ -93,6 +97,7 @@
 	client, err := platform.NewClient(platform.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
+		Dial: d.platformTraffic.Dial((&net.Dialer{}).DialContext),
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
@@ -122,7 +127,7 @@
 	}
 	d.follower = peersync.NewFollower(peersync.Config{
 		Self: local, Seeds: seeds, Members: d.prober, Store: d.store, Platform: headSource{d.platform},
-		Dial: peersync.DialTCP, Log: d.log, Seed: rand.Uint64(),
+		Dial: d.dialPeer, Log: d.log, Seed: rand.Uint64(),
 	})
 }
 
@@ -198,7 +203,7 @@
 // serve starts all parts in group.
 func (d *Daemon) serve(group *errgroup.Group, ctx context.Context, admin, callers, announcements *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
-	group.Go(func() error { return peersync.Serve(ctx, d.listeners.rpc, d.rpcWithSync(ctx)) })
+	group.Go(func() error { return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx)) })
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -15,6 +15,8 @@
 	m.Set("backend", expvar.Func(d.backendMetrics))
 	m.Set("configuration", expvar.Func(d.configurationMetrics))
 	m.Set("membership", expvar.Func(d.membershipMetrics))
+	m.Set("peer_traffic", expvar.Func(func() any { return d.peerTraffic.Stats() }))
+	m.Set("platform_traffic", expvar.Func(func() any { return d.platformTraffic.Stats() }))
 	return m
 }
 
--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -47,6 +48,8 @@
 	Backoff, BackoffMax time.Duration
 	// Local returns the snapshot that the daemon has in force, or nil; it saves reads of services.
 	Local func() *snapshot.Snapshot
+	// Dial opens the connections to the platform; nil stands for the default of net/http.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Now and Rand are replaced in tests. Rand returns a number in [0, n).
 	Now  func() time.Time
 	Rand func(n int64) int64
@@ -99,6 +102,7 @@
 		MaxIdleConnsPerHost: maxConnections,
 		MaxConnsPerHost:     maxConnections,
 		IdleConnTimeout:     idleConnectionTime,
+		DialContext:         config.Dial,
 	}
 	httpClient := &http.Client{Transport: transport}
 	keys := credentials.NewStaticCredentialsProvider(config.AccessKey, config.SecretKey, "")
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/rpc"
 	"time"
 
@@ -51,3 +52,12 @@
 	}
 	return d.rpc
 }
+
+// dialPeer opens a counted connection to the net/rpc address of another daemon.
+func (d *Daemon) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := peersync.DialTCP(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return d.peerTraffic.Conn(conn), nil
+}
