bench: add the groups convergence and capacity

Section 9 bounds convergence, CPU, memory and traffic of a daemon, but nothing measured them. The bench starts real daemons in 5 failure domains, fills the other 14 with synthetic members that answer probes and net/rpc on one socket each, and loads 1,400 services by writing objects, manifest and head to the stand-in directly, since 1,400 accepts would validate the whole configuration as often.

--- /dev/null
+++ b/tools/bench/convergence/run.go
@@ -0,0 +1,90 @@
+package convergence
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/tools/bench/row"
+)
+
+// failureDaemons is the size at which the failures are measured; section 9 asks for 100 or more.
+const failureDaemons = 100
+
+// memoryLimit bounds the resident memory of all daemons together, in units of 1e6 bytes. Half of
+// the machine may be used; the margin is for the other processes of the benchmark.
+const memoryLimit = 13_000
+
+// Sizes are the numbers of daemons that are measured.
+var Sizes = []int{25, 50, 100, 200}
+
+// Target is the specification of a deployment of n daemons with everything else as at the target.
+func Target(n int) Spec {
+	return Spec{Daemons: n, Records: row.TargetDaemons, Services: row.TargetServices}
+}
+
+// Run measures deployments of the given sizes and the failures, and passes each row to emit.
+func Run(ctx context.Context, binary string, sizes []int, emit func(row.Row)) ([]Window, error) {
+	var windows []Window
+	perDaemon := 0.0
+	for _, n := range sizes {
+		spec := Target(n)
+		spec.Records = affordable(spec, perDaemon)
+		idle, changing, err := Deployment(ctx, binary, spec, row.TargetChanges, emit)
+		if err != nil {
+			return windows, err
+		}
+		windows = append(windows, idle, changing)
+		perDaemon = Worst(append(idle.Plain, idle.Holders...), func(u Usage) float64 { return u.MemoryMB })
+	}
+	return windows, nil
+}
+
+// affordable returns the number of records that daemons of the given memory can hold within
+// memoryLimit. Fewer are used if the measured memory of a daemon does not allow all of them.
+func affordable(spec Spec, perDaemonMB float64) int {
+	if need := perDaemonMB * float64(spec.Daemons); need > memoryLimit {
+		return int(float64(spec.Records) * memoryLimit / need)
+	}
+	return spec.Records
+}
+
+// Deployment runs one deployment at rest and with changes at the given rate per second, and the
+// failures if it has the size for them.
+func Deployment(ctx context.Context, binary string, spec Spec, rate float64, emit func(row.Row)) (idle, changing Window, err error) {
+	fmt.Printf("# %d daemons, %d records, %d services, load %s\n", spec.Daemons, spec.Records, spec.Services, loadAverage())
+	w, err := start(ctx, binary, spec)
+	if err != nil {
+		return idle, changing, err
+	}
+	defer w.close()
+	result, err := w.runSteady(ctx, rate)
+	if err != nil {
+		return idle, changing, errors.Wrapf(err, "%d daemons", spec.Daemons)
+	}
+	for _, r := range w.steadyRows(result) {
+		emit(r)
+	}
+	if spec == Target(failureDaemons) {
+		rows, err := w.runFailures(ctx)
+		for _, r := range rows {
+			emit(r)
+		}
+		if err != nil {
+			return idle, changing, errors.Wrap(err, "failures")
+		}
+	}
+	return result.idle, result.changing, nil
+}
+
+// loadAverage returns the load of the machine, which is shared; it belongs to each figure.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(data))[:3], " ")
+}
--- /dev/null
+++ b/tools/bench/convergence/world.go
@@ -0,0 +1,229 @@
+// Package convergence measures a deployment of real daemons on loopback: how long a change takes to
+// be in force everywhere, and what a daemon uses for it, at rest and under failures.
+package convergence
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+	"kingcupwood.example/kingcupwood/tools/bench/row"
+	"kingcupwood.example/kingcupwood/tools/bench/synthetic"
+	"kingcupwood.example/kingcupwood/tools/fleet"
+)
+
+const (
+	// RealDomains is the number of failure domains with real daemons; the synthetic members are in
+	// the others, since they answer no long polls and hold no leases.
+	RealDomains = 5
+	// seeds is the number of daemons started first, which the synthetic members join.
+	seeds = 3
+	// startLimit bounds the start of all daemons until each knows everything.
+	startLimit = 3 * time.Minute
+	// pollPause separates two looks at logs or metrics.
+	pollPause = 50 * time.Millisecond
+)
+
+// Spec is the size of a deployment.
+type Spec struct {
+	// Daemons is the number of processes, Records the number of endpoint records including theirs.
+	Daemons, Records, Services int
+}
+
+// world is a running deployment.
+type world struct {
+	spec     Spec
+	fleet    *fleet.Fleet
+	standin  platformStandin
+	client   *platform.Client
+	current  *snapshot.Snapshot
+	tails    map[*fleet.Instance]*logTail
+	changes  int
+	close    func()
+	coldRate float64
+}
+
+// domainName returns the name of a failure domain; the first RealDomains hold the daemons.
+func domainName(i int) string { return fmt.Sprintf("zone-%02d", i) }
+
+// start runs a deployment and waits until every daemon has the configuration and all records.
+func start(ctx context.Context, binary string, spec Spec) (w *world, err error) {
+	dir, err := os.MkdirTemp("", "kingcupwood-bench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "directory for settings and logs")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	w = &world{spec: spec, tails: map[*fleet.Instance]*logTail{}}
+	if w.fleet, err = fleet.New(binary, dir); err != nil {
+		cancel()
+		return nil, err
+	}
+	w.close = func() {
+		cancel()
+		w.fleet.Close()
+		if w.client != nil {
+			w.client.Close()
+		}
+		_ = os.RemoveAll(dir)
+	}
+	limited, cancelStart := context.WithTimeout(ctx, startLimit)
+	defer cancelStart()
+	if err = w.startPlatform(limited); err == nil {
+		err = w.startDaemons(ctx, limited)
+	}
+	if err != nil {
+		w.close()
+		return nil, errors.Wrapf(err, "start %d daemons", spec.Daemons)
+	}
+	return w, nil
+}
+
+func (w *world) startPlatform(ctx context.Context) error {
+	if err := w.fleet.StartPlatform(); err != nil {
+		return err
+	}
+	w.standin = platformStandin{w.fleet.Platform}
+	for {
+		_, err := w.standin.requests(ctx)
+		if err == nil {
+			break
+		}
+		if !pause(ctx, pollPause) {
+			return err
+		}
+	}
+	first, objects, err := buildSnapshot(w.spec.Services)
+	if err != nil {
+		return err
+	}
+	w.current = first
+	url := "http://" + w.fleet.Platform.String()
+	w.client, err = platform.NewClient(platform.Config{
+		TableURL: url, ObjectsURL: url, Table: "kingcupwood", Bucket: "kingcupwood",
+		AccessKey: "bench", SecretKey: "bench", Local: func() *snapshot.Snapshot { return w.current },
+	}, event.Nop())
+	if err != nil {
+		return err
+	}
+	return w.standin.preload(ctx, first, objects)
+}
+
+// startDaemons starts the seeds, announces the synthetic members to them and starts the rest. The
+// synthetic members live as long as ctx, the start ends with limited.
+func (w *world) startDaemons(ctx, limited context.Context) error {
+	for i := range w.spec.Daemons {
+		if _, err := w.fleet.Add(fmt.Sprintf("daemon-%03d", i), domainName(i%RealDomains), fleet.ServerConfig{}); err != nil {
+			return err
+		}
+	}
+	peak := w.watchReads(limited)
+	all := w.fleet.Instances
+	if err := w.startSome(limited, all[:seeds]); err != nil {
+		return err
+	}
+	if err := w.startSynthetic(ctx, limited); err != nil {
+		return err
+	}
+	if err := w.startSome(limited, all[seeds:]); err != nil {
+		return err
+	}
+	w.coldRate = peak()
+	return w.awaitRecords(limited, all)
+}
+
+// startSome starts daemons and waits until they have a configuration.
+func (w *world) startSome(ctx context.Context, instances []*fleet.Instance) error {
+	for _, i := range instances {
+		if err := w.fleet.StartDaemon(i); err != nil {
+			return err
+		}
+		w.tails[i] = &logTail{path: i.DaemonProcess.LogPath()}
+	}
+	_, missing, err := w.await(ctx, instances, w.current.Version)
+	if err == nil && missing > 0 {
+		err = errors.Errorf("%d of %d daemons have no configuration", missing, len(instances))
+	}
+	return err
+}
+
+func (w *world) startSynthetic(ctx, limited context.Context) error {
+	if w.spec.Records <= w.spec.Daemons {
+		return nil
+	}
+	cfg := synthetic.Config{Members: w.spec.Records - w.spec.Daemons, ChangesPerSecond: row.TargetEndpointChanges}
+	for i := RealDomains; i < row.TargetDomains; i++ {
+		cfg.Domains = append(cfg.Domains, domainName(i))
+	}
+	for i := range w.spec.Services {
+		cfg.Services = append(cfg.Services, serviceName(i))
+	}
+	members, err := synthetic.Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	for _, i := range w.fleet.Instances[:seeds] {
+		if err := members.Join(limited, i.RPC.String()); err != nil {
+			return err
+		}
+	}
+	for _, i := range w.fleet.Instances {
+		members.Probe(endpoint.InstanceID(i.Name), net.UDPAddrFromAddrPort(i.ProbeAddr()))
+	}
+	return nil
+}
+
+// awaitRecords waits until the daemons know all records.
+func (w *world) awaitRecords(ctx context.Context, instances []*fleet.Instance) error {
+	for _, i := range instances {
+		for {
+			v, err := readVars(ctx, i)
+			if err == nil && v.Membership.Records >= w.spec.Records {
+				break
+			}
+			if !pause(ctx, pollPause) {
+				return errors.Errorf("%s knows %d of %d records", i.Name, v.Membership.Records, w.spec.Records)
+			}
+		}
+	}
+	return nil
+}
+
+// await returns when each of the daemons had version v in force, and how many have not when ctx ends.
+func (w *world) await(ctx context.Context, instances []*fleet.Instance, v snapshot.Version) (times []time.Time, missing int, err error) {
+	for {
+		times, missing = nil, 0
+		for _, i := range instances {
+			if err := w.tails[i].read(); err != nil {
+				return nil, 0, err
+			}
+			if at, ok := w.tails[i].reached(v); ok {
+				times = append(times, at)
+			} else {
+				missing++
+			}
+		}
+		if missing == 0 || !pause(ctx, pollPause) {
+			return times, missing, nil
+		}
+	}
+}
+
+// pause waits for d and reports whether ctx is still live.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/tools/bench/groups.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/tools/bench/capacity"
+	"kingcupwood.example/kingcupwood/tools/bench/convergence"
+	"kingcupwood.example/kingcupwood/tools/bench/row"
+)
+
+// group is a set of figures that can be run alone.
+type group struct {
+	name string
+	run  func(*bench, context.Context) error
+}
+
+var groups = []group{
+	{"flood", (*bench).runFlood},
+	{"convergence", (*bench).runConvergence},
+	{"capacity", (*bench).runCapacity},
+}
+
+func groupNames() []string {
+	names := make([]string, len(groups))
+	for i, g := range groups {
+		names[i] = g.name
+	}
+	return names
+}
+
+// measurements are the windows measured so far in this run.
+type measurements struct{ windows []convergence.Window }
+
+// runFlood runs the flood program, which prints its own rows.
+func (b *bench) runFlood(ctx context.Context) error {
+	cmd := exec.CommandContext(ctx, "go", "run", "./tools/bench/flood")
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() == 1 {
+		b.over++
+		return nil
+	}
+	return errors.Wrap(err, "run flood")
+}
+
+func (b *bench) runConvergence(ctx context.Context) error {
+	sizes := convergence.Sizes
+	if b.sizes != "" {
+		sizes = nil
+		for _, word := range strings.Split(b.sizes, ",") {
+			n, err := strconv.Atoi(word)
+			if err != nil {
+				return errors.Wrap(err, "option -sizes")
+			}
+			sizes = append(sizes, n)
+		}
+	}
+	windows, err := convergence.Run(ctx, b.binary, sizes, b.emit)
+	b.measured.windows = windows
+	return err
+}
+
+// runCapacity fits slopes to the windows of the group convergence and to smaller deployments that
+// differ from them in one size. Without the group convergence it measures two sizes first.
+func (b *bench) runCapacity(ctx context.Context) error {
+	discard := func(row.Row) {}
+	windows := b.measured.windows
+	if len(windows) == 0 {
+		var err error
+		if windows, err = convergence.Run(ctx, b.binary, convergence.Sizes[:2], discard); err != nil {
+			return err
+		}
+	}
+	for _, v := range capacity.Variations(convergence.Sizes[0]) {
+		idle, changing, err := convergence.Deployment(ctx, b.binary, v.Spec, v.Changes, discard)
+		if err != nil {
+			return err
+		}
+		windows = append(windows, idle, changing)
+	}
+	rows, err := capacity.Rows(windows)
+	for _, r := range rows {
+		b.emit(r)
+	}
+	return err
+}
