bench: measure lease candidates and operators on their own

The daemons that try for a lease call the platform once a second, which hid the traffic of an ordinary daemon in small failure domains; they are a role of their own now. Changes made through the administration API of a daemon are measured as well, since docs/CAPACITY.md needs them.

--- a/tools/bench/capacity/capacity.go
+++ b/tools/bench/capacity/capacity.go
@@ -52,6 +52,7 @@
 	list func(convergence.Window) []convergence.Usage
 }{
 	{"daemon", func(w convergence.Window) []convergence.Usage { return w.Plain }},
+	{"lease-candidate", func(w convergence.Window) []convergence.Usage { return w.Candidates }},
 	{"lease-holder", func(w convergence.Window) []convergence.Usage { return w.Holders }},
 }
 
--- a/tools/bench/convergence/rows.go
+++ b/tools/bench/convergence/rows.go
@@ -33,12 +33,16 @@
 		{Name: w.name(window + "/platform/writes"), Value: m.Writes, Unit: "writes/s", Bound: row.PlatformWrites},
 	}
 	rows = append(rows, w.usageRows(window+"/daemon", m.Plain)...)
+	rows = append(rows, w.usageRows(window+"/lease-candidate", m.Candidates)...)
 	return append(rows, w.usageRows(window+"/lease-holder", m.Holders)...)
 }
 
 // usageRows describes daemons of one role. The bounds are those of a daemon at the target, which a
 // smaller deployment must keep all the more.
 func (w *world) usageRows(role string, list []Usage) []row.Row {
+	if len(list) == 0 {
+		return nil
+	}
 	cpu := func(u Usage) float64 { return u.CPUPercent }
 	memory := func(u Usage) float64 { return u.MemoryMB }
 	both := func(u Usage) float64 { return u.Sent() + u.Received() }
--- a/tools/bench/convergence/run.go
+++ b/tools/bench/convergence/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -38,7 +39,7 @@
 			return windows, err
 		}
 		windows = append(windows, idle, changing)
-		perDaemon = Worst(append(idle.Plain, idle.Holders...), func(u Usage) float64 { return u.MemoryMB })
+		perDaemon = Worst(slices.Concat(idle.Plain, idle.Candidates, idle.Holders), func(u Usage) float64 { return u.MemoryMB })
 	}
 	return windows, nil
 }
@@ -68,6 +69,13 @@
 	for _, r := range w.steadyRows(result) {
 		emit(r)
 	}
+	rows, err := w.runOperator(ctx)
+	for _, r := range rows {
+		emit(r)
+	}
+	if err != nil {
+		return idle, changing, errors.Wrap(err, "operator")
+	}
 	if spec == Target(failureDaemons) {
 		rows, err := w.runFailures(ctx)
 		for _, r := range rows {
--- a/tools/bench/convergence/sample.go
+++ b/tools/bench/convergence/sample.go
@@ -49,12 +49,17 @@
 	Spec Spec
 	// Changes is the rate of accepted changes per second.
 	Changes float64
-	// Plain and Holders are the daemons without and with a lease throughout the window.
-	Plain, Holders []Usage
+	// Holders are the daemons with a lease throughout the window. Candidates tried for one, Plain are
+	// the others. At the target all but 6 daemons of a failure domain are plain.
+	Plain, Candidates, Holders []Usage
 	// Reads and Writes are those of the platform per second, including the ones of the benchmark.
 	Reads, Writes float64
 }
 
+// candidateTraffic tells candidates for a lease, which call the platform about once a second, from
+// other daemons, which look up a credential when the benchmark reads their metrics. In kB/s.
+const candidateTraffic = 0.25
+
 // reading is the state of one daemon at one time.
 type reading struct {
 	at    time.Time
@@ -118,7 +123,11 @@
 	switch {
 	case before.vars.Configuration.Leading && after.vars.Configuration.Leading:
 		w.Holders = append(w.Holders, u)
-	case !before.vars.Configuration.Leading && !after.vars.Configuration.Leading:
+	case before.vars.Configuration.Leading || after.vars.Configuration.Leading:
+		// The lease changed hands during the window.
+	case u.PlatformSent > candidateTraffic:
+		w.Candidates = append(w.Candidates, u)
+	default:
 		w.Plain = append(w.Plain, u)
 	}
 }
--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -34,6 +34,10 @@
 	return names
 }
 
+// variationDaemons is the size of the deployments that vary records, services and changes. It is the
+// smallest one with daemons that are neither lease holders nor candidates.
+const variationDaemons = 50
+
 // measurements are the windows measured so far in this run.
 type measurements struct{ windows []convergence.Window }
 
@@ -68,17 +72,17 @@
 }
 
 // runCapacity fits slopes to the windows of the group convergence and to smaller deployments that
-// differ from them in one size. Without the group convergence it measures two sizes first.
+// differ from them in one size. Without the group convergence it measures three sizes first.
 func (b *bench) runCapacity(ctx context.Context) error {
 	discard := func(row.Row) {}
 	windows := b.measured.windows
 	if len(windows) == 0 {
 		var err error
-		if windows, err = convergence.Run(ctx, b.binary, convergence.Sizes[:2], discard); err != nil {
+		if windows, err = convergence.Run(ctx, b.binary, convergence.Sizes[:3], discard); err != nil {
 			return err
 		}
 	}
-	for _, v := range capacity.Variations(convergence.Sizes[0]) {
+	for _, v := range capacity.Variations(variationDaemons) {
 		idle, changing, err := convergence.Deployment(ctx, b.binary, v.Spec, v.Changes, discard)
 		if err != nil {
 			return err
