--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -82,6 +82,7 @@
 }
 
 func (d *Daemon) build() error {
+	d.store = peersync.NewStore(codec{})
 	if err := d.buildPlatform(); err != nil {
 		return err
 	}
@@ -97,6 +98,7 @@
 	client, err := platform.NewClient(platform.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
+		Local: d.store.Load,
 		Dial: d.platformTraffic.Dial((&net.Dialer{}).DialContext),
 	}, d.log)
 	if err != nil {
@@ -120,7 +122,6 @@
 }
 
 func (d *Daemon) buildDistribution(local endpoint.Record) {
-	d.store = peersync.NewStore(codec{})
 	var seeds []string
 	for _, addr := range d.settings.Peers.Seeds {
 		seeds = append(seeds, addr.String())
--- a/tools/bench/synthetic/members.go
+++ b/tools/bench/synthetic/members.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
+	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -72,7 +73,8 @@
 	m.state = membership.New(membership.Config{Local: *m.records[m.order[0]]}, time.Now(), 1)
 	m.state.Merge(time.Now(), m.entries())
 	server := rpc.NewServer()
-	if err := peersync.NewServer(m, peersync.NewStore(noCodec{})).Register(ctx, server); err != nil {
+	follower := peersync.NewFollower(peersync.Config{Members: m, Store: peersync.NewStore(noCodec{}), Log: event.Nop()})
+	if err := peersync.NewServer(follower).Register(ctx, server); err != nil {
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { _ = udp.Close() })
