Reuse the header structs of a call connection

The CBOR codec allocated the header structs and the slices of the flat HTTP header for each frame. A connection carries one call at a time, so it keeps them.

--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -330,3 +330,18 @@
 		}
 	})
 }
+
+// BenchmarkExchange measures one exchange over loopback with a body of 512 B and a response of 4 KiB.
+func BenchmarkExchange(b *testing.B) {
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n" + strings.Repeat("keep", 1024)
+	backend := newBackend(b, Config{}, startScript(b, reply(response)), 1, 4)
+	r := request()
+	r.Body = make([]byte, 512)
+	ctx := within(b, generous)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := backend.Do(ctx, r, start); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/agent/peer/call/clientconn.go
+++ b/agent/peer/call/clientconn.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := decodeResponse(header)
+	resp, err := c.codec.decodeResponse(header)
 	if err != nil {
 		return nil, err
 	}
--- a/agent/peer/call/frame.go
+++ b/agent/peer/call/frame.go
@@ -62,8 +62,8 @@
 	conn net.Conn
 	in   *bufio.Reader
 	out  bytes.Buffer
-	flat []string
 	head []byte
+	scratch
 }
 
 func newCodec(conn net.Conn) codec {
@@ -137,8 +137,7 @@
 // writeRequest sends r. complete is false if the peer cannot have received the whole request.
 func (c *codec) writeRequest(r *Request) (complete bool, err error) {
 	c.beginFrame()
-	c.flat = flatten(c.flat[:0], r.Header)
-	if err := encodeRequest(&c.out, r, c.flat); err != nil {
+	if err := c.encodeRequest(&c.out, r); err != nil {
 		return false, err
 	}
 	if c.headerTooLarge() {
@@ -150,8 +149,7 @@
 // writeResponse sends r; a response over the limits is replaced by one that keeps its verdict.
 func (c *codec) writeResponse(r *Response) error {
 	c.beginFrame()
-	c.flat = flatten(c.flat[:0], r.Header)
-	if err := encodeResponse(&c.out, r, c.flat); err != nil {
+	if err := c.encodeResponse(&c.out, r); err != nil {
 		return err
 	}
 	if c.headerTooLarge() || len(r.Body) > MaxResponseBodyBytes {
--- a/agent/peer/call/frame_test.go
+++ b/agent/peer/call/frame_test.go
@@ -189,10 +189,10 @@
 		if len(body) > MaxRequestBodyBytes || len(header) > MaxHeaderBytes {
 			t.Fatalf("frame over the limits: %d and %d bytes", len(header), len(body))
 		}
-		if r, err := decodeRequest(header); err == nil && (r.Timeout < 0 || r.Depth < 0) {
+		if r, err := c.decodeRequest(header); err == nil && (r.Timeout < 0 || r.Depth < 0) {
 			t.Fatalf("decoded %+v", r)
 		}
-		_, _ = decodeResponse(header)
+		_, _ = c.decodeResponse(header)
 	})
 }
 
@@ -206,14 +206,14 @@
 	l := listen(b)
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Shutdown(within(b, generous)) }()
-	c := newTestClient(b)
+	c, addr := newTestClient(b), l.Addr().String()
 	r := request(0)
 	r.Body = make([]byte, 512)
 	ctx := within(b, generous)
 	b.ReportAllocs()
 	for b.Loop() {
 		r.Attempt.Seq++
-		if _, err := c.Do(ctx, l.Addr().String(), r); err != nil {
+		if _, err := c.Do(ctx, addr, r); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -222,16 +222,15 @@
 // BenchmarkHeader measures the codec of the frame header.
 func BenchmarkHeader(b *testing.B) {
 	var buf bytes.Buffer
-	var flat []string
+	var s scratch
 	r := request(1)
 	b.ReportAllocs()
 	for b.Loop() {
 		buf.Reset()
-		flat = flatten(flat[:0], r.Header)
-		if err := encodeRequest(&buf, r, flat); err != nil {
+		if err := s.encodeRequest(&buf, r); err != nil {
 			b.Fatal(err)
 		}
-		if _, err := decodeRequest(buf.Bytes()); err != nil {
+		if _, err := s.decodeRequest(buf.Bytes()); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/agent/peer/call/header.go
+++ b/agent/peer/call/header.go
@@ -54,18 +54,27 @@
 	return enc, dec
 }
 
-func encodeRequest(buf *bytes.Buffer, r *Request, flat []string) error {
-	return encMode.MarshalToBuffer(&requestHeader{
+// scratch holds the headers of a connection. They are reused from call to call, because the codec
+// would otherwise allocate them and the slices for the HTTP header each time.
+type scratch struct {
+	request  requestHeader
+	response responseHeader
+}
+
+func (s *scratch) encodeRequest(buf *bytes.Buffer, r *Request) error {
+	s.request = requestHeader{
 		Sender: r.Attempt.Sender, Seq: r.Attempt.Seq,
 		Service: r.Service, Kind: r.Kind, Version: r.Version,
 		TimeoutMicros: r.Timeout.Microseconds(), Depth: r.Depth,
-		Method: r.Method, Target: r.Target, Host: r.Host, Header: flat,
-	}, buf)
+		Method: r.Method, Target: r.Target, Host: r.Host,
+		Header: flatten(s.request.Header[:0], r.Header),
+	}
+	return encMode.MarshalToBuffer(&s.request, buf)
 }
 
-func decodeRequest(data []byte) (*Request, error) {
-	var h requestHeader
-	if err := decMode.Unmarshal(data, &h); err != nil {
+func (s *scratch) decodeRequest(data []byte) (*Request, error) {
+	h := &s.request
+	if err := decMode.Unmarshal(data, h); err != nil {
 		return nil, errors.Wrap(ErrProtocol, err.Error())
 	}
 	timeout := time.Duration(h.TimeoutMicros) * time.Microsecond
@@ -84,18 +93,19 @@
 	}, nil
 }
 
-func encodeResponse(buf *bytes.Buffer, r *Response, flat []string) error {
-	return encMode.MarshalToBuffer(&responseHeader{
+func (s *scratch) encodeResponse(buf *bytes.Buffer, r *Response) error {
+	s.response = responseHeader{
 		Sender: r.Attempt.Sender, Seq: r.Attempt.Seq,
 		Verdict: uint8(r.Verdict), Draining: r.Draining, Reason: r.Reason,
 		RetryAfterMicros: r.RetryAfter.Microseconds(), Load: r.Load,
-		Status: r.Status, Header: flat,
-	}, buf)
+		Status: r.Status, Header: flatten(s.response.Header[:0], r.Header),
+	}
+	return encMode.MarshalToBuffer(&s.response, buf)
 }
 
-func decodeResponse(data []byte) (*Response, error) {
-	var h responseHeader
-	if err := decMode.Unmarshal(data, &h); err != nil {
+func (s *scratch) decodeResponse(data []byte) (*Response, error) {
+	h := &s.response
+	if err := decMode.Unmarshal(data, h); err != nil {
 		return nil, errors.Wrap(ErrProtocol, err.Error())
 	}
 	if h.Verdict > uint8(verdict.Ran) || h.RetryAfterMicros < 0 {
--- a/agent/peer/call/serverconn.go
+++ b/agent/peer/call/serverconn.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := decodeRequest(header)
+	r, err := c.codec.decodeRequest(header)
 	if err != nil {
 		return nil, err
 	}
