Report the processor time per call in the hop measurement

On a machine that runs other work the p99 of a round is that of the machine, so the processor time of the daemons is printed as well. Adds a fuzz test for responses of the backend server.

--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -331,6 +332,24 @@
 	})
 }
 
+// Guards against a response of a backend server that exceeds the limit or is cut without an error.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte(keepOK))
+	f.Add([]byte("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nkeep\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := &conn{in: bufio.NewReader(bytes.NewReader(data))}
+		head, err := c.readHead(http.MethodGet)
+		if err != nil {
+			return
+		}
+		body, err := readBody(head)
+		if err == nil && (len(body) > call.MaxResponseBodyBytes || head.ContentLength > int64(len(body))) {
+			t.Fatalf("accepted %d of %d bytes", len(body), head.ContentLength)
+		}
+		newResponse(request(), head, body)
+	})
+}
+
 // BenchmarkExchange measures one exchange over loopback with a body of 512 B and a response of 4 KiB.
 func BenchmarkExchange(b *testing.B) {
 	response := "HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n" + strings.Repeat("keep", 1024)
--- a/tools/bench/hop/driver.go
+++ b/tools/bench/hop/driver.go
@@ -55,6 +55,12 @@
 	_ = p.cmd.Wait()
 }
 
+// cpuTime returns the processor time of a stopped process. It varies less than the latencies on a
+// machine that runs other work.
+func (p *process) cpuTime() time.Duration {
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+}
+
 // way is one of the two ways of a call, with the latencies of a round.
 type way struct {
 	url    string
@@ -62,6 +68,7 @@
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
+	total   int // calls of all rounds
 	failed  int
 	failure error // the first one
 }
@@ -84,6 +91,7 @@
 	elapsed := time.Since(start)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.total++
 	if err != nil {
 		if w.failed++; w.failure == nil {
 			w.failure = err
@@ -137,6 +145,10 @@
 			report(ways, rate, round+1)
 		}
 	}
+	receiver.stop()
+	sender.stop()
+	fmt.Printf("processor time per call: sending daemon %v, receiving daemon %v\n",
+		sender.cpuTime()/time.Duration(ways[1].total), receiver.cpuTime()/time.Duration(ways[1].total))
 	return nil
 }
 
