--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -99,7 +99,7 @@
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
 		Local: d.store.Load,
-		Dial: d.platformTraffic.Dial((&net.Dialer{}).DialContext),
+		Dial:  d.platformTraffic.Dial((&net.Dialer{}).DialContext),
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
