--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -27,8 +27,8 @@
 
 // Config configures a Backend. The zero value is usable.
 type Config struct {
-	// Changed is called after a change of the announced values or of the state, without locks held
-	// and never concurrently. It may be nil.
+	// Changed is called after a change of the announced values or of the state, one call
+	// at a time; it must not call Close. It may be nil.
 	Changed func(Status)
 	// Now is the clock, time.Now if nil.
 	Now func() time.Time
--- a/tools/bench/hop/roles.go
+++ b/tools/bench/hop/roles.go
@@ -29,10 +29,11 @@
 )
 
 const (
-	// slots, queue and connections exceed the load, so that the run measures hops and not queues.
+	// slots, queue and connections exceed the load, so that the run measures hops and not queues. The
+	// direct calls and those of the daemon share the connections.
 	slots         = 64
 	queue         = 4096
-	connections   = 256
+	connections   = 2048
 	requestBytes  = 512
 	responseBytes = 4 << 10
 	callTimeout   = 5 * time.Second
