Find a partitioned domain with parallel checks

The checks that follow a failed probe into another domain ran one after the other, 0.4 s each, and a domain that was itself cut off had to find each of the others by a regular probe. The remaining checks now run in parallel, a hint starts all of them at once, and a domain found unreachable starts checks of two others.

Small domains are noticed later, as they send few probes to each other one.

--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -36,6 +36,9 @@
 	indirectProbes = 3
 	// unreachableAfter is the number of distinct members of a domain that must fail in a row.
 	unreachableAfter = 3
+	// spreadChecks is the number of other domains checked when one is found unreachable. If it is
+	// this domain that was cut off, all others are found within a few steps.
+	spreadChecks = 2
 	// hintFanout is the number of members told at once about a change of reachability or a leave.
 	hintFanout = 4
 	// versionFanout is the number of members of the own domain told at once about a new version in
--- a/pkg/membership/probing.go
+++ b/pkg/membership/probing.go
@@ -10,8 +10,9 @@
 type probe struct {
 	seq    uint64
 	target *member
-	// remote tells that the target is in another failure domain; its failure concerns the domain.
-	remote   bool
+	// remote is the failure domain of a target in another one, nil for the own one. A failure
+	// concerns the domain and not the target.
+	remote   *domain
 	indirect bool
 	deadline time.Time
 	// end is the time at which an indirect probe has failed.
@@ -59,7 +60,7 @@
 	s.raiseHealth()
 	s.probes, s.relays = nil, nil
 	for _, d := range s.sorted {
-		d.failed, d.checking = nil, false
+		d.failed, d.checking = nil, 0
 	}
 	for _, m := range s.suspects {
 		if !m.suspectUntil.IsZero() {
@@ -100,11 +101,12 @@
 
 func (s *State) startProbe(now time.Time, m *member) {
 	s.seq++
-	p := &probe{seq: s.seq, target: m, remote: s.remote(m.record.Domain)}
+	p := &probe{seq: s.seq, target: m}
 	p.deadline = now.Add(s.scaled(ProbeTimeout))
 	p.end = now.Add(s.scaled(ProbeInterval))
-	if p.remote {
-		s.domainOf(m.record.Domain).checking = true
+	if s.remote(m.record.Domain) {
+		p.remote = s.domainOf(m.record.Domain)
+		p.remote.checking++
 	}
 	s.probes = append(s.probes, p)
 	s.sendTo(m, message{Kind: kindPing, Seq: p.seq, Target: m.record.Instance})
@@ -117,7 +119,7 @@
 		switch {
 		case now.Before(p.deadline):
 			s.probes = append(s.probes, p)
-		case p.remote:
+		case p.remote != nil:
 			s.remoteFailed(now, p)
 		case !p.indirect && now.Before(p.end):
 			s.probeIndirectly(p)
@@ -156,8 +158,8 @@
 	s.probes = slices.Delete(s.probes, at, at+1)
 	s.trusted = true
 	s.health = max(0, s.health-1)
-	if p.remote {
-		s.domainAnswered(now, s.domainOf(p.target.record.Domain))
+	if p.remote != nil {
+		s.domainAnswered(now, p.remote)
 	}
 	return true
 }
--- a/pkg/membership/reach.go
+++ b/pkg/membership/reach.go
@@ -7,38 +7,51 @@
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
-// remoteFailed handles a probe into another domain that got no ack. The next member of the domain
-// is probed at once, so that a partition is noticed within a few probe timeouts. A member of
+// remoteFailed handles a probe into another domain that got no ack. Further members of the domain
+// are probed at once, so that a partition is noticed within two probe timeouts. A member of
 // another domain is never accused alone; its own domain does that.
 func (s *State) remoteFailed(now time.Time, p *probe) {
-	d := s.domainOf(p.target.record.Domain)
-	d.checking = false
+	d := p.remote
+	d.checking = max(0, d.checking-1)
 	if d.unreachable {
 		return
 	}
 	if id := p.target.record.Instance; !slices.Contains(d.failed, id) {
 		d.failed = append(d.failed, id)
 	}
-	if len(d.failed) >= max(1, min(unreachableAfter, len(d.order))) {
-		s.setReachable(d, false)
+	if d.missing() > 0 {
+		s.checkDomain(now, d)
 		return
 	}
-	s.checkDomain(now, d)
+	s.setReachable(d, false)
+	others := s.remoteDomains(func(other *domain) bool { return !other.unreachable && other.checking == 0 })
+	for range min(spreadChecks, len(others)) {
+		s.startProbe(now, others[s.rng.IntN(len(others))].nextTarget(s.rng.IntN))
+	}
+}
+
+// missing is the number of further members that must fail before d is unreachable.
+func (d *domain) missing() int {
+	return max(1, min(unreachableAfter, len(d.order))) - len(d.failed)
 }
 
-// checkDomain probes a member of d that has not failed since the last ack.
+// checkDomain probes as many members of d as decide whether it is unreachable, other than those
+// that have failed or are being probed.
 func (s *State) checkDomain(now time.Time, d *domain) {
 	for range len(d.order) {
+		if d.checking >= d.missing() {
+			return
+		}
 		m := d.nextTarget(s.rng.IntN)
-		if !slices.Contains(d.failed, m.record.Instance) {
+		probing := slices.ContainsFunc(s.probes, func(p *probe) bool { return p.target == m })
+		if !probing && !slices.Contains(d.failed, m.record.Instance) {
 			s.startProbe(now, m)
-			return
 		}
 	}
 }
 
 func (s *State) domainAnswered(now time.Time, d *domain) {
-	d.failed, d.checking = nil, false
+	d.failed, d.checking = nil, max(0, d.checking-1)
 	d.quietUntil = now.Add(recheckPause)
 	if d.unreachable {
 		s.setReachable(d, true)
@@ -62,20 +75,20 @@
 // hinted handles a hint of another member about the reachability of a domain.
 func (s *State) hinted(now time.Time, name string, cut bool) {
 	d := s.domains[name]
-	if d == nil || !s.remote(name) || d.checking || d.unreachable == cut || len(d.order) == 0 {
-		return
-	}
-	if cut && now.Before(d.quietUntil) {
-		return
+	switch {
+	case d == nil || !s.remote(name) || d.unreachable == cut || len(d.order) == 0:
+	case cut && !now.Before(d.quietUntil):
+		s.checkDomain(now, d)
+	case !cut && d.checking == 0:
+		s.startProbe(now, d.nextTarget(s.rng.IntN))
 	}
-	s.checkDomain(now, d)
 }
 
 // heardFrom checks an unreachable domain as soon as a packet arrives from it. Only an ack proves
 // that both directions work.
 func (s *State) heardFrom(now time.Time, from *member) {
 	d := s.domainOf(from.record.Domain)
-	if d.unreachable && !d.checking {
+	if d.unreachable && d.checking == 0 {
 		s.startProbe(now, from)
 	}
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -46,8 +46,8 @@
 	failed []endpoint.InstanceID
 	// quietUntil is the time until which hints about this domain start no check.
 	quietUntil time.Time
-	// checking tells that a probe into this domain is waiting for its ack.
-	checking bool
+	// checking is the number of probes into this domain that wait for their ack.
+	checking int
 }
 
 func bucketOf(id endpoint.InstanceID) int { return int(xxhash.Sum64String(string(id)) % DigestBuckets) }
