Repair records at once while probes are backlogged

After a mass restart the probes carry about 20 records a second, and members that had not restarted compared their records only every 10 to 15 s. They now do so every 1 to 1.5 s while more than 16 updates wait to be sent.

--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -22,10 +22,12 @@
 	questionTimeout = time.Second
 	// repairInterval separates two anti-entropy exchanges.
 	repairInterval = 10 * time.Second
-	// busyRepairInterval replaces repairInterval after an exchange that changed more than
-	// busyRepairChanges records, as after a mass restart or a partition.
+	// busyRepairInterval replaces repairInterval while more than busyPending updates wait to be
+	// sent with the probes, or after an exchange that changed more than busyChanges records, as
+	// after a mass restart or a partition: a probe carries about 7 records.
 	busyRepairInterval = time.Second
-	busyRepairChanges  = 32
+	busyPending        = 16
+	busyChanges        = 32
 	// floorHolders is the number of lease holders asked for the head after a restart.
 	floorHolders = 2
 	// floorReadSpread spreads the reads of the head by restarted daemons that reach no lease holder:
@@ -221,10 +223,14 @@
 // outside the own domain. The first exchange follows soon after the start, as it also brings the
 // lease holders.
 func (f *Follower) repair(ctx context.Context) {
-	interval := busyRepairInterval
-	for i := 1; pause(ctx, f.jitter(interval)); i++ {
-		interval = repairInterval
-		addr, ok := f.repairPeer(i)
+	var due time.Time
+	for round := 1; pause(ctx, f.jitter(busyRepairInterval)); {
+		if time.Now().Before(due) && !f.recordsBusy() {
+			continue
+		}
+		due = time.Now().Add(f.jitter(repairInterval))
+		addr, ok := f.repairPeer(round)
+		round++
 		if !ok {
 			continue
 		}
@@ -232,12 +238,18 @@
 		if err != nil {
 			f.cfg.Log.Log(event.PeerRepairFailed, zap.String("peer", addr), zap.Error(err))
 		}
-		if changed > busyRepairChanges {
-			interval = busyRepairInterval
+		if changed > busyChanges {
+			due = time.Time{}
 		}
 	}
 }
 
+// recordsBusy reports whether there are more changes of records than the probes can carry.
+func (f *Follower) recordsBusy() (busy bool) {
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { busy = s.Pending() > busyPending })
+	return busy
+}
+
 func (f *Follower) repairPeer(round int) (string, bool) {
 	addrs := f.reachable(round%2 == 1)
 	if len(addrs) == 0 {
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -126,6 +126,9 @@
 // Size returns the number of known members that are not dead, including this one.
 func (s *State) Size() int { return len(s.members) - len(s.dead) }
 
+// Pending returns the number of updates that wait to be sent with the probes.
+func (s *State) Pending() int { return len(s.queue.byKey) }
+
 // Health returns the number by which local faults raise the timeouts, 0 when healthy.
 func (s *State) Health() int { return s.health }
 
