--- a/cli/cmd/settings_test.go
+++ b/cli/cmd/settings_test.go
@@ -109,3 +109,21 @@
 	}
 	is.Equal(loaded, map[string]int{"daemon": 2, "platform": 1, "backend": 2, "administration": 1})
 }
+
+// Guards against faults of daemon settings that come in random order or do not say what is expected.
+func TestDaemonSettingsFaults(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile(filepath.Join(settingsExample, "daemon-1.ini"))
+	is.NoErr(err)
+	text := strings.NewReplacer("instance = instance-1", "instance =\nlog-level = fatal",
+		"table-url = http://", "table-url = ", "object-url = http://", "object-url = ").Replace(string(data))
+	path := settingsFile(t, text)
+	_, err = agent.LoadSettings(path)
+	is.True(err != nil)
+	is.Equal(strings.ReplaceAll(err.Error(), path+": ", ""), strings.Join([]string{
+		`section [daemon]: key "instance": must not be empty`,
+		`section [daemon]: key "log-level": "fatal" is not debug, info, warn or error`,
+		`section [platform]: key "table-url": must start with http:// or https://`,
+		`section [platform]: key "object-url": must start with http:// or https://`,
+	}, "\n"))
+}
