--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -23,6 +23,7 @@
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
 	"kingcupwood.example/kingcupwood/agent/platform"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/traffic"
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
@@ -60,6 +61,9 @@
 	burn      *burn.Tracker
 	gate      *gate
 	record    recordKeeper
+	// peerTraffic counts the net/rpc connections between daemons, platformTraffic those to the
+	// platform.
+	peerTraffic, platformTraffic traffic.Counter
 }
 
 // New builds a daemon and opens its listeners. Errors: a listener or the platform client cannot be
@@ -78,6 +82,7 @@
 }
 
 func (d *Daemon) build() error {
+	d.store = peersync.NewStore(codec{})
 	if err := d.buildPlatform(); err != nil {
 		return err
 	}
@@ -93,6 +98,8 @@
 	client, err := platform.NewClient(platform.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
+		Local: d.store.Load,
+		Dial:  d.platformTraffic.Dial((&net.Dialer{}).DialContext),
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
@@ -115,14 +122,13 @@
 }
 
 func (d *Daemon) buildDistribution(local endpoint.Record) {
-	d.store = peersync.NewStore(codec{})
 	var seeds []string
 	for _, addr := range d.settings.Peers.Seeds {
 		seeds = append(seeds, addr.String())
 	}
 	d.follower = peersync.NewFollower(peersync.Config{
 		Self: local, Seeds: seeds, Members: d.prober, Store: d.store, Platform: headSource{d.platform},
-		Dial: peersync.DialTCP, Log: d.log, Seed: rand.Uint64(),
+		Dial: d.dialPeer, Log: d.log, Seed: rand.Uint64(),
 	})
 }
 
@@ -198,10 +204,11 @@
 // serve starts all parts in group.
 func (d *Daemon) serve(group *errgroup.Group, ctx context.Context, admin, callers, announcements *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
-	group.Go(func() error { return peersync.Serve(ctx, d.listeners.rpc, d.rpcWithSync(ctx)) })
+	group.Go(func() error { return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx)) })
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
+	group.Go(func() error { keys.NewMover(d.callers, d.prober.View, d.log).Run(ctx); return nil })
 	for server, listener := range map[*http.Server]net.Listener{
 		admin: d.listeners.admin, callers: d.listeners.callers, announcements: d.listeners.announcements,
 	} {
--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -1,14 +1,9 @@
-// Package platform is the client of the users' table service (DynamoDB API) and object store (S3
-// API). It reads the head and the configuration objects, and carries out the changes of operators.
-//
-// Every write that is not idempotent carries a token. If the response to it is lost, the client
-// reads the token back; it repeats a write only under the condition that makes a second effect
-// impossible.
 package platform
 
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -47,6 +42,8 @@
 	Backoff, BackoffMax time.Duration
 	// Local returns the snapshot that the daemon has in force, or nil; it saves reads of services.
 	Local func() *snapshot.Snapshot
+	// Dial opens the connections to the platform; nil stands for the default of net/http.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Now and Rand are replaced in tests. Rand returns a number in [0, n).
 	Now  func() time.Time
 	Rand func(n int64) int64
@@ -99,6 +96,7 @@
 		MaxIdleConnsPerHost: maxConnections,
 		MaxConnsPerHost:     maxConnections,
 		IdleConnTimeout:     idleConnectionTime,
+		DialContext:         config.Dial,
 	}
 	httpClient := &http.Client{Transport: transport}
 	keys := credentials.NewStaticCredentialsProvider(config.AccessKey, config.SecretKey, "")
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/rpc"
 	"time"
 
@@ -46,8 +47,17 @@
 
 // rpcWithSync adds the distribution service, whose long polls end with ctx.
 func (d *Daemon) rpcWithSync(ctx context.Context) *rpc.Server {
-	if err := peersync.NewServer(d.prober, d.store).Register(ctx, d.rpc); err != nil {
+	if err := peersync.NewServer(d.follower).Register(ctx, d.rpc); err != nil {
 		panic(err) // the service type is fixed at compile time
 	}
 	return d.rpc
 }
+
+// dialPeer opens a counted connection to the net/rpc address of another daemon.
+func (d *Daemon) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := peersync.DialTCP(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return d.peerTraffic.Conn(conn), nil
+}
--- a/pkg/admission/config.go
+++ b/pkg/admission/config.go
@@ -18,15 +18,23 @@
 	// queuePerSlot is the default length of the queue for each declared slot. Deadlines bound the
 	// queue before this limit does, unless the deadlines are long.
 	queuePerSlot = 32
-	// rateHeadroom multiplies the share of an instance in the declared rate. Requests are not spread
-	// evenly: draws are random, and when selection avoids a slow one of five servers, the others get
-	// a quarter more. Without headroom that part would wait behind all protected work.
-	rateHeadroom = 1.25
+	// maxHeadroom and minHeadroom bound the factor for the share of an instance in the declared rate.
+	// Requests are not spread evenly: draws are random, and when selection avoids a slow one of five
+	// servers, the others get a quarter more. Without headroom that part would wait behind all
+	// protected work.
+	maxHeadroom = 1.5
+	minHeadroom = 1.05
+	// headroomShare is the share of the slots that the protected work of all kinds may need with
+	// headroom. More would let a flood of an urgent kind take the declared share of the others.
+	headroomShare = 0.9
 	// burstSeconds is the burst headroom of a kind, as seconds of its declared rate.
 	burstSeconds = 0.5
 	// minBurst is the smallest burst in requests. Random arrivals at the declared rate exceed a bucket
 	// of n requests about once in 2n; excess work can wait for long behind protected work.
 	minBurst = 20
+	// burstSlotTime bounds a burst by the time for which it occupies all slots. A burst of long
+	// requests would block more urgent work that arrives after it has started.
+	burstSlotTime = 500 * time.Millisecond
 )
 
 // Kind is what admission control needs to know about one kind of request.
@@ -78,13 +86,44 @@
 	return c.slots() * queuePerSlot
 }
 
-// limit returns the rate at which tokens are added, in requests per second.
-func (k Kind) limit() rate.Limit { return rate.Limit(k.Rate * rateHeadroom) }
+// declaredSlots returns the number of slots that the declared rates of all kinds up to a rank keep
+// busy.
+func (c Config) declaredSlots(rank int) float64 {
+	slots := 0.0
+	for _, k := range c.Kinds {
+		if k.Rank <= rank {
+			slots += k.Rate * k.ServiceTime.Seconds()
+		}
+	}
+	return slots
+}
+
+// headroom returns the factor by which the rate of k may exceed its share. If the declared rates do
+// not fit, for example after the loss of a failure domain, the less urgent kinds cannot keep their
+// share and leave the headroom to the more urgent ones.
+func (c Config) headroom(k Kind) float64 {
+	usable := headroomShare * float64(c.slots())
+	declared := c.declaredSlots(math.MaxInt)
+	if declared > usable {
+		declared = c.declaredSlots(k.Rank)
+	}
+	if declared <= 0 {
+		return maxHeadroom
+	}
+	return min(max(usable/declared, minHeadroom), maxHeadroom)
+}
+
+// tokenRate returns the rate at which k gets tokens, per second.
+func (c Config) tokenRate(k Kind) rate.Limit { return rate.Limit(k.Rate * c.headroom(k)) }
 
 // burst returns the size of the token bucket in requests.
-func (k Kind) burst() int {
+func (c Config) burst(k Kind) int {
 	if k.Rate <= 0 {
 		return 0
 	}
-	return max(minBurst, int(math.Ceil(k.Rate*burstSeconds)))
+	burst := max(minBurst, int(math.Ceil(k.Rate*burstSeconds)))
+	if k.ServiceTime > 0 {
+		burst = min(burst, int(burstSlotTime*time.Duration(c.slots())/k.ServiceTime))
+	}
+	return max(burst, 1)
 }
