Keep a reserve for the failure response of the receiving daemon

Cause: the receiving daemon gave the backend server the whole time of its sender. Both timeouts passed together, so that the sender saw a lost response, closed the connection and asked a fence, although the receiver knew the outcome.

Change: the receiver bounds admission and the backend server by retry.HopTimeout of the timeout that it got.

Before: without a deadline of its own TestReceiverKeepsTimeForItsFailure did not end. After: 504 may-have-run, and the backend server is told at most 98 of 100 ms.

--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -10,6 +10,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 
 	"github.com/pkg/errors"
@@ -42,7 +43,11 @@
 	if status.State == endpoint.Draining || r.draining.Load() {
 		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
 	}
-	ticket, err := r.admission.Acquire(ctx, req.Kind, time.Now().Add(req.Timeout))
+	// This hop keeps time to report a failure of the backend server, before the sender gives up.
+	deadline := time.Now().Add(retry.HopTimeout(req.Timeout))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	ticket, err := r.admission.Acquire(ctx, req.Kind, deadline)
 	if err != nil {
 		return r.finish(req, refusalResponse(req, err))
 	}
--- /dev/null
+++ b/agent/receiver_test.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/admission"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// newTestReceiver returns the receiver of an instance whose backend server runs handler.
+func newTestReceiver(t *testing.T, handler http.HandlerFunc) *receiver {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	b := backend.New(backend.Config{}, event.Nop())
+	t.Cleanup(b.Close)
+	body := fmt.Sprintf(`{"service":"pages","address":%q,"state":"ready","slots":4,"connections":8}`, server.Listener.Addr())
+	w := httptest.NewRecorder()
+	b.Announcements().ServeHTTP(w, httptest.NewRequest("PUT", backend.AnnouncePath, bytes.NewBufferString(body)))
+	if w.Code != http.StatusNoContent {
+		t.Fatalf("announcement: %d %s", w.Code, w.Body)
+	}
+	return &receiver{admission: admission.New(admission.Config{Slots: 4}, time.Now), backend: b}
+}
+
+func testRequest() *call.Request {
+	return &call.Request{
+		Attempt: fence.AttemptID{Sender: 1, Seq: 1}, Service: "pages", Kind: "view", Timeout: 100 * time.Millisecond,
+		Depth: 1, Method: "GET", Target: "/pages/1", Host: "pages",
+	}
+}
+
+// Guards against a receiving daemon that lets the backend server use all the time of its sender, so
+// that the sender sees a lost response in place of the failure.
+func TestReceiverKeepsTimeForItsFailure(t *testing.T) {
+	is := is.New(t)
+	told := make(chan string, 1)
+	r := newTestReceiver(t, func(_ http.ResponseWriter, r *http.Request) {
+		told <- r.Header.Get(backend.TimeoutHeader)
+		<-r.Context().Done()
+	})
+	resp := r.ServeCall(context.Background(), testRequest())
+	is.Equal(resp.Status, http.StatusGatewayTimeout)
+	is.Equal(resp.Verdict, verdict.MayHaveRun)
+	left, err := strconv.Atoi(<-told)
+	is.NoErr(err)
+	is.True(left > 0 && left <= 98)
+}
+
+// Guards against a request that reaches the backend server of another service or of a stopping
+// instance, and against a refusal that does not say that it is due to draining.
+func TestReceiverRefuses(t *testing.T) {
+	is := is.New(t)
+	r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) { t.Error("the request has run") })
+	other := testRequest()
+	other.Service = "finder"
+	resp := r.ServeCall(t.Context(), other)
+	is.Equal(resp.Verdict, verdict.NotRun)
+	is.Equal(resp.Status, http.StatusServiceUnavailable)
+	is.True(!resp.Draining)
+	r.draining.Store(true)
+	resp = r.ServeCall(t.Context(), testRequest())
+	is.Equal(resp.Verdict, verdict.NotRun)
+	is.True(resp.Draining)
+}
