Measure the added latency with the daemons of a real deployment

The hop program measured two stripped-down daemons without routing, admission control and selection. The group latency of tools/bench starts a deployment and keeps the interleaved open loop.

--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -11,6 +11,7 @@
 
 	"kingcupwood.example/kingcupwood/tools/bench/capacity"
 	"kingcupwood.example/kingcupwood/tools/bench/convergence"
+	"kingcupwood.example/kingcupwood/tools/bench/latency"
 	"kingcupwood.example/kingcupwood/tools/bench/row"
 )
 
@@ -22,6 +23,7 @@
 
 var groups = []group{
 	{"flood", (*bench).runFlood},
+	{"latency", (*bench).runLatency},
 	{"convergence", (*bench).runConvergence},
 	{"capacity", (*bench).runCapacity},
 }
@@ -54,6 +56,11 @@
 	return errors.Wrap(err, "run flood")
 }
 
+// runLatency measures what two daemon hops add to a call.
+func (b *bench) runLatency(ctx context.Context) error {
+	return latency.Run(ctx, b.binary, b.emit)
+}
+
 func (b *bench) runConvergence(ctx context.Context) error {
 	sizes := convergence.Sizes
 	if b.sizes != "" {
--- /dev/null
+++ b/tools/bench/latency/latency.go
@@ -0,0 +1,179 @@
+// Package latency measures what two daemon hops add to a call. It starts a deployment with a sending
+// daemon, a receiving daemon and a backend server, and sends an open loop of calls that alternates
+// between the direct way and the way through both daemons, so that the load of the machine affects
+// both alike.
+package latency
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/tools/bench/row"
+	"kingcupwood.example/kingcupwood/tools/fleet"
+)
+
+const (
+	// warmup is not measured: connections open, and slow start of a new server lasts 10 s.
+	warmup = 2 * time.Second
+	// roundTime is the measured time of a round.
+	roundTime = 10 * time.Second
+	rounds    = 3
+	// slots and queue exceed the load, so that the run measures hops and not queues. The direct calls
+	// share the connections with those of the daemon.
+	slots        = 64
+	queue        = 4096
+	connections  = 2048
+	serviceTime  = 2 * time.Millisecond
+	requestBytes = 512
+	// responseBytes is the size of a response body.
+	responseBytes = 4 << 10
+	callTimeout   = 5 * time.Second
+	arrivalSeed   = 1
+)
+
+// Rates are the calls per second on each way: the mean of a daemon at the target and ten times that.
+var Rates = []int{120, 1200}
+
+// answers declares a rate above the load, so that admission control does not refuse calls.
+const answers = `[service]
+name = pages
+team = bench
+capacity-slots = %d
+capacity-connections = %d
+servers = 1
+
+[kind view]
+match = POST /pages/
+rank = 1
+idempotent = yes
+deadline = 2s
+expected-rate = 10000/s
+service-time = 2ms
+worth = 1
+objective = 99%%
+`
+
+// Run measures every rate and reports the rows.
+func Run(ctx context.Context, binary string, emit func(row.Row)) error {
+	dir, err := os.MkdirTemp("", "kingcupwood-latency-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := fleet.New(binary, dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	sender, receiver, err := deploy(ctx, f)
+	if err != nil {
+		return err
+	}
+	ways := []*way{newWay(receiver.Backend), newWay(sender.Callers)}
+	for _, rate := range Rates {
+		if err := measureRate(ways, rate, sender, receiver, emit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deploy starts the sending daemon, and the receiving one with its backend server, in one failure
+// domain, and puts the answers in force.
+func deploy(ctx context.Context, f *fleet.Fleet) (sender, receiver *fleet.Instance, err error) {
+	server := fleet.ServerConfig{Service: "pages", Slots: slots, Connections: connections, Extra: map[string][]string{
+		"work": {"service-time = " + serviceTime.String(), fmt.Sprintf("response-bytes = %d", responseBytes), fmt.Sprintf("queue = %d", queue)},
+	}}
+	if receiver, err = f.Add("receiver", "d1", server); err != nil {
+		return nil, nil, err
+	}
+	if sender, err = f.Add("sender", "d1", fleet.ServerConfig{}); err != nil {
+		return nil, nil, err
+	}
+	if err := f.StartPlatform(); err != nil {
+		return nil, nil, err
+	}
+	for _, start := range []func() error{
+		func() error { return f.StartDaemon(receiver) },
+		func() error { return f.StartDaemon(sender) },
+		func() error { return f.StartBackend(receiver) },
+		f.WriteAdministration,
+	} {
+		if err := start(); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err := fleet.WaitReady(ctx, f.Instances, "pages", 1); err != nil {
+		return nil, nil, errors.Wrap(err, "wait for the backend server")
+	}
+	return sender, receiver, accept(ctx, f)
+}
+
+func accept(ctx context.Context, f *fleet.Fleet) error {
+	file := filepath.Join(f.Dir, "pages.ini")
+	if err := os.WriteFile(file, fmt.Appendf(nil, answers, slots, connections), 0o600); err != nil {
+		return err
+	}
+	draft, err := f.Submit(file)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Accept("pages", draft, 0); err != nil {
+		return err
+	}
+	_, err = fleet.WaitVersion(ctx, f.Instances, 1)
+	return errors.Wrap(err, "wait for the configuration")
+}
+
+// measureRate runs the rounds of one rate. The bound applies to the median of the rounds, since a
+// single round can be that of a busy machine.
+func measureRate(ways []*way, rate int, sender, receiver *fleet.Instance, emit func(row.Row)) error {
+	var p50, p99 []float64
+	before := cpuTimes(sender, receiver)
+	calls := 0
+	for round := range rounds {
+		direct, via := measureRound(ways, rate, uint64(round))
+		for _, w := range ways {
+			if w.failed > 0 {
+				return errors.Errorf("%d of the calls to %s failed, the first one: %v", w.failed, w.url, w.failure)
+			}
+		}
+		p50 = append(p50, via.p50-direct.p50)
+		p99 = append(p99, via.p99-direct.p99)
+		name := fmt.Sprintf("latency/%d/round%d/", rate, round+1)
+		emit(row.Row{Name: name + "direct_p99", Value: direct.p99, Unit: "ms"})
+		emit(row.Row{Name: name + "two_hops_p99", Value: via.p99, Unit: "ms"})
+		calls += rate * int((warmup+roundTime)/time.Second)
+	}
+	name := fmt.Sprintf("latency/%d/", rate)
+	emit(row.Row{Name: name + "added_p50", Value: median(p50), Unit: "ms"})
+	emit(row.Row{Name: name + "added_p99", Value: median(p99), Unit: "ms", Bound: row.AddedMilliseconds})
+	after := cpuTimes(sender, receiver)
+	for n, daemon := range []string{"sender", "receiver"} {
+		perCall := (after[n] - before[n]) / time.Duration(calls)
+		emit(row.Row{Name: name + daemon + "_cpu_per_call", Value: float64(perCall.Microseconds()), Unit: "us"})
+	}
+	return nil
+}
+
+// cpuTimes returns the processor time of the daemons so far, zero for one that has ended.
+func cpuTimes(instances ...*fleet.Instance) []time.Duration {
+	times := make([]time.Duration, len(instances))
+	for n, i := range instances {
+		if usage, err := i.DaemonProcess.Usage(); err == nil {
+			times[n] = usage.CPU
+		}
+	}
+	return times
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
--- a/tools/bench/row/row.go
+++ b/tools/bench/row/row.go
@@ -33,6 +33,8 @@
 
 // Bounds of sections 3 and 9 of the design page.
 const (
+	// AddedMilliseconds is what two daemon hops may add to a call at p99.
+	AddedMilliseconds = 0.7
 	// CPUPercent is the share of a core that a daemon may use for the control plane.
 	CPUPercent = 4.2
 	// MemoryMB is the resident memory of a daemon, in units of 1e6 bytes.
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -212,9 +212,12 @@
 			return err
 		}
 	}
-	return f.writeAdministration(f.Instances)
+	return f.WriteAdministration()
 }
 
+// WriteAdministration writes the settings file that RunAdministration uses. Start does this.
+func (f *Fleet) WriteAdministration() error { return f.writeAdministration(f.Instances) }
+
 // Close kills every process that is still running.
 func (f *Fleet) Close() {
 	for _, p := range f.processes {
