--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -96,8 +96,9 @@
 	})
 	c := newTestClient(t)
 	is.NoErr(c.Prepare(within(t, generous), d.addr, 1))
-	for seq := uint64(1); seq < 4; seq++ {
-		want := request(seq)
+	for range 3 {
+		want := request(0)
+		want.Attempt = c.NextAttempt() // a repeated ID would be refused as a duplicate
 		resp, err := c.Do(within(t, generous), d.addr, want)
 		is.NoErr(err)
 		got.table = nil
--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 type Client struct {
 	incarnation uint64
 	log         *event.Logger
+	attempts    atomic.Uint64
 
 	mu     sync.Mutex
 	closed bool
@@ -51,6 +53,11 @@
 	}
 }
 
+// NextAttempt returns the ID of the next attempt of this daemon. It is safe for concurrent use.
+func (c *Client) NextAttempt() fence.AttemptID {
+	return fence.AttemptID{Sender: c.incarnation, Seq: c.attempts.Add(1)}
+}
+
 // Do sends r to the daemon at addr ("ip:port") and returns its response, which may be a refusal with
 // verdict not run. ctx bounds the call. An error is a *verdict.Error: not run if the daemon cannot
 // have received the whole request, otherwise may have run, which Fence may settle.
--- a/tools/bench/hop/roles.go
+++ b/tools/bench/hop/roles.go
@@ -10,14 +10,12 @@
 	"os"
 	"os/signal"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"kingcupwood.example/kingcupwood/agent/backend"
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
-	"kingcupwood.example/kingcupwood/pkg/fence"
 	standin "kingcupwood.example/kingcupwood/standin/backend"
 )
 
@@ -95,7 +93,6 @@
 type sendingDaemon struct {
 	client   *call.Client
 	receiver string
-	attempts atomic.Uint64
 }
 
 // ServeHTTP implements http.Handler.
@@ -108,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
 	resp, err := d.client.Do(ctx, d.receiver, &call.Request{
-		Attempt: fence.AttemptID{Sender: 1, Seq: d.attempts.Add(1)},
+		Attempt: d.client.NextAttempt(),
 		Service: r.Host, Kind: "view", Version: 1, Timeout: callTimeout, Depth: 1,
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 	})
