--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -146,3 +147,15 @@
 	serve(Outcome{ServiceTime: 10 * time.Millisecond}, 5*time.Second)
 	is.Equal(c.Slots(), 8)
 }
+
+// Guards against declared rates that are not shared between the servers, and against the planned
+// slots replacing those that the backend server announced.
+func TestForService(t *testing.T) {
+	is := is.New(t)
+	svc := &snapshot.Service{Slots: 12, Kinds: []snapshot.Kind{{Name: "save", Rank: 1, ExpectedRate: 40}}}
+	cfg := ForService(svc, 8, 4)
+	is.Equal(cfg.Slots, 8)
+	is.Equal(cfg.Kinds[0].Rate, 10.0)
+	is.Equal(ForService(svc, 0, 0).Slots, 12)
+	is.Equal(ForService(svc, 0, 0).Kinds[0].Rate, 40.0) // no ready server is known yet
+}
