--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -16,101 +16,48 @@
 const (
 	targetMembers = 16_000
 	targetDomains = 19
+	// startMS is an incarnation of realistic size, a time in milliseconds.
+	startMS = 1_764_835_200_000
 	// headerBytes is the size of the IPv4 and UDP headers of a packet.
 	headerBytes = 28
 	// benchSeconds is the protocol time of each measurement.
 	benchSeconds = 60
 )
 
-// traffic is what the running members sent and received and the CPU time they took.
-type traffic struct {
-	sent, received, sentPackets, receivedPackets int
-	cpu                                          time.Duration
-}
-
-// benchCluster runs n members of domain-0. The other members of the target are records in 18 other
+// newTarget runs n members of domain-0. The other members of the target are records in 18 other
 // domains; probes to them are answered by a stub whose CPU time is not counted.
-type benchCluster struct {
-	now    time.Time
-	states []*State
-	addrs  []netip.AddrPort
-	byAddr map[netip.AddrPort]*State
-	others map[netip.AddrPort]endpoint.Record
-	flying []Packet
-	from   []netip.AddrPort
-	total  traffic
-}
-
-func newBenchCluster(n int) *benchCluster {
-	c := &benchCluster{now: epoch, byAddr: map[netip.AddrPort]*State{}, others: map[netip.AddrPort]endpoint.Record{}}
+func newTarget(b *testing.B, n int) *network {
+	w := newNetwork(b, 1, 0, 1)
+	w.others = map[netip.AddrPort]endpoint.Record{}
 	var entries []Entry
 	for i := range targetMembers {
-		domain := "domain-0"
-		if i >= n {
-			domain = fmt.Sprintf("domain-%d", 1+i%(targetDomains-1))
-		}
-		r := testRecord(i, domain, 1_764_835_200_000)
-		entries = append(entries, Entry{Record: r})
-		addr := netip.MustParseAddrPort(r.ProbeAddr)
-		if i >= n {
-			c.others[addr] = r
+		if i < n {
+			entries = append(entries, Entry{Record: w.start(i, "domain-0", startMS).state.Local()})
 			continue
 		}
-		s := New(Config{Local: r}, c.now, uint64(i)+1)
-		c.states, c.addrs = append(c.states, s), append(c.addrs, addr)
-		c.byAddr[addr] = s
+		r := testRecord(i, fmt.Sprintf("domain-%d", 1+i%(targetDomains-1)), startMS)
+		entries = append(entries, Entry{Record: r})
+		w.others[netip.MustParseAddrPort(r.ProbeAddr)] = r
 	}
 	data := mustEncode(entries)
-	for _, s := range c.states {
+	for _, node := range w.nodes {
 		// Each member has its own copy of all texts, as after the exchange at join.
 		var own []Entry
 		if err := cbor.Unmarshal(data, &own); err != nil {
-			panic(err)
+			b.Fatal(err)
 		}
-		s.Merge(c.now, own)
-		s.SetVersion(23_000)
+		node.state.Merge(w.now, own)
+		node.state.SetVersion(23_000)
+		node.seen = nil // the comparison of all records would dominate the memory
 	}
-	return c
+	return w
 }
 
-func (c *benchCluster) measure(i int, f func(s *State) []Packet) {
-	begin := time.Now()
-	packets := f(c.states[i])
-	c.total.cpu += time.Since(begin)
-	for _, p := range packets {
-		c.total.sent += len(p.Data) + headerBytes
-		c.total.sentPackets++
-		c.flying, c.from = append(c.flying, p), append(c.from, c.addrs[i])
-	}
-}
-
-// run advances protocol time; packets take no time and are not lost.
-func (c *benchCluster) run(d time.Duration) {
-	index := map[netip.AddrPort]int{}
-	for i, addr := range c.addrs {
-		index[addr] = i
-	}
-	for end := c.now.Add(d); c.now.Before(end); {
-		c.now = c.now.Add(TickInterval)
-		for i := range c.states {
-			c.measure(i, func(s *State) []Packet { return s.Tick(c.now) })
-		}
-		for len(c.flying) > 0 {
-			p, from := c.flying[0], c.from[0]
-			c.flying, c.from = c.flying[1:], c.from[1:]
-			data := p.Data
-			if other, ok := c.others[p.To]; ok {
-				if data = answer(other, data); data == nil {
-					continue
-				}
-				p.To, from = from, p.To
-			}
-			i := index[p.To]
-			c.total.received += len(data) + headerBytes
-			c.total.receivedPackets++
-			c.measure(i, func(s *State) []Packet { return s.Receive(c.now, from, data) })
-		}
-	}
+// measure returns the traffic of the next benchSeconds.
+func (w *network) measure() traffic {
+	w.total = traffic{}
+	w.run(benchSeconds * time.Second)
+	return w.total
 }
 
 // answer is the ack of a member that is only a record.
@@ -141,27 +88,24 @@
 		b.Run(fmt.Sprintf("members-%d", n), func(b *testing.B) {
 			for range b.N {
 				before := memory()
-				c := newBenchCluster(n)
-				c.run(30 * time.Second) // the queues of the start run empty
+				w := newTarget(b, n)
+				w.run(30 * time.Second) // the queues of the start run empty
 				used := memory() - before
-				c.total = traffic{}
-				c.run(benchSeconds * time.Second)
-				idle := c.total
-				c.total = traffic{}
-				r := c.states[1].Local()
+				idle := w.measure()
+				r := w.nodes[1].state.Local()
 				r.State = endpoint.Draining
-				c.states[1].SetLocal(c.now, r)
-				c.run(benchSeconds * time.Second)
-				perSecond := func(v int) float64 { return float64(v) / float64(n) / benchSeconds }
-				b.ReportMetric(perSecond(idle.sent), "sentB/s")
-				b.ReportMetric(perSecond(idle.received), "receivedB/s")
-				b.ReportMetric(perSecond(idle.sentPackets+idle.receivedPackets), "packets/s")
-				b.ReportMetric(float64(idle.cpu.Microseconds())/1000/float64(n)/benchSeconds, "cpu-ms/s")
-				b.ReportMetric(float64(c.total.sent-idle.sent)/float64(n), "sentB/change")
-				b.ReportMetric(float64(c.total.received-idle.received)/float64(n), "receivedB/change")
-				b.ReportMetric(float64(c.total.cpu-idle.cpu)/1e6/float64(n), "cpu-ms/change")
+				w.nodes[1].state.SetLocal(w.now, r)
+				changed := w.measure()
+				each := func(v int) float64 { return float64(v) / float64(n) }
+				b.ReportMetric(each(idle.sent)/benchSeconds, "sentB/s")
+				b.ReportMetric(each(idle.received)/benchSeconds, "receivedB/s")
+				b.ReportMetric(each(idle.packets)/benchSeconds, "packets/s")
+				b.ReportMetric(each(int(idle.cpu))/1e6/benchSeconds, "cpu-ms/s")
+				b.ReportMetric(each(changed.sent-idle.sent), "sentB/change")
+				b.ReportMetric(each(changed.received-idle.received), "receivedB/change")
+				b.ReportMetric(each(int(changed.cpu-idle.cpu))/1e6, "cpu-ms/change")
 				b.ReportMetric(float64(used)/float64(n)/1e6, "MB")
-				runtime.KeepAlive(c)
+				runtime.KeepAlive(w)
 			}
 		})
 	}
--- a/pkg/membership/network_test.go
+++ b/pkg/membership/network_test.go
@@ -13,7 +13,7 @@
 
 // network runs many State machines in virtual time over a lossy datagram network.
 type network struct {
-	t     *testing.T
+	t     testing.TB
 	rng   *rand.Rand
 	now   time.Time
 	nodes []*node
@@ -24,6 +24,16 @@
 	loss, duplicate float64
 	maxDelay        time.Duration
 	cut             map[string]bool
+
+	// others are members that only answer probes; the benchmarks use them.
+	others map[netip.AddrPort]endpoint.Record
+	total  traffic
+}
+
+// traffic is what the nodes sent and received, with headers, and the CPU time they took.
+type traffic struct {
+	sent, received, packets int
+	cpu                     time.Duration
 }
 
 type node struct {
@@ -36,12 +46,15 @@
 	buffered []transit
 	// seen holds the newest record of each instance that this node ever showed.
 	seen map[endpoint.InstanceID]endpoint.Record
+	// checked is the view last compared with seen.
+	checked *endpoint.View
 }
 
 type transit struct {
-	at       time.Time
-	from, to *node
-	data     []byte
+	at   time.Time
+	from netip.AddrPort
+	to   *node
+	data []byte
 }
 
 // repairInterval is the interval of anti-entropy in agent/peer/sync.
@@ -59,7 +72,7 @@
 }
 
 // newNetwork starts n nodes in the given number of domains; all join through node 0.
-func newNetwork(t *testing.T, seed uint64, n, domains int) *network {
+func newNetwork(t testing.TB, seed uint64, n, domains int) *network {
 	w := &network{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: epoch, byAd: map[netip.AddrPort]*node{},
 		cut: map[string]bool{}, maxDelay: 5 * time.Millisecond,
@@ -132,6 +145,12 @@
 		if len(p.Data) > MaxPacketBytes {
 			w.t.Fatalf("packet of %d bytes", len(p.Data))
 		}
+		w.total.sent += len(p.Data) + headerBytes
+		w.total.packets++
+		if other, ok := w.others[p.To]; ok {
+			w.transfer(p.To, from, answer(other, p.Data))
+			continue
+		}
 		to := w.byAd[p.To]
 		if to == nil || w.cut[from.domain+"|"+to.domain] || w.rng.Float64() < w.loss {
 			continue
@@ -141,13 +160,24 @@
 			copies = 2
 		}
 		for range copies {
-			at := w.now.Add(time.Duration(w.rng.Int64N(int64(w.maxDelay) + 1)))
-			place, _ := slices.BinarySearchFunc(w.queue, at, func(p transit, at time.Time) int { return p.at.Compare(at) })
-			w.queue = slices.Insert(w.queue, place, transit{at, from, to, p.Data})
+			w.transfer(from.addr, to, p.Data)
 		}
 	}
 }
 
+func (w *network) transfer(from netip.AddrPort, to *node, data []byte) {
+	at := w.now.Add(time.Duration(w.rng.Int64N(int64(w.maxDelay) + 1)))
+	place, _ := slices.BinarySearchFunc(w.queue, at, func(p transit, at time.Time) int { return p.at.Compare(at) })
+	w.queue = slices.Insert(w.queue, place, transit{at, from, to, data})
+}
+
+// timed adds the time that f takes to the CPU time of the nodes.
+func (w *network) timed(f func() []Packet) []Packet {
+	begin := time.Now()
+	defer func() { w.total.cpu += time.Since(begin) }()
+	return f()
+}
+
 // run advances virtual time; all nodes tick every TickInterval.
 func (w *network) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
@@ -160,11 +190,11 @@
 		w.now = next
 		for _, n := range w.nodes {
 			if !n.frozen && !n.down {
-				w.send(n, n.state.Tick(w.now))
+				w.send(n, w.timed(func() []Packet { return n.state.Tick(w.now) }))
 				w.checkMonotonic(n)
 			}
 		}
-		if w.now.Sub(epoch)%repairInterval < TickInterval {
+		if w.others == nil && w.now.Sub(epoch)%repairInterval < TickInterval {
 			w.repairAll()
 		}
 	}
@@ -176,7 +206,9 @@
 	case p.to.frozen:
 		p.to.buffered = append(p.to.buffered, p)
 	default:
-		w.send(p.to, p.to.state.Receive(w.now, p.from.addr, p.data))
+		w.total.received += len(p.data) + headerBytes
+		w.total.packets++
+		w.send(p.to, w.timed(func() []Packet { return p.to.state.Receive(w.now, p.from, p.data) }))
 	}
 }
 
@@ -192,7 +224,12 @@
 
 // checkMonotonic guards against a record that reverts to an older version.
 func (w *network) checkMonotonic(n *node) {
-	for id, r := range n.state.View().Records {
+	view := n.state.View()
+	if view == n.checked || n.seen == nil {
+		return
+	}
+	n.checked = view
+	for id, r := range view.Records {
 		if n.seen[id].Newer(r) {
 			w.t.Fatalf("%s: record of %s went back from %v to %v", n.state.self, id, n.seen[id], r)
 		}
