Count the bytes between daemons

The bound of 3 KB/s concerns the whole control plane, so the sync connections need counters as the probes have them. Both are available as expvar variables.

--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/netip"
 	"sync"
@@ -159,6 +160,21 @@
 // View returns the current picture of all endpoints.
 func (p *Prober) View() *endpoint.View { return p.state.View() }
 
+// Var returns the traffic, the number of members and the health score as a variable for expvar.
+func (p *Prober) Var() expvar.Var {
+	return expvar.Func(func() any {
+		s := p.Stats()
+		vars := map[string]uint64{
+			"sent_packets": s.SentPackets, "sent_bytes": s.SentBytes,
+			"received_packets": s.ReceivedPackets, "received_bytes": s.ReceivedBytes,
+		}
+		p.Do(func(_ time.Time, m *membership.State) {
+			vars["members"], vars["health"], vars["pending_updates"] = uint64(m.Size()), uint64(m.Health()), uint64(m.Pending())
+		})
+		return vars
+	})
+}
+
 // Stats returns the traffic so far.
 func (p *Prober) Stats() Stats {
 	return Stats{
--- a/agent/peer/sync/client.go
+++ b/agent/peer/sync/client.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", addr)
 	}
-	return &session{addr: addr, rpc: rpc.NewClient(deadlineConn{conn})}, nil
+	return &session{addr: addr, rpc: rpc.NewClient(conn)}, nil
 }
 
 // call runs a method and waits for at most timeout. After an error the session must be closed and
--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -110,7 +110,7 @@
 	if s == nil || s.addr != addr {
 		closeSession(s)
 		var err error
-		if s, err = open(ctx, f.cfg.Dial, addr); err != nil {
+		if s, err = open(ctx, f.dial, addr); err != nil {
 			return nil, err
 		}
 	}
@@ -222,7 +222,7 @@
 func (f *Follower) pullFrom(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	s, err := open(ctx, f.cfg.Dial, addr)
+	s, err := open(ctx, f.dial, addr)
 	if err != nil {
 		return err
 	}
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -61,7 +61,9 @@
 	// Platform may be nil if there is none.
 	Platform Platform
 	Dial     Dialer
-	Log      *event.Logger
+	// Traffic counts the bytes of the connections opened; it may be nil.
+	Traffic *Traffic
+	Log     *event.Logger
 	// OnApply is called after each version put in force, in order of version; it may be nil.
 	OnApply func(*snapshot.Snapshot)
 	// Seed seeds the jitter of the timers.
@@ -78,7 +80,9 @@
 
 // Follower keeps the snapshot of one daemon up to date.
 type Follower struct {
-	cfg    Config
+	cfg Config
+	// dial is cfg.Dial with counters.
+	dial   Dialer
 	floor  distribution.Floor
 	joined chan struct{}
 	// leading tells that this daemon holds a lease and reads the head itself.
@@ -99,8 +103,11 @@
 
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
+	if cfg.Traffic == nil {
+		cfg.Traffic = &Traffic{}
+	}
 	return &Follower{
-		cfg: cfg, joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, dial: cfg.Traffic.dialer(cfg.Dial), joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		objects: rate.NewLimiter(objectRate, objectBurst),
 	}
 }
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	var reply ExchangeReply
-	if err := callOnce(ctx, f.cfg.Dial, addr, exchangeTimeout, "Exchange", args, &reply); err != nil {
+	if err := callOnce(ctx, f.dial, addr, exchangeTimeout, "Exchange", args, &reply); err != nil {
 		return nil, err
 	}
 	if reply.RetryAfter > 0 {
@@ -137,7 +137,7 @@
 		g.Go(func() error {
 			// A late answer may still be written to reply after the timeout, so it is copied.
 			var reply HighestReply
-			if err := callOnce(ctx, f.cfg.Dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
+			if err := callOnce(ctx, f.dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
 				replies[i] = reply
 			}
 			return nil
@@ -163,7 +163,7 @@
 	for range min(len(holders), floorHolders) {
 		var reply HighestReply
 		addr := holders[f.random(int64(len(holders)))]
-		err := callOnce(ctx, f.cfg.Dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
+		err := callOnce(ctx, f.dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
 		if err == nil && reply.Fresh {
 			f.floor.Platform(reply.Head)
 			return
@@ -266,7 +266,7 @@
 
 // repairWith exchanges the differing records with one member and returns the number of changes.
 func (f *Follower) repairWith(ctx context.Context, addr string) (int, error) {
-	s, err := open(ctx, f.cfg.Dial, addr)
+	s, err := open(ctx, f.dial, addr)
 	if err != nil {
 		return 0, err
 	}
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -25,8 +25,6 @@
 	maxRetryAfter = 800 * time.Millisecond
 	// maxWait bounds a long poll.
 	maxWait = 30 * time.Second
-	// writeTimeout ends the connection to a daemon that does not read, for example a frozen one.
-	writeTimeout = 5 * time.Second
 	// acceptPause separates two attempts to accept a connection after an error.
 	acceptPause = 10 * time.Millisecond
 	// redirectPeers is the number of other daemons named to one that is turned away.
@@ -226,8 +224,9 @@
 	return nil
 }
 
-// Serve answers the connections of ln with r until ctx is done, then closes them and returns nil.
-func Serve(ctx context.Context, ln net.Listener, r *rpc.Server) error {
+// Serve answers the connections of ln with r until ctx is done, then closes them and returns nil. It
+// counts their bytes in traffic.
+func Serve(ctx context.Context, ln net.Listener, r *rpc.Server, traffic *Traffic) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
@@ -250,18 +249,7 @@
 		wg.Go(func() {
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer stop()
-			r.ServeConn(deadlineConn{conn})
+			r.ServeConn(traffic.wrap(conn))
 		})
 	}
 }
-
-// deadlineConn limits the time of each write.
-type deadlineConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c deadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
