Join through lease holders when the configured seeds fail

A daemon whose seeds are all dead could not join. Leases are now held under instance and net/rpc address; a platform that lists the holders provides more seeds after three failed attempts. Accepted connections are limited to 512, so that a reconnect storm does not exhaust the memory.

--- a/agent/peer/sync/fakes_test.go
+++ b/agent/peer/sync/fakes_test.go
@@ -165,6 +165,18 @@
 	return Lease{Name: name, Holder: holder, Token: l.token}, nil
 }
 
+// LeaseHolders implements SeedSource.
+func (p platformOf) LeaseHolders(context.Context) (holders []string, err error) {
+	if err := p.enter(); err != nil {
+		return nil, err
+	}
+	defer p.mu.Unlock()
+	for _, l := range p.leases {
+		holders = append(holders, l.holder)
+	}
+	return holders, nil
+}
+
 func (p platformOf) RenewLease(_ context.Context, l Lease, ttl time.Duration) (Lease, error) {
 	if err := p.enter(); err != nil {
 		return Lease{}, err
--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -251,6 +251,18 @@
 	})
 }
 
+// Guards against a daemon that cannot join because all seeds of its settings are dead.
+func TestJoinThroughLeaseHolders(t *testing.T) {
+	run(t, 9, 3, func(_ *is.I, c *cluster) {
+		for _, d := range c.daemons[:2] {
+			d.kill()
+		}
+		c.daemons[5].kill()
+		d := c.start(5, "domain-2")
+		c.until("joined", 2*changeLimit, []*daemon{d}, func(d *daemon) bool { return len(d.View().Records) >= 7 && d.Ready() })
+	})
+}
+
 // Guards against a mass restart that turns to the platform: the restarted daemons must take floor
 // and snapshot from lease holders and peers.
 func TestMassRestartSparesPlatform(t *testing.T) {
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -39,20 +39,27 @@
 )
 
 // join runs the full exchange with a seed, or with daemons that a busy seed names, until one
-// succeeds. Without other seeds this daemon is the first one.
+// succeeds. The lease rows of the platform provide more seeds if those of the settings fail. Without
+// any seed this daemon is the first one.
 func (f *Follower) join(ctx context.Context) {
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
 	seeds := f.otherSeeds()
-	targets := slices.Clone(seeds)
-	for len(seeds) > 0 {
+	if len(seeds) == 0 {
+		seeds = f.leaseSeeds(ctx)
+	}
+	targets := seeds
+	for failures := 1; len(targets) > 0; failures++ {
 		addr := targets[f.random(int64(len(targets)))]
 		peers, err := f.exchange(ctx, addr)
 		if err == nil {
 			break
 		}
-		if len(peers) > 0 {
+		switch {
+		case len(peers) > 0:
 			targets = peers
-		} else {
+		case failures%seedFailures == 0:
+			targets = slices.Concat(seeds, f.leaseSeeds(ctx))
+		default:
 			targets = seeds
 		}
 		f.cfg.Log.Log(event.PeerJoinFailed, zap.String("seed", addr), zap.Error(err))
@@ -64,10 +71,6 @@
 	close(f.joined)
 }
 
-func (f *Follower) otherSeeds() []string {
-	return slices.DeleteFunc(slices.Clone(f.cfg.Seeds), func(addr string) bool { return addr == f.cfg.Self.RPCAddr })
-}
-
 // exchange sends the own record and takes over all records of the peer. A busy peer names others.
 func (f *Follower) exchange(ctx context.Context, addr string) (peers []string, err error) {
 	var own []membership.Entry
--- a/agent/peer/sync/lead.go
+++ b/agent/peer/sync/lead.go
@@ -84,7 +84,7 @@
 	start = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	lease, err := f.cfg.Platform.AcquireLease(ctx, LeaseName(f.cfg.Self.Domain, slot), string(f.cfg.Self.Instance), leaseTTL)
+	lease, err := f.cfg.Platform.AcquireLease(ctx, LeaseName(f.cfg.Self.Domain, slot), HolderName(f.cfg.Self), leaseTTL)
 	return lease, slot, start, err == nil && time.Since(start) < leaseTTL
 }
 
--- /dev/null
+++ b/agent/peer/sync/seeds.go
@@ -0,0 +1,66 @@
+package sync
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+// seedFailures is the number of failed joins after which the lease rows are read for seeds, so that
+// a mass restart with live seeds costs the platform nothing.
+const seedFailures = 3
+
+// SeedSource is implemented by a Platform that can list the holders of all leases.
+type SeedSource interface {
+	// LeaseHolders returns the holders of the leases that have not expired, as given to
+	// AcquireLease.
+	LeaseHolders(ctx context.Context) ([]string, error)
+}
+
+// HolderName returns the text by which a daemon holds a lease: its instance and its net/rpc address,
+// so that other daemons can join through the holders.
+func HolderName(r endpoint.Record) string { return string(r.Instance) + " " + r.RPCAddr }
+
+// ParseHolder returns the instance and the net/rpc address of the holder of a lease.
+func ParseHolder(name string) (endpoint.InstanceID, string, error) {
+	instance, addr, ok := strings.Cut(name, " ")
+	if !ok || instance == "" {
+		return "", "", errors.Errorf("lease holder %q has no address", name)
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return "", "", errors.Wrapf(err, "lease holder %q", name)
+	}
+	return endpoint.InstanceID(instance), addr, nil
+}
+
+// otherSeeds returns the seeds of the settings without this daemon.
+func (f *Follower) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(f.cfg.Seeds), func(addr string) bool { return addr == f.cfg.Self.RPCAddr })
+}
+
+// leaseSeeds returns the addresses of the lease holders, none if they cannot be read.
+func (f *Follower) leaseSeeds(ctx context.Context) []string {
+	source, ok := f.cfg.Platform.(SeedSource)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	holders, err := source.LeaseHolders(ctx)
+	if err != nil {
+		return nil
+	}
+	var addrs []string
+	for _, name := range holders {
+		if id, addr, err := ParseHolder(name); err == nil && id != f.cfg.Self.Instance {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.Sort(addrs)
+	return addrs
+}
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -27,6 +27,9 @@
 	maxWait = 30 * time.Second
 	// acceptPause separates two attempts to accept a connection after an error.
 	acceptPause = 10 * time.Millisecond
+	// maxConnections bounds the accepted connections of a reconnect storm; more are closed at once
+	// and retried with backoff. A daemon needs about 4 for its children in the tree.
+	maxConnections = 512
 	// redirectPeers is the number of other daemons named to one that is turned away.
 	redirectPeers = 8
 	// maxDomains bounds the failure domains accepted in one request; the target has 19.
@@ -227,6 +230,7 @@
 // Serve answers the connections of ln with r until ctx is done, then closes them and returns nil. It
 // counts their bytes in traffic.
 func Serve(ctx context.Context, ln net.Listener, r *rpc.Server, traffic *Traffic) error {
+	open := make(chan struct{}, maxConnections)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
@@ -246,7 +250,14 @@
 			pause(ctx, acceptPause)
 			continue
 		}
+		select {
+		case open <- struct{}{}:
+		default:
+			_ = conn.Close()
+			continue
+		}
 		wg.Go(func() {
+			defer func() { <-open }()
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer stop()
 			r.ServeConn(traffic.wrap(conn))
