Accuse nobody on a ping sent during a failure of the own network

Pings sent during the failure ended after it, when a first ack had already restored its trust, and each accused a live member. A ping now counts only if the daemon trusted its state when it sent it.

The test for joining through lease holders used an instance that the others still knew and probed, so it passed without the feature; it now starts an unknown one.

--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -257,9 +257,8 @@
 		for _, d := range c.daemons[:2] {
 			d.kill()
 		}
-		c.daemons[5].kill()
-		d := c.start(5, "domain-2")
-		c.until("joined", 2*changeLimit, []*daemon{d}, func(d *daemon) bool { return len(d.View().Records) >= 7 && d.Ready() })
+		d := c.start(9, "domain-0")
+		c.until("joined", 2*changeLimit, []*daemon{d}, func(d *daemon) bool { return len(d.View().Records) >= 8 && d.Ready() })
 	})
 }
 
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -73,6 +73,25 @@
 	w.until("agreement", 30*time.Second, w.agree)
 }
 
+// Guards against accusations by a daemon whose own network failed: apart from the first member that
+// did not answer it, nobody may have to refute.
+func TestIsolatedDaemonAccusesOneAtMost(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(t, 12, 24, 3)
+	w.until("join", 30*time.Second, w.agree)
+	w.nodes[5].offline = true
+	w.run(30 * time.Second)
+	w.nodes[5].offline = false
+	w.until("return", 30*time.Second, w.agree)
+	refuted := 0
+	for i, n := range w.nodes {
+		if i != 5 && n.state.Local().Incarnation > 1000 {
+			refuted++
+		}
+	}
+	is.True(refuted <= 1)
+}
+
 // Guards against a daemon that stays dead for others after a pause longer than the suspicion
 // timeout.
 func TestFrozenDaemonReturns(t *testing.T) {
--- a/pkg/membership/network_test.go
+++ b/pkg/membership/network_test.go
@@ -42,6 +42,8 @@
 	domain string
 	frozen bool
 	down   bool
+	// offline nodes run without a network.
+	offline bool
 	// buffered holds packets that wait in the socket of a frozen node.
 	buffered []transit
 	// seen holds the newest record of each instance that this node ever showed.
@@ -152,7 +154,7 @@
 			continue
 		}
 		to := w.byAd[p.To]
-		if to == nil || w.cut[from.domain+"|"+to.domain] || w.rng.Float64() < w.loss {
+		if to == nil || w.cut[from.domain+"|"+to.domain] || from.offline || to.offline || w.rng.Float64() < w.loss {
 			continue
 		}
 		copies := 1
--- a/pkg/membership/probing.go
+++ b/pkg/membership/probing.go
@@ -14,6 +14,9 @@
 	// concerns the domain and not the target.
 	remote   *domain
 	indirect bool
+	// trusted tells that this daemon trusted its own state when it sent the ping. Timeouts are long
+	// after a failure of the own network, so a ping sent during it may fail after it.
+	trusted  bool
 	deadline time.Time
 	// end is the time at which an indirect probe has failed.
 	end time.Time
@@ -101,7 +104,7 @@
 
 func (s *State) startProbe(now time.Time, m *member) {
 	s.seq++
-	p := &probe{seq: s.seq, target: m}
+	p := &probe{seq: s.seq, target: m, trusted: s.trusted}
 	p.deadline = now.Add(s.scaled(ProbeTimeout))
 	p.end = now.Add(s.scaled(ProbeInterval))
 	if s.remote(m.record.Domain) {
@@ -140,7 +143,7 @@
 
 // probeFailed accuses the target of a probe if this daemon has reason to trust its own state.
 func (s *State) probeFailed(now time.Time, p *probe) {
-	accuse := s.trusted
+	accuse := s.trusted && p.trusted
 	s.trusted = false
 	s.raiseHealth()
 	if accuse && s.members[p.target.record.Instance] == p.target && p.target.status == Alive {
