Do not eject a server for requests that their callers doomed

Cause: every attempt without a usable answer counted as a failure of the endpoint, also one whose caller had allowed 20 ms of an 800 ms deadline and one whose header fits no frame. Five such requests in a row ejected a healthy server.

Change: a timeout counts only if the attempt had at least half of the deadline of its kind; a request that fits no frame never counts.

Before: 3 of 5 cases of TestFaultsOfCallersEjectNobody failed. After: all pass; servers that do not answer in time are still ejected.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -131,8 +131,7 @@
 		a.verdict = h.fence(ctx, e, record, req.Attempt)
 	}
 	result := pickResult(&a, h.config.Now().Sub(started))
-	if errors.Is(ctx.Err(), context.Canceled) {
-		// The caller has left, which says nothing about the endpoint.
+	if errors.Is(ctx.Err(), context.Canceled) || isFaultOfCaller(e, &a, left) {
 		result = selection.Result{Verdict: verdict.MayHaveRun, Load: unknownLoad}
 	}
 	pick.Done(result)
--- a/agent/caller/attempts_test.go
+++ b/agent/caller/attempts_test.go
@@ -148,3 +148,75 @@
 		}
 	})
 }
+
+// Guards against healthy servers that are ejected because of callers that allow too little time or send
+// what fits no frame, and against a server that times out with enough time and is not ejected.
+func TestFaultsOfCallersEjectNobody(t *testing.T) {
+	timesOut := func(r *call.Request) (*call.Response, error) {
+		return nil, verdict.Wrap(verdict.MayHaveRun, context.DeadlineExceeded)
+	}
+	reportsTimeout := func(r *call.Request) (*call.Response, error) {
+		return call.ErrorResponse(r.Attempt, verdict.Wrap(verdict.MayHaveRun, context.DeadlineExceeded)), nil
+	}
+	tooLarge := func(r *call.Request) (*call.Response, error) {
+		return nil, verdict.Wrap(verdict.NotRun, call.ErrRequestTooLarge)
+	}
+	for name, c := range map[string]struct {
+		step    func(r *call.Request) (*call.Response, error)
+		timeout string
+		ejects  bool
+	}{
+		"impatient caller":             {timesOut, "20", false},
+		"impatient caller, other side": {reportsTimeout, "20", false},
+		"header too large":             {tooLarge, "800", false},
+		"server without an answer":     {timesOut, "800", true},
+		"backend without an answer":    {reportsTimeout, "800", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench("a", "b")
+			b.remote.do = script{c.step}.do()
+			for range 20 {
+				b.serveHTTP(request("POST", "/pages/1", "", HeaderTimeout, c.timeout))
+			}
+			b.remote.do, b.remote.addrs = answer, nil
+			for range 40 {
+				b.serveHTTP(request("GET", "/pages/1", ""))
+			}
+			used := map[string]int{}
+			for _, addr := range b.remote.addrs {
+				used[addr]++
+			}
+			is.Equal(len(used) == 1, c.ejects)
+		})
+	}
+}
+
+// Guards against a request for the instance of the daemon itself that takes the network, a fence for an
+// attempt whose outcome is known, and a refusal of the own instance that is not retried elsewhere.
+func TestOwnInstance(t *testing.T) {
+	is := is.New(t)
+	b := newBench("self")
+	w := b.serveHTTP(request("POST", "/pages/1", "text"))
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(w.Body.String(), "POST /pages/1 text")
+	is.Equal(len(b.remote.sent), 0)
+
+	b.remote.do = script{breaks}.do()
+	w = b.serveHTTP(request("POST", "/pages/1", "text"))
+	is.Equal(w.Code, http.StatusBadGateway)
+	is.Equal(verdictOf(w), "may-have-run")
+	is.Equal(len(b.remote.fenced), 0)
+
+	b = newBench("self", "a")
+	b.remote.do = func(_ context.Context, addr string, r *call.Request) (*call.Response, error) {
+		if addr == "self" {
+			return refused(r, true), nil // the daemon is stopping
+		}
+		return ran(r), nil
+	}
+	for range 30 {
+		w = b.serveHTTP(request("POST", "/pages/1", "text"))
+		is.Equal(w.Code, http.StatusOK)
+	}
+}
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -1,10 +1,13 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/selection"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -76,6 +79,24 @@
 	return r
 }
 
+// minFairShare is the share of the deadline of a kind that an attempt must have had for its timeout to
+// count as a failure of the endpoint. A caller may allow any time, and a retry has what is left.
+const minFairShare = 0.5
+
+// isFaultOfCaller reports whether an attempt failed for a reason that says nothing about the endpoint:
+// a request that fits no frame, or one that had too little time.
+func isFaultOfCaller(e *exchange, a *attemptResult, left time.Duration) bool {
+	if a.err == nil {
+		return false
+	}
+	if errors.Is(a.err, call.ErrRequestTooLarge) {
+		return true
+	}
+	timedOut := errors.Is(a.err, context.DeadlineExceeded) ||
+		a.response != nil && a.response.Status == http.StatusGatewayTimeout
+	return timedOut && float64(left) < minFairShare*float64(e.kind.Deadline)
+}
+
 // writeResponse sends the complete response of a backend server to the caller.
 func (h *Handler) writeResponse(w http.ResponseWriter, e *exchange, res *result) {
 	header := w.Header()
