--- a/tools/bench/synthetic/members.go
+++ b/tools/bench/synthetic/members.go
@@ -39,6 +39,8 @@
 	cfg Config
 	udp *net.UDPConn
 	tcp net.Listener
+	// now is replaced in tests.
+	now func() time.Time
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -67,7 +69,7 @@
 		_ = udp.Close()
 		return nil, errors.Wrap(err, "listen for net/rpc")
 	}
-	m := &Members{cfg: cfg, udp: udp, tcp: tcp, records: map[endpoint.InstanceID]*endpoint.Record{}}
+	m := &Members{cfg: cfg, udp: udp, tcp: tcp, now: time.Now, records: map[endpoint.InstanceID]*endpoint.Record{}}
 	m.makeRecords()
 	m.state = membership.New(membership.Config{Local: *m.records[m.order[0]]}, time.Now(), 1)
 	m.state.Merge(time.Now(), m.entries())
--- a/tools/bench/synthetic/traffic.go
+++ b/tools/bench/synthetic/traffic.go
@@ -74,7 +74,7 @@
 
 // updates returns the recent changes; m.mu must be held.
 func (m *Members) updates() []cbor.RawMessage {
-	now := time.Now()
+	now := m.now()
 	for len(m.recent) > 0 && now.After(m.recent[0].until) {
 		m.recent = m.recent[1:]
 	}
@@ -121,7 +121,7 @@
 		r.State, r.ReadySinceMS = endpoint.Ready, time.Now().UnixMilli()
 	}
 	if u, err := encodeUpdate(*r); err == nil {
-		m.recent = append(m.recent, recentChange{update: u, until: time.Now().Add(spreadTime)})
+		m.recent = append(m.recent, recentChange{update: u, until: m.now().Add(spreadTime)})
 	}
 	m.state.Merge(time.Now(), []membership.Entry{{Record: *r}})
 }
