--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -82,6 +82,7 @@
 }
 
 func (d *Daemon) build() error {
+	d.store = peersync.NewStore(codec{})
 	if err := d.buildPlatform(); err != nil {
 		return err
 	}
@@ -97,7 +98,8 @@
 	client, err := platform.NewClient(platform.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
-		Dial: d.platformTraffic.Dial((&net.Dialer{}).DialContext),
+		Local: d.store.Load,
+		Dial:  d.platformTraffic.Dial((&net.Dialer{}).DialContext),
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
@@ -120,7 +122,6 @@
 }
 
 func (d *Daemon) buildDistribution(local endpoint.Record) {
-	d.store = peersync.NewStore(codec{})
 	var seeds []string
 	for _, addr := range d.settings.Peers.Seeds {
 		seeds = append(seeds, addr.String())
@@ -207,6 +208,7 @@
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
+	group.Go(func() error { keys.NewMover(d.callers, d.prober.View, d.log).Run(ctx); return nil })
 	for server, listener := range map[*http.Server]net.Listener{
 		admin: d.listeners.admin, callers: d.listeners.callers, announcements: d.listeners.announcements,
 	} {
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -22,10 +22,17 @@
 	questionTimeout = time.Second
 	// repairInterval separates two anti-entropy exchanges.
 	repairInterval = 10 * time.Second
-	// busyRepairInterval replaces repairInterval after an exchange that changed more than
-	// busyRepairChanges records, as after a mass restart or a partition.
+	// busyRepairInterval replaces repairInterval while more than busyPending updates wait to be
+	// sent with the probes, or after an exchange that changed more than busyChanges records, as
+	// after a mass restart or a partition: a probe carries about 7 records.
 	busyRepairInterval = time.Second
-	busyRepairChanges  = 32
+	busyPending        = 16
+	busyChanges        = 32
+	// floorHolders is the number of lease holders asked for the head after a restart.
+	floorHolders = 2
+	// floorReadSpread spreads the reads of the head by restarted daemons that reach no lease holder:
+	// the whole of them reads less than 1,000 times/s.
+	floorReadSpread = time.Millisecond
 	// seedEvery is the number of anti-entropy exchanges for each one with a seed, which reunites
 	// groups of daemons that started without seeing each other.
 	seedEvery = 6
@@ -123,48 +130,79 @@
 
 // askFloor adds one round of answers to the floor and returns the highest one of a member.
 func (f *Follower) askFloor(ctx context.Context) answer {
-	addrs := f.floorMembers()
-	answers := make([]answer, len(addrs))
+	addrs := f.someMembers(distribution.FloorMembers)
+	replies := make([]HighestReply, len(addrs))
 	var g errgroup.Group
-	if f.cfg.Platform != nil {
-		g.Go(func() error {
-			if head, err := f.head(ctx); err == nil {
-				f.floor.Platform(head.Version)
-			}
-			return nil
-		})
-	}
 	for i, addr := range addrs {
 		g.Go(func() error {
+			// A late answer may still be written to reply after the timeout, so it is copied.
 			var reply HighestReply
 			if err := callOnce(ctx, f.cfg.Dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
-				f.floor.Member(reply.Highest)
-				answers[i] = answer{addr, reply.Highest}
+				replies[i] = reply
 			}
 			return nil
 		})
 	}
 	_ = g.Wait() // the functions above return no errors
 	var best answer
-	for _, a := range answers {
-		if a.version > best.version {
-			best = a
+	var holders []string
+	for i, reply := range replies {
+		f.floor.Member(reply.Highest)
+		if reply.Highest > best.version {
+			best = answer{addrs[i], reply.Highest}
 		}
+		holders = append(holders, reply.Holders...)
 	}
+	f.askHead(ctx, holders)
 	return best
 }
 
-// floorMembers returns the addresses of FloorMembers random members, or the seeds if none is known.
-func (f *Follower) floorMembers() []string {
-	addrs := f.reachable(false)
+// askHead adds the version of the head to the floor: from a lease holder that reads it anyway, or
+// else from the platform itself, spread out by the number of members.
+func (f *Follower) askHead(ctx context.Context, holders []string) {
+	for range min(len(holders), floorHolders) {
+		var reply HighestReply
+		addr := holders[f.random(int64(len(holders)))]
+		err := callOnce(ctx, f.cfg.Dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
+		if err == nil && reply.Fresh {
+			f.floor.Platform(reply.Head)
+			return
+		}
+	}
+	if f.cfg.Platform == nil {
+		return
+	}
+	spread := int64(len(f.cfg.Members.View().Records)) * int64(floorReadSpread)
+	if !pause(ctx, time.Duration(f.random(spread))) {
+		return
+	}
+	if head, err := f.head(ctx); err == nil {
+		f.floor.Platform(head.Version)
+	}
+}
+
+// someMembers returns the addresses of up to n random members, or of seeds if no member is known.
+// At least half of them are in the own domain if it has enough, as the others may be cut off.
+func (f *Follower) someMembers(n int) []string {
+	own := f.shuffle(f.reachable(true))
+	addrs := own[:min(len(own), n/2)]
+	for _, addr := range f.shuffle(f.reachable(false)) {
+		if len(addrs) < n && !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
 	if len(addrs) == 0 {
-		addrs = f.otherSeeds()
+		addrs = f.shuffle(f.otherSeeds())
 	}
-	for i := len(addrs) - 1; i > 0; i-- {
+	return addrs[:min(len(addrs), n)]
+}
+
+func (f *Follower) shuffle(list []string) []string {
+	for i := len(list) - 1; i > 0; i-- {
 		j := int(f.random(int64(i + 1)))
-		addrs[i], addrs[j] = addrs[j], addrs[i]
+		list[i], list[j] = list[j], list[i]
 	}
-	return addrs[:min(len(addrs), distribution.FloorMembers)]
+	return list
 }
 
 // reachable returns the addresses of the other members in reachable domains, or only in the own
@@ -185,10 +223,14 @@
 // outside the own domain. The first exchange follows soon after the start, as it also brings the
 // lease holders.
 func (f *Follower) repair(ctx context.Context) {
-	interval := busyRepairInterval
-	for i := 1; pause(ctx, f.jitter(interval)); i++ {
-		interval = repairInterval
-		addr, ok := f.repairPeer(i)
+	var due time.Time
+	for round := 1; pause(ctx, f.jitter(busyRepairInterval)); {
+		if time.Now().Before(due) && !f.recordsBusy() {
+			continue
+		}
+		due = time.Now().Add(f.jitter(repairInterval))
+		addr, ok := f.repairPeer(round)
+		round++
 		if !ok {
 			continue
 		}
@@ -196,12 +238,18 @@
 		if err != nil {
 			f.cfg.Log.Log(event.PeerRepairFailed, zap.String("peer", addr), zap.Error(err))
 		}
-		if changed > busyRepairChanges {
-			interval = busyRepairInterval
+		if changed > busyChanges {
+			due = time.Time{}
 		}
 	}
 }
 
+// recordsBusy reports whether there are more changes of records than the probes can carry.
+func (f *Follower) recordsBusy() (busy bool) {
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { busy = s.Pending() > busyPending })
+	return busy
+}
+
 func (f *Follower) repairPeer(round int) (string, bool) {
 	addrs := f.reachable(round%2 == 1)
 	if len(addrs) == 0 {
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -27,6 +27,8 @@
 	maxWait = 30 * time.Second
 	// writeTimeout ends the connection to a daemon that does not read, for example a frozen one.
 	writeTimeout = 5 * time.Second
+	// acceptPause separates two attempts to accept a connection after an error.
+	acceptPause = 10 * time.Millisecond
 	// redirectPeers is the number of other daemons named to one that is turned away.
 	redirectPeers = 8
 	// maxDomains bounds the failure domains accepted in one request; the target has 19.
@@ -35,17 +37,19 @@
 
 // Server answers the requests of other daemons.
 type Server struct {
-	members Members
-	store   *Store
-	full    chan struct{}
+	members  Members
+	store    *Store
+	follower *Follower
+	full     chan struct{}
 }
 
-// NewServer returns a Server for the given membership and snapshot store.
-func NewServer(members Members, store *Store) *Server {
-	return &Server{members: members, store: store, full: make(chan struct{}, maxFullSyncs)}
+// NewServer returns a Server for the membership and the snapshot store of f.
+func NewServer(f *Follower) *Server {
+	return &Server{members: f.cfg.Members, store: f.cfg.Store, follower: f, full: make(chan struct{}, maxFullSyncs)}
 }
 
-// Register adds the methods of s to r under ServiceName. Polls end early when ctx is done.
+// Register adds the methods of s to r under ServiceName. Polls end early when ctx is done, which
+// should be the context of Serve, as Serve waits for running calls.
 func (s *Server) Register(ctx context.Context, r *rpc.Server) error {
 	return errors.Wrap(r.RegisterName(ServiceName, &service{Server: s, ctx: ctx}), "register sync service")
 }
@@ -207,8 +211,18 @@
 }
 
 // Highest returns the highest version that this daemon knows of.
-func (s *service) Highest(_ HighestArgs, reply *HighestReply) error {
-	s.members.Do(func(_ time.Time, m *membership.State) { reply.Highest = m.Highest() })
+func (s *service) Highest(args HighestArgs, reply *HighestReply) error {
+	if args.Fresh {
+		reply.Head, reply.Fresh = s.follower.freshHead(s.ctx)
+	}
+	var holders []membership.Holder
+	s.members.Do(func(_ time.Time, m *membership.State) { reply.Highest, holders = m.Highest(), m.Holders() })
+	records := s.members.View().Records
+	for _, h := range holders {
+		if r, live := records[h.Instance]; live {
+			reply.Holders = append(reply.Holders, r.RPCAddr)
+		}
+	}
 	return nil
 }
 
@@ -223,10 +237,15 @@
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
-			if ctx.Err() != nil {
+			switch {
+			case ctx.Err() != nil:
 				return nil
+			case errors.Is(err, net.ErrClosed):
+				return errors.Wrap(err, "accept")
 			}
-			return errors.Wrap(err, "accept")
+			// Exhausted file descriptors in a reconnect storm must not end the service.
+			pause(ctx, acceptPause)
+			continue
 		}
 		wg.Go(func() {
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -47,7 +47,7 @@
 
 // rpcWithSync adds the distribution service, whose long polls end with ctx.
 func (d *Daemon) rpcWithSync(ctx context.Context) *rpc.Server {
-	if err := peersync.NewServer(d.prober, d.store).Register(ctx, d.rpc); err != nil {
+	if err := peersync.NewServer(d.follower).Register(ctx, d.rpc); err != nil {
 		panic(err) // the service type is fixed at compile time
 	}
 	return d.rpc
--- a/cli/cmd/administration.go
+++ b/cli/cmd/administration.go
@@ -19,7 +19,7 @@
 
 // administrationOptions are the options of every command that calls the administration API.
 type administrationOptions struct {
-	Settings string `long:"settings" env:"KINGCUPWOOD_SETTINGS" required:"true" value-name:"FILE" description:"INI settings file with the section [administration]"`
+	Settings string `long:"settings" env:"KINGCUPWOOD_SETTINGS" required:"true" value-name:"FILE" description:"INI settings file with the section [administration] (required)"`
 }
 
 // administrationSettings is the settings file of an operator.
@@ -62,8 +62,8 @@
 // changeOptions are the options of the commands that change the configuration.
 type changeOptions struct {
 	administrationOptions
-	Seen  uint64 `long:"seen" required:"true" value-name:"VERSION" description:"version that you saw; the change is refused if another one is in force"`
-	Token string `long:"token" value-name:"TOKEN" description:"change token; repeat a command with the token of the first run"`
+	Seen  uint64 `long:"seen" required:"true" value-name:"VERSION" description:"version that you saw, as printed by config diff and config status; the change is refused if another one is in force (required)"`
+	Token string `long:"token" value-name:"TOKEN" description:"change token; repeat a command with the token of the first run (default: a new random token)"`
 }
 
 // unknownOutcomeError means that the change may have taken effect or may still do so.
@@ -98,9 +98,8 @@
 	}
 	fmt.Fprintln(os.Stderr, "change token", token)
 	outcome, err := send(context.Background(), client, seen, token)
-	var uncertain *operator.UncertainError
-	if errors.As(err, &uncertain) {
-		return &unknownOutcomeError{token: token, seen: seen, err: uncertain.Err}
+	if o.unsettled(err) {
+		return &unknownOutcomeError{token: token, seen: seen, err: err}
 	}
 	if err != nil {
 		return err
@@ -108,6 +107,20 @@
 	return printOutcome(outcome)
 }
 
+// unsettled reports whether err leaves the outcome open. A platform that was unavailable for a
+// repetition says nothing about the first run with the same token.
+func (o changeOptions) unsettled(err error) bool {
+	var uncertain *operator.UncertainError
+	var refusal *operator.APIError
+	switch {
+	case errors.As(err, &uncertain):
+		return true
+	case errors.As(err, &refusal):
+		return refusal.Code == operator.CodeUnknown || refusal.Code == operator.CodeUnavailable && o.Token != ""
+	}
+	return false
+}
+
 func printOutcome(outcome operator.OutcomeMessage) error {
 	switch outcome.State {
 	case platform.StateAccepted:
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -14,6 +14,8 @@
 	reserveFrom = 4
 	// smoothing is the weight of a new sample in the observed service time of a kind.
 	smoothing = 0.1
+	// defaultServiceTime is the estimate for kinds that declare none and have not been observed yet.
+	defaultServiceTime = 10 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry hint of a refusal.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -28,16 +30,16 @@
 	observed time.Duration // smoothed service time, starts at the declared one
 }
 
-func newKindState(k Kind) *kindState {
-	return &kindState{Kind: k, bucket: rate.NewLimiter(k.limit(), k.burst()), observed: k.ServiceTime}
+func newKindState(cfg Config, k Kind) *kindState {
+	return &kindState{Kind: k, bucket: rate.NewLimiter(cfg.tokenRate(k), cfg.burst(k)), observed: k.ServiceTime}
 }
 
 // reconfigured returns the state of a kind after a change of configuration. The tokens and the
 // observed time stay. Waiting requests keep the old state, which is not changed.
-func (s *kindState) reconfigured(k Kind, now time.Time) *kindState {
+func (s *kindState) reconfigured(cfg Config, k Kind, now time.Time) *kindState {
 	next := &kindState{Kind: k, bucket: s.bucket, observed: s.observed}
-	next.bucket.SetLimitAt(now, k.limit())
-	next.bucket.SetBurstAt(now, k.burst())
+	next.bucket.SetLimitAt(now, cfg.tokenRate(k))
+	next.bucket.SetBurstAt(now, cfg.burst(k))
 	if k.ServiceTime != s.ServiceTime {
 		next.observed = k.ServiceTime
 	}
@@ -68,7 +70,7 @@
 	c := &Controller{
 		now:     now,
 		kinds:   map[string]*kindState{},
-		unknown: newKindState(Kind{Rank: lowestRank}),
+		unknown: newKindState(cfg, Kind{Rank: lowestRank}),
 		limiter: newLimiter(cfg.slots(), now()),
 	}
 	c.Configure(cfg)
@@ -83,16 +85,13 @@
 	kinds := make(map[string]*kindState, len(cfg.Kinds))
 	for _, k := range cfg.Kinds {
 		if old := c.kinds[k.Name]; old != nil {
-			kinds[k.Name] = old.reconfigured(k, now)
+			kinds[k.Name] = old.reconfigured(cfg, k, now)
 		} else {
-			kinds[k.Name] = newKindState(k)
+			kinds[k.Name] = newKindState(cfg, k)
 		}
 	}
 	c.kinds = kinds
-	c.declaredSlots = 0
-	for _, k := range cfg.Kinds {
-		c.declaredSlots += k.Rate * k.ServiceTime.Seconds()
-	}
+	c.declaredSlots = cfg.declaredSlots(math.MaxInt)
 	c.queueLimit = cfg.queueLimit()
 	c.limiter.declare(cfg.slots())
 	out := c.dispatch(now, nil)
@@ -140,7 +139,8 @@
 func (c *Controller) start(w *Waiter) *Ticket {
 	c.running++
 	c.finishRate += rateOf(w.work)
-	return &Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
+	w.ticket = Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
+	return &w.ticket
 }
 
 // dispatch starts waiting requests while slots are free and refuses the ones that are too late.
@@ -149,7 +149,7 @@
 	for w := c.queue.popExpired(now); w != nil; w = c.queue.popExpired(now) {
 		out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 	}
-	for c.running < c.limiter.limit {
+	for c.queue.size > 0 && c.running < c.limiter.limit {
 		w := c.queue.first(c.excessMayStart())
 		if w == nil {
 			break
@@ -213,6 +213,14 @@
 // nothing would be observed that ends it.
 func (s *kindState) shortest() time.Duration { return min(s.ServiceTime, s.observed) }
 
+// expected returns the service time used in estimates.
+func (s *kindState) expected() time.Duration {
+	if s.observed <= 0 {
+		return defaultServiceTime
+	}
+	return s.observed
+}
+
 // observe adds a sample to the smoothed service time.
 func (s *kindState) observe(d time.Duration) {
 	if s.observed == 0 {
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -21,6 +21,9 @@
 // ErrTableFull is returned when no more keys can be kept; the request has not run.
 var ErrTableFull = errors.New("too many idempotency keys are in use")
 
+// ErrClosed is returned by a table whose outcomes have been handed over; the request has not run.
+var ErrClosed = errors.New("the owner of the idempotency key is stopping")
+
 // Key names one submission: the service, the kind and the key which the caller chose.
 type Key struct {
 	Service string `cbor:"1,keyasint"`
@@ -56,6 +59,7 @@
 	size      func(T) int
 
 	mu      sync.Mutex
+	closed  bool
 	total   int
 	entries map[Key]*entry[T]
 	// ended lists the entries with an outcome in order of expiry.
@@ -70,6 +74,8 @@
 	outcome T
 	expires time.Time
 	bytes   int
+	// holder is the daemon to which the outcome was handed over last, guarded by Table.mu.
+	holder string
 }
 
 // NewTable returns a table for at most limit keys and at most limitBytes bytes of outcomes, as given
@@ -82,7 +88,7 @@
 // that outcome and get the same one, without a run. If run reports keep as false (the request has
 // proved not to have run), the key is forgotten and a waiting or later submission may run.
 //
-// Errors: ErrBodyMismatch, ErrTableFull, or the error of ctx while waiting; none of these submissions
+// Errors: ErrBodyMismatch, ErrTableFull, ErrClosed, or the error of ctx while waiting; none of these submissions
 // has run itself, though the first one may have.
 func (t *Table[T]) Run(ctx context.Context, key Key, digest Digest, run func() (outcome T, keep bool)) (T, error) {
 	var zero T
@@ -115,6 +121,9 @@
 		}
 		return e, false, nil
 	}
+	if t.closed {
+		return nil, false, ErrClosed
+	}
 	if len(t.entries) >= t.limit || t.total >= t.limitSize {
 		return nil, false, ErrTableFull
 	}
@@ -162,6 +171,10 @@
 	}
 }
 
+func (e *entry[T]) record() Record[T] {
+	return Record[T]{Key: e.key, Digest: e.digest, Outcome: e.outcome, Expires: e.expires}
+}
+
 // Export returns the outcomes in the table, for the next owner of the keys.
 func (t *Table[T]) Export() []Record[T] {
 	t.mu.Lock()
@@ -169,21 +182,69 @@
 	t.expire()
 	records := make([]Record[T], 0, t.ended.Len())
 	for item := t.ended.Front(); item != nil; item = item.Next() {
-		e := item.Value.(*entry[T])
-		records = append(records, Record[T]{Key: e.key, Digest: e.digest, Outcome: e.outcome, Expires: e.expires})
+		records = append(records, item.Value.(*entry[T]).record())
 	}
 	return records
 }
 
+// Misplaced returns the outcomes that belong to another daemon, by the name of that daemon, unless
+// they were handed over to it before. owner returns the empty string for keys that stay. It is called
+// without locks held.
+func (t *Table[T]) Misplaced(owner func(Key) string) map[string][]Record[T] {
+	type held struct {
+		entry  *entry[T]
+		holder string
+	}
+	t.mu.Lock()
+	t.expire()
+	all := make([]held, 0, t.ended.Len())
+	for item := t.ended.Front(); item != nil; item = item.Next() {
+		e := item.Value.(*entry[T])
+		all = append(all, held{e, e.holder})
+	}
+	t.mu.Unlock()
+	misplaced := map[string][]Record[T]{}
+	for _, h := range all {
+		if to := owner(h.entry.key); to != "" && to != h.holder {
+			misplaced[to] = append(misplaced[to], h.entry.record())
+		}
+	}
+	return misplaced
+}
+
+// HandedOver records that records were handed over to holder. The table keeps its copies until they
+// expire, in case the keys return.
+func (t *Table[T]) HandedOver(records []Record[T], holder string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range records {
+		if e, ok := t.entries[r.Key]; ok {
+			e.holder = holder
+		}
+	}
+}
+
+// Close ends the runs and imports of the table and returns its outcomes for the next owners. Without
+// it, what another stopping daemon hands over in the meantime would be lost.
+func (t *Table[T]) Close() []Record[T] {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	return t.Export()
+}
+
 // Import adds the outcomes of another table. A key that is already known keeps its own outcome. It
-// returns the number of outcomes added.
-func (t *Table[T]) Import(records []Record[T]) int {
+// returns the number of outcomes added, or ErrClosed.
+func (t *Table[T]) Import(records []Record[T]) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closed {
+		return 0, ErrClosed
+	}
 	t.expire()
 	added := 0
 	for _, r := range records {
-		if _, known := t.entries[r.Key]; known || len(t.entries) >= t.limit {
+		if _, known := t.entries[r.Key]; known || len(t.entries) >= t.limit || t.total >= t.limitSize {
 			continue
 		}
 		e := &entry[T]{key: r.Key, digest: r.Digest, outcome: r.Outcome, keep: true, done: make(chan struct{})}
@@ -192,7 +253,7 @@
 		t.retain(e)
 		added++
 	}
-	return added
+	return added, nil
 }
 
 // Len returns the number of keys in the table.
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -33,11 +33,15 @@
 }
 
 // Update replaces the endpoints. The new table is complete before it replaces the old one; the
-// statistics of endpoints that stay are kept. Records other than ready ones get no new requests.
+// statistics of endpoints that stay are kept. Records other than ready ones get no new requests. A
+// nil view has no endpoints.
 func (s *Selector) Update(v *endpoint.View) {
+	if v == nil {
+		v = &endpoint.View{}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next, kept := buildTable(s.cfg, v, s.known)
+	next, kept := buildTable(s.cfg, v, s.known, s.now().UnixNano())
 	s.known = kept
 	s.current.Store(next)
 }
@@ -141,12 +145,20 @@
 		return first
 	}
 	second := c.draw(a, b, first)
-	if second == nil || !c.warm(second) || first.cost(c.now) <= second.cost(c.now) {
+	if second == nil || !c.warm(second) || c.prefer(first.cost(c.now), second.cost(c.now)) {
 		return first
 	}
 	return second
 }
 
+// prefer reports whether to take cost a over cost b. Costs are estimates, and every daemon has the
+// same ones: a strict comparison sends the requests of all daemons to an endpoint that is only a
+// little less loaded. A twofold difference decides in 8 of 9 cases.
+func (c *chooser) prefer(a, b float64) bool {
+	a, b = a*a*a, b*b*b
+	return float64(c.rng()>>11)*(a+b) < b*(1<<53)
+}
+
 // draw returns a random usable member other than not, or nil.
 func (c *chooser) draw(a, b []*member, not *member) *member {
 	n := len(a) + len(b)
