Give each kind of request its own retry budget

Cause: with one budget for a daemon, the refusals of a flooding kind use up the retries of all others. Change: retry.Budgets holds a Budget for each kind.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -84,7 +84,7 @@
 		Instance: "sender", Incarnation: 2,
 		Snapshot: func() *snapshot.Snapshot { return snap }, View: func() *endpoint.View { return view },
 		Selector: selector, Local: receive, Remote: client,
-		Budget:   retry.NewBudget(retryRatio, retryMinPerSecond, time.Now),
+		Budgets:  retry.NewBudgets(retryRatio, retryMinPerSecond, time.Now),
 		Recorder: burn.New(burn.Config{}, time.Now), Log: event.Nop(), Now: time.Now,
 	})
 }
--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -37,7 +37,8 @@
 func (h *Handler) run(ctx context.Context, e *exchange) *result {
 	res := newResult()
 	var tried []endpoint.InstanceID
-	h.config.Budget.Deposit()
+	e.budget = h.config.Budgets.Of(e.service.Name, e.kind.Name)
+	e.budget.Deposit()
 	for {
 		left := retry.HopTimeout(e.deadline.Sub(h.config.Now()))
 		if left <= 0 {
@@ -96,7 +97,7 @@
 // idempotent and the backend server answered that it is unavailable.
 func (h *Handler) retryResponse(e *exchange, resp *call.Response, attempts int) bool {
 	return e.kind.Idempotent && resp.Status == http.StatusServiceUnavailable &&
-		attempts < maxAttempts && h.config.Budget.Withdraw()
+		attempts < maxAttempts && e.budget.Withdraw()
 }
 
 // mayRetry reports whether e may be sent again after a. A refusal by a draining daemon is free of
@@ -114,7 +115,7 @@
 	if a.response != nil && a.response.Draining {
 		return true
 	}
-	return h.config.Budget.Withdraw()
+	return e.budget.Withdraw()
 }
 
 // attempt sends e once to the picked endpoint.
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -45,7 +45,7 @@
 	// Local is the receiving side of this daemon.
 	Local    call.Handler
 	Remote   Remote
-	Budget   *retry.Budget
+	Budgets  *retry.Budgets
 	Recorder Recorder
 	Log      *event.Logger
 	Now      func() time.Time
--- a/agent/caller/harness_test.go
+++ b/agent/caller/harness_test.go
@@ -144,7 +144,7 @@
 	b.selector.Update(b.view)
 	b.Handler = NewHandler(Config{
 		Instance: "self", Incarnation: 7, Snapshot: b.snapshot, View: func() *endpoint.View { return b.view },
-		Selector: b.selector, Remote: b.remote, Budget: retry.NewBudget(0.1, 3, time.Now), Recorder: b.recorder,
+		Selector: b.selector, Remote: b.remote, Budgets: retry.NewBudgets(0.1, 3, time.Now), Recorder: b.recorder,
 		Local: handlerFunc(func(ctx context.Context, r *call.Request) *call.Response {
 			resp, err := b.remote.do(ctx, "self", r)
 			if err != nil {
--- a/agent/caller/history_test.go
+++ b/agent/caller/history_test.go
@@ -190,7 +190,7 @@
 func play(history []step) (*world, int, verdict.Verdict, []byte) {
 	w := newWorld(history)
 	b := newBench("a", "b", "c", "d", "e")
-	b.config.Budget = retry.NewBudget(1, 100, b.now)
+	b.config.Budgets = retry.NewBudgets(1, 100, b.now)
 	b.remote.do, b.remote.fenceDo = w.do, w.fence
 	out := b.serveHTTP(request("POST", "/pages/1", "text"))
 	w.settle()
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -52,6 +53,8 @@
 	kind     *snapshot.Kind
 	deadline time.Time
 	key      string
+	// budget is that of the kind; run sets it.
+	budget *retry.Budget
 	// request is the template of the attempts; each one gets its own ID and timeout.
 	request call.Request
 }
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -148,7 +148,7 @@
 	d.callers = caller.NewHandler(caller.Config{
 		Instance: local.Instance, Incarnation: incarnation, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
-		Budget:   retry.NewBudget(retryRatio, retryMinPerSecond, time.Now),
+		Budgets:  retry.NewBudgets(retryRatio, retryMinPerSecond, time.Now),
 		Recorder: d.burn, Log: d.log, Now: time.Now,
 	})
 	d.gate = &gate{next: d.callers}
@@ -204,7 +204,9 @@
 // serve starts all parts in group.
 func (d *Daemon) serve(group *errgroup.Group, ctx context.Context, admin, callers, announcements *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
-	group.Go(func() error { return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx), &peersync.Traffic{}) })
+	group.Go(func() error {
+		return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx), &peersync.Traffic{})
+	})
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -67,7 +67,7 @@
 		selector.Update(viewOf([]endpoint.Record{{Instance: "server", Service: "pages", Domain: "lj-1", State: endpoint.Ready, CallAddr: "server"}}))
 		h := caller.NewHandler(caller.Config{
 			Instance: name, Incarnation: 1, Snapshot: func() *snapshot.Snapshot { return snap }, View: c.view.Load,
-			Selector: selector, Local: nil, Remote: c, Budget: retry.NewBudget(0.1, 3, time.Now), Recorder: nowhere{},
+			Selector: selector, Local: nil, Remote: c, Budgets: retry.NewBudgets(0.1, 3, time.Now), Recorder: nowhere{},
 			Log: event.Nop(), Now: time.Now,
 		})
 		c.daemons[name] = h
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -54,3 +54,15 @@
 	is.Equal(HopTimeout(time.Millisecond), time.Duration(0))
 	is.Equal(HopTimeout(-time.Second), time.Duration(0))
 }
+
+// Guards against a flooding kind that uses up the retries of the other kinds.
+func TestBudgetsAreSeparate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	budgets := NewBudgets(0.1, 3, func() time.Time { return now })
+	for budgets.Of("pages", "preview").Withdraw() {
+	}
+	is.True(budgets.Of("pages", "save").Withdraw())
+	is.True(budgets.Of("finder", "preview").Withdraw())
+	is.True(!budgets.Of("pages", "preview").Withdraw())
+}
