--- a/agent/settings.go
+++ b/agent/settings.go
@@ -21,7 +21,9 @@
 		// that it is draining; StopTime bounds the wait for requests in flight after that.
 		DrainTime time.Duration `key:"drain-time" default:"2s"`
 		StopTime  time.Duration `key:"stop-time" default:"30s"`
-		LogLevel  string        `key:"log-level" default:"info"`
+		// Threads bounds the threads that run Go code at a time.
+		Threads  int    `key:"threads" default:"2"`
+		LogLevel string `key:"log-level" default:"info"`
 	} `section:"daemon"`
 	Listen struct {
 		// Callers takes HTTP requests of callers, Announcements those of the backend server on this
@@ -72,6 +74,9 @@
 	if strings.TrimSpace(s.Daemon.FailureDomain) == "" {
 		fail("daemon", "failure-domain", "must not be empty")
 	}
+	if s.Daemon.Threads < 1 {
+		fail("daemon", "threads", "must be at least 1")
+	}
 	if _, err := s.logLevel(); err != nil {
 		fail("daemon", "log-level", err.Error())
 	}
--- a/cli/cmd/daemon.go
+++ b/cli/cmd/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -32,6 +33,7 @@
 		return err
 	}
 	defer log.Sync()
+	runtime.GOMAXPROCS(settings.Daemon.Threads)
 	daemon, err := agent.New(settings, log)
 	if err != nil {
 		return err
