--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -205,7 +205,7 @@
 func (d *Daemon) serve(group *errgroup.Group, ctx context.Context, admin, callers, announcements *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
 	group.Go(func() error {
-		return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx), &peersync.Traffic{})
+		return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx))
 	})
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
--- a/agent/peer/sync/bench_test.go
+++ b/agent/peer/sync/bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/traffic"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -39,17 +40,18 @@
 func BenchmarkMessages(b *testing.B) {
 	for _, n := range []int{1_000, 16_000} {
 		entries := benchEntries(n)
-		asking, asked := newBenchPair(entries)
+		counter := &traffic.Counter{}
+		asking, asked := newBenchPair(entries, counter)
 		measure := func(name string, f func() error) {
 			b.Run(fmt.Sprintf("%s/records-%d", name, n), func(b *testing.B) {
-				sent, received := asking.cfg.Traffic.Sent(), asking.cfg.Traffic.Received()
+				before := counter.Stats()
 				for b.Loop() {
 					if err := f(); err != nil {
 						b.Fatal(err)
 					}
 				}
-				b.ReportMetric(float64(asking.cfg.Traffic.Sent()-sent)/float64(b.N), "sentB/op")
-				b.ReportMetric(float64(asking.cfg.Traffic.Received()-received)/float64(b.N), "receivedB/op")
+				b.ReportMetric(float64(counter.Stats().Sent-before.Sent)/float64(b.N), "sentB/op")
+				b.ReportMetric(float64(counter.Stats().Received-before.Received)/float64(b.N), "receivedB/op")
 			})
 		}
 		ctx := context.Background()
@@ -88,7 +90,8 @@
 	}
 }
 
-func newBenchPair(entries []membership.Entry) (asking, asked *Follower) {
+// newBenchPair counts the bytes of the connections that are opened in counter.
+func newBenchPair(entries []membership.Entry, counter *traffic.Counter) (asking, asked *Follower) {
 	pair := [2]*Follower{}
 	server := rpc.NewServer()
 	for i := range pair {
@@ -103,7 +106,7 @@
 			Dial: func(context.Context, string) (net.Conn, error) {
 				near, far := net.Pipe()
 				go server.ServeConn(far)
-				return near, nil
+				return counter.Conn(near), nil
 			},
 		})
 	}
--- a/agent/peer/sync/cluster_test.go
+++ b/agent/peer/sync/cluster_test.go
@@ -83,7 +83,7 @@
 	}
 	c.byAddr[r.RPCAddr], c.byAddr[r.ProbeAddr] = d, d
 	c.mu.Unlock()
-	d.done.Go(func() { _ = Serve(ctx, d.ln, server, &Traffic{}) })
+	d.done.Go(func() { _ = Serve(ctx, d.ln, server) })
 	d.done.Go(func() { _ = d.Run(ctx) })
 	d.done.Go(func() { d.tick(ctx) })
 	return d
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -61,8 +61,6 @@
 	// Platform may be nil if there is none.
 	Platform Platform
 	Dial     Dialer
-	// Traffic counts the bytes of the connections opened; it may be nil.
-	Traffic *Traffic
 	Log     *event.Logger
 	// OnApply is called after each version put in force, in order of version; it may be nil.
 	OnApply func(*snapshot.Snapshot)
@@ -103,11 +101,8 @@
 
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
-	if cfg.Traffic == nil {
-		cfg.Traffic = &Traffic{}
-	}
 	return &Follower{
-		cfg: cfg, dial: cfg.Traffic.dialer(cfg.Dial), joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, dial: limitWrites(cfg.Dial), joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		objects: rate.NewLimiter(objectRate, objectBurst),
 	}
 }
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -227,9 +227,8 @@
 	return nil
 }
 
-// Serve answers the connections of ln with r until ctx is done, then closes them and returns nil. It
-// counts their bytes in traffic.
-func Serve(ctx context.Context, ln net.Listener, r *rpc.Server, traffic *Traffic) error {
+// Serve answers the connections of ln with r until ctx is done, then closes them and returns nil.
+func Serve(ctx context.Context, ln net.Listener, r *rpc.Server) error {
 	open := make(chan struct{}, maxConnections)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -260,7 +259,7 @@
 			defer func() { <-open }()
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer stop()
-			r.ServeConn(traffic.wrap(conn))
+			r.ServeConn(writeLimitedConn{conn})
 		})
 	}
 }
--- a/tools/bench/synthetic/members.go
+++ b/tools/bench/synthetic/members.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { _ = udp.Close() })
-	go func() { _ = peersync.Serve(ctx, tcp, server, &peersync.Traffic{}) }() // ends with ctx
+	go func() { _ = peersync.Serve(ctx, tcp, server) }() // ends with ctx
 	go m.answer()
 	go m.change(ctx)
 	go m.probe(ctx)
