--- a/agent/peer/sync/bench_test.go
+++ b/agent/peer/sync/bench_test.go
@@ -40,18 +40,18 @@
 func BenchmarkMessages(b *testing.B) {
 	for _, n := range []int{1_000, 16_000} {
 		entries := benchEntries(n)
-		counter := &traffic.Counter{}
-		asking, asked := newBenchPair(entries, counter)
+		bytes := &traffic.Counter{}
+		asking, asked := newBenchPair(entries, bytes)
 		measure := func(name string, f func() error) {
 			b.Run(fmt.Sprintf("%s/records-%d", name, n), func(b *testing.B) {
-				before := counter.Stats()
+				before := bytes.Stats()
 				for b.Loop() {
 					if err := f(); err != nil {
 						b.Fatal(err)
 					}
 				}
-				b.ReportMetric(float64(counter.Stats().Sent-before.Sent)/float64(b.N), "sentB/op")
-				b.ReportMetric(float64(counter.Stats().Received-before.Received)/float64(b.N), "receivedB/op")
+				b.ReportMetric(float64(bytes.Stats().Sent-before.Sent)/float64(b.N), "sentB/op")
+				b.ReportMetric(float64(bytes.Stats().Received-before.Received)/float64(b.N), "receivedB/op")
 			})
 		}
 		ctx := context.Background()
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -61,7 +61,7 @@
 	// Platform may be nil if there is none.
 	Platform Platform
 	Dial     Dialer
-	Log     *event.Logger
+	Log      *event.Logger
 	// OnApply is called after each version put in force, in order of version; it may be nil.
 	OnApply func(*snapshot.Snapshot)
 	// Seed seeds the jitter of the timers.
