--- a/tests/failure_test.go
+++ b/tests/failure_test.go
@@ -97,6 +97,7 @@
 func TestStoppingBackendServer(t *testing.T) {
 	const quietAfter = 3 * time.Second
 	d := deploy(t, longDeadline, "drain-notice = 5s")
+	defer watchVersions(t, d.Instances)()
 	leaving := d.Instances[neighbour]
 	l := startLoad(t, d.Instances)
 	l.await(200)
