Give keys to a joined server only after a grace

Cause: a server that joined was asked for its keys at once, before the former owners had heard of it and handed the outcomes over.

TestKeysMoveToAServerThatJoins now repeats all saves before anything has moved, and TestJoiningServerOwnsKeysAfterTheGrace checks the times.

What remains: a run that is in progress when the grace ends, or daemons whose clocks differ, may still see two owners; the design names this limitation.

--- a/agent/caller/keys_test.go
+++ b/agent/caller/keys_test.go
@@ -205,6 +205,35 @@
 	is.True(next.Instance != owner.Instance)
 }
 
+// Guards against a server that is asked for a key before it can have the outcome, and against one that
+// never becomes an owner.
+func TestJoiningServerOwnsKeysAfterTheGrace(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	view := testView("a", "b", "c")
+	joined := &view.ByService["pages"][2]
+	joined.ReadySinceMS = now.UnixMilli()
+	key := ""
+	for n := 0; ; n++ {
+		key = fmt.Sprint("key-", n)
+		if owner, _ := Owner(view, "pages", key); owner.Instance == "c" {
+			break
+		}
+	}
+	at := func(d time.Duration) endpoint.InstanceID {
+		owner, ok := ownerAt(view, "pages", key, now.Add(d))
+		is.True(ok)
+		return owner.Instance
+	}
+	is.True(at(0) != "c")
+	is.True(at(joinGrace-time.Millisecond) != "c")
+	is.Equal(at(joinGrace), endpoint.InstanceID("c"))
+	for i := range view.ByService["pages"] {
+		view.ByService["pages"][i].ReadySinceMS = now.UnixMilli()
+	}
+	is.Equal(at(0), endpoint.InstanceID("c")) // all have just started
+}
+
 // Guards against a panic of the run that leaves a key whose outcome cannot be sent.
 func TestUnknownOutcomeOfAKey(t *testing.T) {
 	is := is.New(t)
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -212,7 +212,10 @@
 			done <- struct{}{}
 		}()
 	}
-	c.view.Store(viewOf(c.all))
+	joined := append([]endpoint.Record{}, c.all...)
+	joined[2].ReadySinceMS = time.Now().Add(time.Hour).UnixMilli() // within its grace until changed below
+	c.view.Store(viewOf(joined))
+	c.expectSame(is, "b", first) // before anything has moved
 	expected := 0
 	for key := range first {
 		if owner, _ := caller.Owner(c.view.Load(), "pages", key); owner.Instance == "c" {
@@ -221,6 +224,7 @@
 	}
 	is.True(expected > 0)
 	c.waitForKeys(t, "c", expected)
+	c.view.Store(viewOf(c.all))
 	c.expectSame(is, "b", first)
 
 	// A daemon that has not heard of c yet sends a keyed save to the former owner, as ServeOwned.
