Let a Daemon get its network from its caller

Partitions were tested in pure state machines only, because a Daemon dialled and opened its UDP socket through package net directly. NewWithNetwork takes a Network (DialContext and ListenProbes); New uses that of the operating system. The call client, the fences and the transfer of idempotency keys get the dialer as an argument. Only the setup of connections goes through it; a request on an open connection does not.

The endpoint record now has the addresses of the listeners, so that port 0 in the settings works.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -43,6 +43,7 @@
 // Daemon is the process of the system on one instance.
 type Daemon struct {
 	settings *Settings
+	network  Network
 	log      *event.Logger
 	started  time.Time
 
@@ -69,11 +70,16 @@
 // New builds a daemon and opens its listeners. Errors: a listener or the platform client cannot be
 // made from the settings.
 func New(s *Settings, log *event.Logger) (*Daemon, error) {
-	l, err := openListeners(s)
+	return NewWithNetwork(s, &systemNetwork{}, log)
+}
+
+// NewWithNetwork is New with the network through which the daemon reaches others.
+func NewWithNetwork(s *Settings, network Network, log *event.Logger) (*Daemon, error) {
+	l, err := openListeners(s, network)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, log: log, started: time.Now(), listeners: l}
+	d := &Daemon{settings: s, network: network, log: log, started: time.Now(), listeners: l}
 	if err := d.build(); err != nil {
 		l.close()
 		return nil, err
@@ -99,7 +105,7 @@
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
 		Local: d.store.Load,
-		Dial:  d.platformTraffic.Dial((&net.Dialer{}).DialContext),
+		Dial:  d.platformTraffic.Dial(d.network.DialContext),
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
@@ -108,15 +114,16 @@
 	return nil
 }
 
-// localRecord is the record of this instance before its backend server has announced itself.
+// localRecord is the record of this instance before its backend server has announced itself. Its
+// addresses are those of the listeners, which differ from the settings for port 0.
 func (d *Daemon) localRecord() endpoint.Record {
-	l := d.settings.Listen
+	l := d.listeners
 	return endpoint.Record{
 		Instance:    endpoint.InstanceID(d.settings.Daemon.Instance),
 		Incarnation: uint64(d.started.UnixMilli()),
 		Domain:      d.settings.Daemon.FailureDomain,
-		CallAddr:    l.Calls.String(), RPCAddr: l.RPC.String(),
-		ProbeAddr: l.Probes.String(), AdminAddr: l.Administration.String(),
+		CallAddr:    l.calls.Addr().String(), RPCAddr: l.rpc.Addr().String(),
+		ProbeAddr: l.probes.LocalAddr().String(), AdminAddr: l.admin.Addr().String(),
 		State: endpoint.Starting,
 	}
 }
@@ -142,7 +149,7 @@
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
-	d.client = call.NewClient(incarnation, d.log)
+	d.client = call.NewClientWithDialer(incarnation, d.network.DialContext, d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
 	d.burn = burn.New(burn.Config{}, time.Now)
 	d.callers = caller.NewHandler(caller.Config{
@@ -208,7 +215,10 @@
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
-	group.Go(func() error { keys.NewMover(d.callers, d.prober.View, d.log).Run(ctx); return nil })
+	group.Go(func() error {
+		keys.NewMover(d.callers, d.prober.View, d.network.DialContext, d.log).Run(ctx)
+		return nil
+	})
 	for server, listener := range map[*http.Server]net.Listener{
 		admin: d.listeners.admin, callers: d.listeners.callers, announcements: d.listeners.announcements,
 	} {
--- a/agent/listeners.go
+++ b/agent/listeners.go
@@ -14,11 +14,11 @@
 // listeners holds the sockets of a daemon.
 type listeners struct {
 	callers, announcements, admin, calls, rpc net.Listener
-	probes                                    *net.UDPConn
+	probes                                    ProbeConn
 }
 
 // openListeners opens all sockets, or none.
-func openListeners(s *Settings) (*listeners, error) {
+func openListeners(s *Settings, network Network) (*listeners, error) {
 	l := &listeners{}
 	for _, item := range []struct {
 		into *net.Listener
@@ -38,7 +38,7 @@
 		}
 		*item.into = listener
 	}
-	probes, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Listen.Probes))
+	probes, err := network.ListenProbes(s.Listen.Probes)
 	if err != nil {
 		l.close()
 		return nil, errors.Wrap(err, `section [listen]: key "probes"`)
--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -22,9 +23,13 @@
 	lostLimit = 4096
 )
 
+// Dialer opens a connection to another daemon; it has the form of net.Dialer.DialContext.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client sends requests to other daemons. It is safe for concurrent use.
 type Client struct {
 	incarnation uint64
+	dialer      Dialer
 	log         *event.Logger
 
 	mu     sync.Mutex
@@ -44,8 +49,13 @@
 // NewClient returns a Client of the daemon with the given incarnation, which is the sender in the
 // attempt IDs.
 func NewClient(incarnation uint64, log *event.Logger) *Client {
+	return NewClientWithDialer(incarnation, new(net.Dialer).DialContext, log)
+}
+
+// NewClientWithDialer is NewClient with the dialer of all connections.
+func NewClientWithDialer(incarnation uint64, dialer Dialer, log *event.Logger) *Client {
 	return &Client{
-		incarnation: incarnation, log: log,
+		incarnation: incarnation, dialer: dialer, log: log,
 		peers: map[string]*peer{}, rpcs: map[string]*rpcConn{},
 		lost: newLostAttempts(lostLimit),
 	}
@@ -130,7 +140,7 @@
 	if err := c.reserve(addr); err != nil {
 		return nil, err
 	}
-	conn, err := dial(ctx, addr)
+	conn, err := dial(ctx, c.dialer, addr)
 	if err != nil {
 		c.discard(addr, nil)
 		return nil, err
--- a/agent/peer/call/clientconn.go
+++ b/agent/peer/call/clientconn.go
@@ -30,9 +30,8 @@
 }
 
 // dial connects to addr and reads the greeting.
-func dial(ctx context.Context, addr string) (*clientConn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+func dial(ctx context.Context, dialer Dialer, addr string) (*clientConn, error) {
+	conn, err := dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/agent/peer/call/fence.go
+++ b/agent/peer/call/fence.go
@@ -112,8 +112,7 @@
 		return conn, true, nil
 	}
 	c.mu.Unlock()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := c.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, false, err
 	}
--- a/agent/peer/keys/keys.go
+++ b/agent/peer/keys/keys.go
@@ -47,17 +47,20 @@
 	return server.RegisterName(serviceName, &Service{importer: importer})
 }
 
+// Dialer opens a connection to another daemon; it has the form of net.Dialer.DialContext.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // HandOver sends each record to the daemon that owns its key once self has left. Records whose next
 // owner cannot be reached go to the one after it, since such an owner is about to leave as well. It
 // returns the number of records sent and the first error.
-func HandOver(ctx context.Context, view *endpoint.View, self endpoint.InstanceID, records []caller.KeyRecord) (int, error) {
+func HandOver(ctx context.Context, dial Dialer, view *endpoint.View, self endpoint.InstanceID, records []caller.KeyRecord) (int, error) {
 	rest := without(view, self)
 	sent := 0
 	var first error
 	for range maxOwners {
 		var failed []caller.KeyRecord
 		for owner, list := range byOwner(rest, records) {
-			n, err := send(ctx, owner.RPCAddr, list)
+			n, err := send(ctx, dial, owner.RPCAddr, list)
 			sent += n
 			if err != nil {
 				failed = append(failed, list[n:]...)
@@ -98,9 +101,8 @@
 	return rest
 }
 
-func send(ctx context.Context, addr string, records []caller.KeyRecord) (int, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+func send(ctx context.Context, dial Dialer, addr string, records []caller.KeyRecord) (int, error) {
+	conn, err := dial(ctx, "tcp", addr)
 	if err != nil {
 		return 0, err
 	}
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -167,7 +167,7 @@
 	first := c.submit("a", 3*batchSize)
 	records := c.daemons["b"].ExportKeys()
 	is.True(len(records) > batchSize/2)
-	sent, err := HandOver(t.Context(), c.view.Load(), "b", records)
+	sent, err := HandOver(t.Context(), new(net.Dialer).DialContext, c.view.Load(), "b", records)
 	is.NoErr(err)
 	is.Equal(sent, len(records))
 	c.without("b")
@@ -187,7 +187,7 @@
 	view := viewOf(append([]endpoint.Record{}, c.all...))
 	for i, leaving := range []endpoint.InstanceID{"b", "c", "d"} {
 		records := c.daemons[leaving].CloseKeys()
-		sent, _ := HandOver(t.Context(), view, leaving, records)
+		sent, _ := HandOver(t.Context(), new(net.Dialer).DialContext, view, leaving, records)
 		is.Equal(sent, len(records))
 		if leaving == "c" {
 			view.ByService["pages"][i+1].RPCAddr = closed.Addr().String()
@@ -208,7 +208,7 @@
 	done := make(chan struct{}, 2)
 	for _, name := range []endpoint.InstanceID{"a", "b"} {
 		go func() {
-			NewMover(c.daemons[name], c.view.Load, event.Nop()).Run(ctx)
+			NewMover(c.daemons[name], c.view.Load, new(net.Dialer).DialContext, event.Nop()).Run(ctx)
 			done <- struct{}{}
 		}()
 	}
--- a/agent/peer/keys/mover.go
+++ b/agent/peer/keys/mover.go
@@ -32,12 +32,13 @@
 type Mover struct {
 	source Source
 	view   func() *endpoint.View
+	dial   Dialer
 	log    *event.Logger
 }
 
 // NewMover returns a Mover for the keys in source. view returns the current endpoints.
-func NewMover(source Source, view func() *endpoint.View, log *event.Logger) *Mover {
-	return &Mover{source: source, view: view, log: log}
+func NewMover(source Source, view func() *endpoint.View, dial Dialer, log *event.Logger) *Mover {
+	return &Mover{source: source, view: view, dial: dial, log: log}
 }
 
 // Run moves outcomes until ctx ends.
@@ -68,7 +69,7 @@
 	defer cancel()
 	complete := true
 	for owner, records := range m.source.MisplacedKeys(view) {
-		sent, err := send(ctx, view.Records[owner].RPCAddr, records)
+		sent, err := send(ctx, m.dial, view.Records[owner].RPCAddr, records)
 		m.source.KeysHandedOver(records[:sent], owner)
 		complete = complete && err == nil
 		m.log.Log(event.KeysMoved, zap.String("owner", string(owner)), zap.Int("keys", len(records)), zap.Int("sent", sent), zap.Error(err))
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -55,7 +55,7 @@
 
 // dialPeer opens a counted connection to the net/rpc address of another daemon.
 func (d *Daemon) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	conn, err := peersync.DialTCP(ctx, addr)
+	conn, err := d.network.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
