Determine the version floor from all answers of a round

Cause: the floor took each answer as it arrived. A restarted daemon served as soon as the first member had answered, although the platform was still being asked, and stopped to serve when its answer raised the floor. With members that are behind, it served an older version although the platform was available.

Change: a round of answers is collected first and added to the floor at once.

Before: TestRestartWaitsForPlatform fails (the daemon serves version 3 while the head is at 4).

--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -216,6 +216,30 @@
 	})
 }
 
+// Guards against a restarted daemon that serves on the answers of members that are behind, while the
+// platform is still being asked, and stops when it answers.
+func TestRestartWaitsForPlatform(t *testing.T) {
+	run(t, 12, 3, func(is *is.I, c *cluster) {
+		inside := c.inDomain("domain-1", true)
+		c.setCut("domain-1", true)
+		c.platform.set(func() {
+			for _, d := range inside {
+				c.platform.cut[d.record.Instance] = true
+			}
+		})
+		c.accept(4)
+		c.until("other domains", changeLimit, c.inDomain("domain-1", false), at(4))
+		inside[2].kill()
+		c.platform.set(func() { delete(c.platform.cut, inside[2].record.Instance) })
+		d := c.start(7, "domain-1")
+		for deadline := time.Now().Add(changeLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			is.True(!d.Ready() || d.store.Version() == 4)
+		}
+		is.True(d.Ready())
+		c.setCut("domain-1", false)
+	})
+}
+
 // Guards against a daemon that serves although nobody could tell it the floor.
 func TestNobodyReachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -128,7 +128,9 @@
 	}
 }
 
-// askFloor adds one round of answers to the floor and returns the highest one of a member.
+// askFloor adds one round of answers to the floor and returns the highest one of a member. The floor
+// takes the answers of a round together: with those of the members alone a daemon might serve an older
+// version until the platform has answered, and then stop.
 func (f *Follower) askFloor(ctx context.Context) answer {
 	addrs := f.someMembers(distribution.FloorMembers)
 	replies := make([]HighestReply, len(addrs))
@@ -146,26 +148,30 @@
 	_ = g.Wait() // the functions above return no errors
 	var best answer
 	var holders []string
+	var round distribution.Floor
 	for i, reply := range replies {
-		f.floor.Member(reply.Highest)
+		round.Member(reply.Highest)
 		if reply.Highest > best.version {
 			best = answer{addrs[i], reply.Highest}
 		}
 		holders = append(holders, reply.Holders...)
 	}
-	f.askHead(ctx, holders)
+	f.askHead(ctx, &round, holders)
+	if floor, known := round.Value(); known {
+		f.floor.Add(floor, round.Exact())
+	}
 	return best
 }
 
-// askHead adds the version of the head to the floor: from a lease holder that reads it anyway, or
+// askHead adds the version of the head to a round of answers: from a lease holder that reads it anyway, or
 // else from the platform itself, spread out by the number of members.
-func (f *Follower) askHead(ctx context.Context, holders []string) {
+func (f *Follower) askHead(ctx context.Context, round *distribution.Floor, holders []string) {
 	for range min(len(holders), floorHolders) {
 		var reply HighestReply
 		addr := holders[f.random(int64(len(holders)))]
 		err := callOnce(ctx, f.cfg.Dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
 		if err == nil && reply.Fresh {
-			f.floor.Platform(reply.Head)
+			round.Platform(reply.Head)
 			return
 		}
 	}
@@ -177,7 +183,7 @@
 		return
 	}
 	if head, err := f.head(ctx); err == nil {
-		f.floor.Platform(head.Version)
+		round.Platform(head.Version)
 	}
 }
 
--- a/pkg/distribution/floor.go
+++ b/pkg/distribution/floor.go
@@ -19,16 +19,17 @@
 }
 
 // Platform adds the answer of the platform, which makes the floor exact.
-func (f *Floor) Platform(v snapshot.Version) { f.add(v, true) }
+func (f *Floor) Platform(v snapshot.Version) { f.Add(v, true) }
 
 // Member adds the answer of a member. Version 0 is no answer: the member has itself just started.
 func (f *Floor) Member(v snapshot.Version) {
 	if v > 0 {
-		f.add(v, false)
+		f.Add(v, false)
 	}
 }
 
-func (f *Floor) add(v snapshot.Version, exact bool) {
+// Add adds a floor that was determined elsewhere, and whether the platform was among its answers.
+func (f *Floor) Add(v snapshot.Version, exact bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.value = max(f.value, v)
