bench: read the log time in its present form

Daemons now log "time" in UTC instead of "ts" in seconds. The bench took the missing key for the time 0 and, since negative delays were raised to 0, reported every change as immediate. It reads the new key, ignores lines without a time, so that the version counts as missing, and no longer raises negative delays. The test covers a line without a time.

--- a/tools/bench/convergence/applied.go
+++ b/tools/bench/convergence/applied.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"math"
 	"os"
 	"time"
 
@@ -14,7 +13,7 @@
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
-// applied is a version that a daemon has put in force.
+// applied is a version that a daemon has put in force. The log states the time in milliseconds.
 type applied struct {
 	version snapshot.Version
 	at      time.Time
@@ -75,15 +74,14 @@
 
 func parseApplied(line []byte) (applied, bool) {
 	var entry struct {
-		// Time is in seconds since 1970.
-		Time    float64          `json:"ts"`
+		Time    time.Time        `json:"time"`
 		Event   event.ID         `json:"event"`
 		Version snapshot.Version `json:"version"`
 	}
-	if json.Unmarshal(line, &entry) != nil || entry.Event != event.VersionApplied.ID {
+	if json.Unmarshal(line, &entry) != nil || entry.Event != event.VersionApplied.ID || entry.Time.IsZero() {
 		return applied{}, false
 	}
-	return applied{entry.Version, time.UnixMicro(int64(math.Round(entry.Time * 1e6)))}, true
+	return applied{entry.Version, entry.Time}, true
 }
 
 // reached returns when the daemon had version v or a higher one in force.
--- a/tools/bench/convergence/applied_test.go
+++ b/tools/bench/convergence/applied_test.go
@@ -8,17 +8,17 @@
 )
 
 // Guards against a version missed because its line was read in two parts, and against other events
-// taken for it.
+// taken for it. A line without a time must not count, as it would look like an immediate change.
 func TestLogTail(t *testing.T) {
 	is := is.New(t)
 	var tail logTail
-	tail.add([]byte(`{"ts":100.5,"event":5103,"version":9}` + "\n" + `{"ts":101.25,"event":5`))
+	tail.add([]byte(`{"time":"2026-12-04T07:00:00.500Z","event":5103,"version":9}` + "\n" + `{"time":"2026-12-04T07:00:01.250Z","event":5`))
 	_, ok := tail.reached(1)
 	is.True(!ok)
-	tail.add([]byte(`101,"version":3}` + "\nnot JSON\n"))
+	tail.add([]byte(`101,"version":3}` + "\nnot JSON\n" + `{"event":5101,"version":8}` + "\n"))
 	at, ok := tail.reached(2)
 	is.True(ok)
-	is.Equal(at, time.UnixMilli(101250))
+	is.Equal(at, time.Date(2026, 12, 4, 7, 0, 1, 250e6, time.UTC))
 	_, ok = tail.reached(4)
 	is.True(!ok)
 }
--- a/tools/bench/convergence/change.go
+++ b/tools/bench/convergence/change.go
@@ -68,6 +68,7 @@
 }
 
 // delays are the times from an event until the daemons had a version in force, in ascending order.
+// A daemon may be a little ahead of the response that confirms an accept.
 type delays struct {
 	list []time.Duration
 	// missing daemons had not reached the version within convergeLimit.
@@ -81,7 +82,7 @@
 	times, missing, err := w.await(ctx, instances, v)
 	d := delays{missing: missing}
 	for _, at := range times {
-		d.list = append(d.list, max(0, at.Sub(since)))
+		d.list = append(d.list, at.Sub(since))
 	}
 	slices.Sort(d.list)
 	return d, err
