--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -127,8 +127,9 @@
 		seeds = append(seeds, addr.String())
 	}
 	d.follower = peersync.NewFollower(peersync.Config{
-		Self: local, Seeds: seeds, Members: d.prober, Store: d.store, Platform: headSource{d.platform},
-		Dial: d.dialPeer, Log: d.log, Seed: rand.Uint64(),
+		Self: local, Seeds: seeds, Members: d.prober, Store: d.store,
+		Platform: &headSource{Client: d.platform, current: d.store.Load},
+		Dial:     d.dialPeer, Log: d.log, Seed: rand.Uint64(),
 	})
 }
 
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -22,22 +22,23 @@
 // Delta implements peersync.Codec.
 func (codec) Delta(from, to *snapshot.Snapshot) (*snapshot.Delta, error) { return to.DeltaFrom(from) }
 
-// headSource lets the distribution read the platform.
-type headSource struct{ *platform.Client }
-
 // Head implements peersync.Platform.
-func (s headSource) Head(ctx context.Context) (peersync.Head, error) {
-	head, err := s.Client.Head(ctx)
-	return peersync.Head{Version: head.Version, Manifest: head.Manifest}, err
+func (s *headSource) Head(ctx context.Context) (peersync.Head, error) {
+	read, err := s.Client.Head(ctx)
+	head := peersync.Head{Version: read.Version, Manifest: read.Manifest}
+	if err == nil {
+		s.last.Store(&head)
+	}
+	return head, err
 }
 
 // AcquireLease implements peersync.Platform.
-func (s headSource) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (peersync.Lease, error) {
+func (s *headSource) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (peersync.Lease, error) {
 	return toLease(s.Client.AcquireLease(ctx, name, holder, ttl))
 }
 
 // RenewLease implements peersync.Platform.
-func (s headSource) RenewLease(ctx context.Context, l peersync.Lease, ttl time.Duration) (peersync.Lease, error) {
+func (s *headSource) RenewLease(ctx context.Context, l peersync.Lease, ttl time.Duration) (peersync.Lease, error) {
 	return toLease(s.Client.RenewLease(ctx, platform.Lease{Name: l.Name, Holder: l.Holder, Token: l.Token}, ttl))
 }
 
