Give outcomes to every owner that a key will have while servers join

Change: Owners returns the owners of a key in order of time, and outcomes go to all of them. When all servers have just started, the one that became ready first owns the keys. A rapid test moves the clock in steps of 10 ms and checks that each owner has the outcome.

The process test now waits until the view of the restarted daemon is complete and its keys have returned, which it reads from the logs. Its first form summed up transfers and ended the wait too early.

Deployments start their processes one after the other, but become ready side by side, so that all of them run at once.

--- a/agent/caller/keys.go
+++ b/agent/caller/keys.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
@@ -51,7 +50,7 @@
 type keyOwner struct {
 	handler *Handler
 	table   *idempotency.Table[keyOutcome]
-	// strayed is set when an outcome was stored under a key that another daemon owns by then.
+	// strayed is set when an outcome was stored that another daemon needs as an owner.
 	strayed atomic.Bool
 }
 
@@ -62,7 +61,7 @@
 
 // serve runs e at the owner of its key.
 func (k *keyOwner) serve(ctx context.Context, e *exchange) *result {
-	owner, ok := ownerAt(k.handler.config.View(), e.service.Name, e.key, k.handler.config.Now())
+	owner, ok := Owner(k.handler.config.View(), e.service.Name, e.key, k.handler.config.Now())
 	if !ok {
 		return newResult().end(k.handler.noEndpoint(e, errors.New("no backend server is ready")))
 	}
@@ -72,45 +71,6 @@
 	return k.forward(ctx, e, owner)
 }
 
-// joinGrace is the time for which a server that became ready owns no keys yet. In it the former owners
-// hear of the server and hand the outcomes of its keys over.
-const joinGrace = 2 * time.Second
-
-// Owner returns the record of the daemon that owns key, chosen by rendezvous hash among the
-// instances with a ready or draining backend server of service. A draining one stays the owner until
-// it is gone, because it hands its keys over only when its last request has ended. Outcomes belong to
-// this owner; requests go to a former one while the owner has been ready for less than joinGrace.
-func Owner(v *endpoint.View, service, key string) (endpoint.Record, bool) {
-	return highest(v, service, key, func(endpoint.Record) bool { return true })
-}
-
-// ownerAt returns the owner to which requests go at the time now.
-func ownerAt(v *endpoint.View, service, key string, now time.Time) (endpoint.Record, bool) {
-	latest := now.Add(-joinGrace).UnixMilli()
-	owner, ok := highest(v, service, key, func(r endpoint.Record) bool { return r.ReadySinceMS <= latest })
-	if !ok {
-		return Owner(v, service, key) // all have just started
-	}
-	return owner, true
-}
-
-// highest returns the record with the highest rendezvous hash for key among those that may own keys.
-func highest(v *endpoint.View, service, key string, accept func(endpoint.Record) bool) (endpoint.Record, bool) {
-	var best endpoint.Record
-	var bestScore uint64
-	found := false
-	for _, r := range v.ByService[service] {
-		if (r.State != endpoint.Ready && r.State != endpoint.Draining) || v.Unreachable[r.Domain] || !accept(r) {
-			continue
-		}
-		score := xxhash.Sum64String(string(r.Instance) + "\x00" + key)
-		if !found || score > bestScore {
-			best, bestScore, found = r, score, true
-		}
-	}
-	return best, found
-}
-
 // forward sends e to its owner. No other daemon is tried, because only the owner knows whether the
 // key was used before.
 func (k *keyOwner) forward(ctx context.Context, e *exchange, owner endpoint.Record) *result {
--- a/agent/caller/keys_test.go
+++ b/agent/caller/keys_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
@@ -59,7 +60,7 @@
 
 // notOwner returns a daemon that does not own key.
 func (c *trio) notOwner(key string) string {
-	owner, _ := Owner(testView("a", "b", "c"), "pages", key)
+	owner, _ := Owner(testView("a", "b", "c"), "pages", key, time.Now())
 	if owner.Instance == "a" {
 		return "b"
 	}
@@ -153,7 +154,7 @@
 	is.Equal(verdictOf(w), "not-run")
 	is.Equal(w.Header().Get("Retry-After"), "2")
 
-	owner, _ := Owner(c.daemons["a"].view, "pages", "key")
+	owner, _ := Owner(c.daemons["a"].view, "pages", "key", time.Now())
 	c.daemons[string(owner.Instance)].accept(nil) // the owner has just started
 	w = c.save(by, "key", "text")
 	is.Equal(w.Code, http.StatusServiceUnavailable)
@@ -188,7 +189,7 @@
 func TestDrainingOwnerKeepsItsKeys(t *testing.T) {
 	is := is.New(t)
 	view := testView("a", "b", "c")
-	owner, _ := Owner(view, "pages", "key")
+	owner, _ := Owner(view, "pages", "key", time.Now())
 	set := func(state endpoint.State) {
 		for i, r := range view.ByService["pages"] {
 			if r.Instance == owner.Instance {
@@ -197,41 +198,40 @@
 		}
 	}
 	set(endpoint.Draining)
-	kept, _ := Owner(view, "pages", "key")
+	kept, _ := Owner(view, "pages", "key", time.Now())
 	is.Equal(kept.Instance, owner.Instance)
 	set(endpoint.Gone)
-	next, ok := Owner(view, "pages", "key")
+	next, ok := Owner(view, "pages", "key", time.Now())
 	is.True(ok)
 	is.True(next.Instance != owner.Instance)
 }
 
-// Guards against a server that is asked for a key before it can have the outcome, and against one that
-// never becomes an owner.
-func TestJoiningServerOwnsKeysAfterTheGrace(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1_800_000_000, 0)
-	view := testView("a", "b", "c")
-	joined := &view.ByService["pages"][2]
-	joined.ReadySinceMS = now.UnixMilli()
-	key := ""
-	for n := 0; ; n++ {
-		key = fmt.Sprint("key-", n)
-		if owner, _ := Owner(view, "pages", key); owner.Instance == "c" {
-			break
+// Guards against a server that is asked for a key before it can have the outcome, against a key that
+// passes to an owner without its outcome, and against one that never becomes an owner.
+func TestOwnersWhileServersJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1_800_000_000, 0)
+		view := testView("a", "b", "c", "d", "e")
+		for i := range view.ByService["pages"] {
+			ready := start.Add(time.Duration(rapid.IntRange(-3000, 3000).Draw(t, "ready")) * time.Millisecond)
+			view.ByService["pages"][i].ReadySinceMS = ready.UnixMilli()
 		}
-	}
-	at := func(d time.Duration) endpoint.InstanceID {
-		owner, ok := ownerAt(view, "pages", key, now.Add(d))
-		is.True(ok)
-		return owner.Instance
-	}
-	is.True(at(0) != "c")
-	is.True(at(joinGrace-time.Millisecond) != "c")
-	is.Equal(at(joinGrace), endpoint.InstanceID("c"))
-	for i := range view.ByService["pages"] {
-		view.ByService["pages"][i].ReadySinceMS = now.UnixMilli()
-	}
-	is.Equal(at(0), endpoint.InstanceID("c")) // all have just started
+		key := rapid.String().Draw(t, "key")
+		have := map[endpoint.InstanceID]bool{} // the outcome is stored at the start
+		for _, r := range Owners(view, "pages", key, start) {
+			have[r.Instance] = true
+		}
+		for after := time.Duration(0); after <= 6*time.Second; after += 10 * time.Millisecond {
+			owner, ok := Owner(view, "pages", key, start.Add(after))
+			if !ok || !have[owner.Instance] {
+				t.Fatalf("after %v the owner %q lacks the outcome of %v", after, owner.Instance, have)
+			}
+		}
+		last, _ := Owner(view, "pages", key, start.Add(6*time.Second))
+		if all := Owners(view, "pages", key, start.Add(6*time.Second)); len(all) != 1 || all[0] != last {
+			t.Fatalf("owners %v after all have settled", all)
+		}
+	})
 }
 
 // Guards against a panic of the run that leaves a key whose outcome cannot be sent.
--- a/agent/caller/move.go
+++ b/agent/caller/move.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/idempotency"
 )
@@ -20,21 +22,18 @@
 		return 0, err
 	}
 	for _, r := range records {
-		h.keys.noteStrayed(r.Key)
+		owners := h.keys.owners(h.config.View(), r.Key)
+		if !slices.Contains(owners, string(h.config.Instance)) {
+			h.keys.strayed.Store(true)
+		}
 	}
 	return added, nil
 }
 
-// MisplacedKeys returns the outcomes whose keys belong to other daemons by view, by the instance of
-// the owner, unless they were handed over to it before.
+// MisplacedKeys returns the outcomes that other daemons need as owners by view, by their instance,
+// unless they were handed over to it before.
 func (h *Handler) MisplacedKeys(view *endpoint.View) map[endpoint.InstanceID][]KeyRecord {
-	moved := h.keys.table.Misplaced(func(key idempotency.Key) string {
-		owner, ok := Owner(view, key.Service, key.Value)
-		if !ok || owner.Instance == h.config.Instance {
-			return ""
-		}
-		return string(owner.Instance)
-	})
+	moved := h.keys.table.Misplaced(func(key idempotency.Key) []string { return h.keys.others(view, key) })
 	byInstance := make(map[endpoint.InstanceID][]KeyRecord, len(moved))
 	for name, records := range moved {
 		byInstance[endpoint.InstanceID(name)] = records
@@ -47,14 +46,27 @@
 	h.keys.table.HandedOver(records, string(to))
 }
 
-// TakeStrayed reports whether an outcome was stored under the key of another daemon since the last
-// call.
+// TakeStrayed reports whether an outcome that another daemon needs was stored since the last call.
 func (h *Handler) TakeStrayed() bool { return h.keys.strayed.Swap(false) }
 
-// noteStrayed notes that an outcome was stored after its key had moved to another daemon.
+// owners returns the instances that own key now or soon.
+func (k *keyOwner) owners(view *endpoint.View, key idempotency.Key) []string {
+	var names []string
+	for _, r := range Owners(view, key.Service, key.Value, k.handler.config.Now()) {
+		names = append(names, string(r.Instance))
+	}
+	return names
+}
+
+// others returns owners without this daemon.
+func (k *keyOwner) others(view *endpoint.View, key idempotency.Key) []string {
+	self := string(k.handler.config.Instance)
+	return slices.DeleteFunc(k.owners(view, key), func(name string) bool { return name == self })
+}
+
+// noteStrayed notes that an outcome was stored which another daemon needs, too.
 func (k *keyOwner) noteStrayed(key idempotency.Key) {
-	owner, ok := Owner(k.handler.config.View(), key.Service, key.Value)
-	if ok && owner.Instance != k.handler.config.Instance {
+	if len(k.others(k.handler.config.View(), key)) > 0 {
 		k.strayed.Store(true)
 	}
 }
--- a/agent/peer/keys/keys.go
+++ b/agent/peer/keys/keys.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -47,16 +48,16 @@
 	return server.RegisterName(serviceName, &Service{importer: importer})
 }
 
-// HandOver sends each record to the daemon that owns its key once self has left. Records whose next
-// owner cannot be reached go to the one after it, since such an owner is about to leave as well. It
-// returns the number of records sent and the first error.
+// HandOver sends each record to the daemons that own its key once self has left, now or soon. Records
+// whose next owner cannot be reached go to the one after it, since such an owner is about to leave as
+// well. It returns the number of transfers and the first error.
 func HandOver(ctx context.Context, view *endpoint.View, self endpoint.InstanceID, records []caller.KeyRecord) (int, error) {
 	rest := without(view, self)
 	sent := 0
 	var first error
 	for range maxOwners {
 		var failed []caller.KeyRecord
-		for owner, list := range byOwner(rest, records) {
+		for owner, list := range byOwner(rest, records, time.Now()) {
 			n, err := send(ctx, owner.RPCAddr, list)
 			sent += n
 			if err != nil {
@@ -74,11 +75,11 @@
 	return sent, first
 }
 
-// byOwner groups records by the owner of their keys; keys without an owner are left out.
-func byOwner(view *endpoint.View, records []caller.KeyRecord) map[endpoint.Record][]caller.KeyRecord {
+// byOwner groups records by the owners of their keys; keys without an owner are left out.
+func byOwner(view *endpoint.View, records []caller.KeyRecord, now time.Time) map[endpoint.Record][]caller.KeyRecord {
 	groups := map[endpoint.Record][]caller.KeyRecord{}
 	for _, r := range records {
-		if owner, ok := caller.Owner(view, r.Key.Service, r.Key.Value); ok {
+		for _, owner := range caller.Owners(view, r.Key.Service, r.Key.Value, now) {
 			groups[owner] = append(groups[owner], r)
 		}
 	}
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -218,7 +218,7 @@
 	c.expectSame(is, "b", first) // before anything has moved
 	expected := 0
 	for key := range first {
-		if owner, _ := caller.Owner(c.view.Load(), "pages", key); owner.Instance == "c" {
+		if owner, _ := caller.Owner(viewOf(c.all), "pages", key, time.Now()); owner.Instance == "c" {
 			expected++
 		}
 	}
@@ -231,7 +231,7 @@
 	late := &call.Request{Service: "pages", Method: "POST", Target: "/pages/1", Timeout: waitLimit, Header: http.Header{}}
 	for i := 0; ; i++ {
 		key := fmt.Sprint("late-", i)
-		if owner, _ := caller.Owner(c.view.Load(), "pages", key); owner.Instance == "c" {
+		if owner, _ := caller.Owner(viewOf(c.all), "pages", key, time.Now()); owner.Instance == "c" {
 			late.Header.Set("Kingcupwood-Key-Owner", key)
 			break
 		}
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -6,6 +6,7 @@
 	"container/list"
 	"context"
 	"crypto/sha256"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,8 +75,9 @@
 	outcome T
 	expires time.Time
 	bytes   int
-	// holder is the daemon to which the outcome was handed over last, guarded by Table.mu.
-	holder string
+	// holders are the daemons to which the outcome was handed over, guarded by Table.mu. The slice is
+	// replaced, never changed.
+	holders []string
 }
 
 // NewTable returns a table for at most limit keys and at most limitBytes bytes of outcomes, as given
@@ -187,26 +189,28 @@
 	return records
 }
 
-// Misplaced returns the outcomes that belong to another daemon, by the name of that daemon, unless
-// they were handed over to it before. owner returns the empty string for keys that stay. It is called
-// without locks held.
-func (t *Table[T]) Misplaced(owner func(Key) string) map[string][]Record[T] {
+// Misplaced returns the outcomes that other daemons need, by the name of that daemon, unless they were
+// handed over to it before. owners returns the daemons that own a key now or soon, without this one.
+// It is called without locks held.
+func (t *Table[T]) Misplaced(owners func(Key) []string) map[string][]Record[T] {
 	type held struct {
-		entry  *entry[T]
-		holder string
+		entry   *entry[T]
+		holders []string
 	}
 	t.mu.Lock()
 	t.expire()
 	all := make([]held, 0, t.ended.Len())
 	for item := t.ended.Front(); item != nil; item = item.Next() {
 		e := item.Value.(*entry[T])
-		all = append(all, held{e, e.holder})
+		all = append(all, held{e, e.holders})
 	}
 	t.mu.Unlock()
 	misplaced := map[string][]Record[T]{}
 	for _, h := range all {
-		if to := owner(h.entry.key); to != "" && to != h.holder {
-			misplaced[to] = append(misplaced[to], h.entry.record())
+		for _, to := range owners(h.entry.key) {
+			if !slices.Contains(h.holders, to) {
+				misplaced[to] = append(misplaced[to], h.entry.record())
+			}
 		}
 	}
 	return misplaced
@@ -219,7 +223,7 @@
 	defer t.mu.Unlock()
 	for _, r := range records {
 		if e, ok := t.entries[r.Key]; ok {
-			e.holder = holder
+			e.holders = append(slices.Clip(e.holders), holder)
 		}
 	}
 }
--- a/pkg/idempotency/table_test.go
+++ b/pkg/idempotency/table_test.go
@@ -131,15 +131,17 @@
 	table := newTestTable(10)
 	_, err := table.Run(t.Context(), saveKey, saveDigest, func() (string, bool) { return "saved", true })
 	is.NoErr(err)
-	to := func(name string) func(Key) string { return func(Key) string { return name } }
-	is.Equal(len(table.Misplaced(to(""))), 0)
+	to := func(names ...string) func(Key) []string { return func(Key) []string { return names } }
+	is.Equal(len(table.Misplaced(to())), 0)
 	moved := table.Misplaced(to("b"))["b"]
 	is.Equal(len(moved), 1)
 	is.Equal(moved[0].Outcome, "saved")
 	is.Equal(len(table.Misplaced(to("b"))), 1) // the transfer failed
 	table.HandedOver(moved, "b")
 	is.Equal(len(table.Misplaced(to("b"))), 0)
-	is.Equal(len(table.Misplaced(to("c"))["c"]), 1)
+	both := table.Misplaced(to("b", "c"))
+	is.Equal(len(both["b"]), 0)
+	is.Equal(len(both["c"]), 1)
 }
 
 // Guards against a handover that fills the memory of the next owner beyond its limit.
--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,7 +31,7 @@
 	startTries = 3
 	servers    = 4
 	// parallelFleets bounds the processes that run at once.
-	parallelFleets = 4
+	parallelFleets = 8
 )
 
 // binary is the program under test.
@@ -87,6 +89,18 @@
 }
 
 func start(t *testing.T, server []string) (*fleet.Fleet, error) {
+	f, err := launch(t, server)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), setupLimit/startTries)
+	defer cancel()
+	return f, fleet.WaitReady(ctx, f.Instances, "pages", servers)
+}
+
+// launch starts the processes and returns once they listen, so that the next deployment finds their
+// ports in use.
+func launch(t *testing.T, server []string) (*fleet.Fleet, error) {
 	starting.Lock()
 	defer starting.Unlock()
 	f, err := fleet.New(binary, t.TempDir())
@@ -104,9 +118,29 @@
 	if err := f.Start(); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), setupLimit/startTries)
-	defer cancel()
-	return f, fleet.WaitReady(ctx, f.Instances, "pages", servers)
+	addrs := []netip.AddrPort{f.Platform}
+	for _, i := range f.Instances {
+		addrs = append(addrs, i.Admin, i.Backend)
+	}
+	return f, waitListening(addrs)
+}
+
+func waitListening(addrs []netip.AddrPort) error {
+	deadline := time.Now().Add(setupLimit / startTries)
+	for _, addr := range addrs {
+		for {
+			conn, err := net.Dial("tcp", addr.String())
+			if err == nil {
+				_ = conn.Close()
+				break
+			}
+			if time.Now().After(deadline) {
+				return err
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
 }
 
 const answers = `[service]
--- a/tests/keys_test.go
+++ b/tests/keys_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -59,32 +61,57 @@
 	}
 }
 
-// loggedKeys adds up the keys that the log of an instance reports as sent by the given event; owner
-// limits it to keys sent to that instance.
-func (d *deployment) loggedKeys(i *fleet.Instance, e event.Event, owner string) int {
+// hasMoved reports whether the log of i, from the given offset on, shows a complete transfer of keys to
+// the daemon of owner.
+func (d *deployment) hasMoved(i *fleet.Instance, offset int64, owner string) bool {
 	d.t.Helper()
-	file, err := os.Open(filepath.Join(d.Dir, i.Name+"-daemon.log"))
+	file, err := os.Open(d.logPath(i))
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	defer file.Close()
-	total := 0
+	if _, err := file.Seek(offset, io.SeekStart); err != nil {
+		d.t.Fatal(err)
+	}
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		var line struct {
 			Msg, Owner string
-			Sent       int
+			Keys, Sent int
 		}
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == e.Text && (owner == "" || line.Owner == owner) {
-			total += line.Sent
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == event.KeysMoved.Text &&
+			line.Owner == owner && line.Keys > 0 && line.Sent == line.Keys {
+			return true
 		}
 	}
-	return total
+	return false
+}
+
+func (d *deployment) logPath(i *fleet.Instance) string {
+	return filepath.Join(d.Dir, i.Name+"-daemon.log")
+}
+
+// logSizes returns the sizes of the logs of all daemons.
+func (d *deployment) logSizes() map[string]int64 {
+	d.t.Helper()
+	sizes := map[string]int64{}
+	for _, i := range d.Instances {
+		info, err := os.Stat(d.logPath(i))
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		sizes[i.Name] = info.Size()
+	}
+	return sizes
 }
 
 // Guards against keyed saves that run again when they are repeated while the owner of their key drains,
 // after it has stopped, and after it has come back.
 func TestKeyedSavesAcrossARestart(t *testing.T) {
+	// settled is longer than the time after which a server that became ready owns keys. The owners of
+	// all keys are the same from then on.
+	const settled = 3 * time.Second
 	d := deploy(t, longDeadline)
+	time.Sleep(settled)
 	k := &keyed{d: d, first: map[string]string{}}
 	k.repeat(d.Instances[0])
 
@@ -99,26 +126,26 @@
 	}
 	k.repeat(d.Instances[0])
 
-	owned := d.loggedKeys(leaving, event.KeysHandedOver, "")
-	if owned == 0 {
-		t.Fatal("the stopped daemon has handed over no keys")
-	}
+	before := d.logSizes()
 	if err := d.StartDaemon(leaving); err != nil {
 		t.Fatal(err)
 	}
-	d.waitState(leaving, "ready")
-	for deadline := time.Now().Add(setupLimit); ; time.Sleep(50 * time.Millisecond) {
-		moved := 0
-		for _, i := range d.Instances[:neighbour] {
-			moved += d.loggedKeys(i, event.KeysMoved, leaving.Name)
-		}
-		if moved >= owned {
-			break
-		}
-		if time.Now().After(deadline) {
-			t.Fatalf("only %d of %d keys have returned to their owner", moved, owned)
+	ctx, cancel := context.WithTimeout(t.Context(), setupLimit)
+	defer cancel()
+	if err := fleet.WaitReady(ctx, d.Instances, "pages", servers); err != nil {
+		t.Fatal(err)
+	}
+	// Each of the other daemons holds some keys of the one that has come back, by their fixed names.
+	for _, i := range d.Instances[:neighbour] {
+		for !d.hasMoved(i, before[i.Name], leaving.Name) {
+			if ctx.Err() != nil {
+				t.Fatalf("%s has not returned the keys of %s", i.Name, leaving.Name)
+			}
+			time.Sleep(20 * time.Millisecond)
 		}
 	}
+	k.repeat(leaving)
+	time.Sleep(settled)
 	for _, i := range d.Instances {
 		k.repeat(i)
 	}
