End a lease write with its context

Cause: after an unclear answer, the platform client reads back the outcome of a write even when the context of the write has ended, for up to four attempts of a second each. That is right for a change of an operator. A renewal or acquisition of a lease was delayed in the same way: a holder that was cut off kept its lease for more than 5 s, although it lives for 3 s, and the stop of a daemon waited.

Change: lease writes stop reading back when their context ends. A lease that was acquired without notice stays in the table until it expires, and the same holder may acquire it again at any time.

--- a/agent/platform/lease.go
+++ b/agent/platform/lease.go
@@ -85,6 +85,7 @@
 	item["expires"], item["nonce"] = milliseconds(l.Expires), text(nonce)
 	found, err := c.settle(ctx, conditionalWrite{
 		operation: "acquire lease " + l.Name,
+		abandon:   true,
 		write:     func(ctx context.Context) error { return c.put(ctx, item, condition) },
 		readBack: func(ctx context.Context, refused bool) (settlement, error) {
 			r, err := c.get(ctx, leasePartition, l.Name)
@@ -150,6 +151,7 @@
 	}
 	found, err := c.settle(ctx, conditionalWrite{
 		operation: operation + " " + l.Name,
+		abandon:   true,
 		write: func(ctx context.Context) error {
 			return c.update(ctx, key(leasePartition, l.Name), set, condition.naming(set))
 		},
--- a/agent/platform/lease_test.go
+++ b/agent/platform/lease_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -105,3 +106,21 @@
 	}
 	is.Equal(winners, 1)
 }
+
+// Guards against a renewal that outlasts its context while the platform is out, so that the holder
+// acts on the lease after its expiry.
+func TestRenewalEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	lease, err := h.client.AcquireLease(h.ctx, "domain-a/0", "instance-1", leaseTTL)
+	is.NoErr(err)
+	h.inject(t, standin.Fault{Store: standin.Table, Kind: standin.Outage})
+	ctx, cancel := context.WithCancel(h.ctx)
+	cancel()
+	before := h.platform.Counts(standin.Table)
+	_, err = h.client.RenewLease(ctx, lease, leaseTTL)
+	var unavailable *UnavailableError
+	is.True(errors.As(err, &unavailable))
+	after := h.platform.Counts(standin.Table)
+	is.Equal(after.Reads, before.Reads) // the outcome was not read back
+}
--- a/agent/platform/retry.go
+++ b/agent/platform/retry.go
@@ -116,6 +116,8 @@
 	// readBack looks for the token of the write. refused is true if the latest attempt failed on its
 	// condition.
 	readBack func(ctx context.Context, refused bool) (settlement, error)
+	// abandon ends reading back with the context, for a write whose outcome is of no use afterwards.
+	abandon bool
 }
 
 // settle carries out w. After an unclear attempt it reads the token back, and repeats the write only
@@ -148,10 +150,13 @@
 	return open, &UnavailableError{Operation: w.operation, MayHaveTakenEffect: true, Err: last}
 }
 
-// resolve reads back the token of w. It continues after ctx has ended, because the outcome of a
-// write that was sent is worth knowing; repeat bounds the time.
+// resolve reads back the token of w. Unless w is abandoned, it continues after ctx has ended, because
+// the outcome of a write that was sent is worth knowing; repeat bounds the time.
 func (c *Client) resolve(ctx context.Context, w conditionalWrite, kind failure) (settlement, error) {
-	found, err := w.readBack(context.WithoutCancel(ctx), kind == conditionFailed)
+	if !w.abandon {
+		ctx = context.WithoutCancel(ctx)
+	}
+	found, err := w.readBack(ctx, kind == conditionFailed)
 	if err == nil && found == applied {
 		c.log.Log(event.PlatformWriteResolved, zap.String("operation", w.operation))
 	}
