bench: vary the size of a failure domain in the group capacity

The fit extrapolates from at most 40 daemons of a failure domain to the 842 of the target, so noise of that slope weighs most. A deployment of 100 daemons in one domain gives it a longer lever.

--- a/tools/bench/capacity/capacity.go
+++ b/tools/bench/capacity/capacity.go
@@ -12,6 +12,7 @@
 	fewRecords  = 1_000
 	fewServices = 100
 	fastChanges = 2.0
+	largeDomain = 100
 )
 
 // Variation is a deployment with its rate of changes per second.
@@ -23,12 +24,15 @@
 // Variations returns deployments of n daemons that differ from the target in one size each.
 func Variations(n int) []Variation {
 	target := convergence.Target(n)
-	records, services := target, target
+	records, services, domains := target, target, target
 	records.Records, services.Services = fewRecords, fewServices
+	// One large failure domain is the longest lever for the share of its size.
+	domains.Daemons, domains.Domains = largeDomain, 1
 	return []Variation{
 		{Spec: records, Changes: row.TargetChanges},
 		{Spec: services, Changes: row.TargetChanges},
 		{Spec: target, Changes: fastChanges},
+		{Spec: domains, Changes: row.TargetChanges},
 	}
 }
 
@@ -70,7 +74,7 @@
 
 func sizesOf(w convergence.Window) [sizes]float64 {
 	return [sizes]float64{
-		constant: 1, perDaemon: float64(w.Spec.Daemons) / convergence.RealDomains, perRecord: float64(w.Spec.Records),
+		constant: 1, perDaemon: float64(w.Spec.Daemons) / float64(w.Spec.Domains), perRecord: float64(w.Spec.Records),
 		perService: float64(w.Spec.Services), perChange: w.Changes,
 	}
 }
@@ -119,7 +123,7 @@
 	} {
 		perDomain, changing := 0.0, 0.0
 		for _, w := range windows {
-			scaled := f.value(w) / convergence.RealDomains
+			scaled := f.value(w) / float64(w.Spec.Domains)
 			if w.Changes == 0 {
 				perDomain = max(perDomain, scaled)
 			} else if w.Changes < 2*row.TargetChanges {
--- a/tools/bench/convergence/run.go
+++ b/tools/bench/convergence/run.go
@@ -24,15 +24,19 @@
 
 // Target is the specification of a deployment of n daemons with everything else as at the target.
 func Target(n int) Spec {
-	return Spec{Daemons: n, Records: row.TargetDaemons, Services: row.TargetServices}
+	return Spec{Daemons: n, Records: row.TargetDaemons, Services: row.TargetServices, Domains: realDomains}
 }
 
-// Run measures deployments of the given sizes and the failures, and passes each row to emit.
-func Run(ctx context.Context, binary string, sizes []int, emit func(row.Row)) ([]Window, error) {
+// Run measures deployments of the given sizes and the failures, and passes each row to emit. The
+// daemons are spread over the given number of failure domains, or the usual one if it is 0.
+func Run(ctx context.Context, binary string, sizes []int, domains int, emit func(row.Row)) ([]Window, error) {
 	var windows []Window
 	perDaemon := 0.0
 	for _, n := range sizes {
 		spec := Target(n)
+		if domains > 0 {
+			spec.Domains = domains
+		}
 		spec.Records = affordable(spec, perDaemon)
 		idle, changing, err := Deployment(ctx, binary, spec, row.TargetChanges, emit)
 		if err != nil {
@@ -56,7 +60,7 @@
 // Deployment runs one deployment at rest and with changes at the given rate per second, and the
 // failures if it has the size for them.
 func Deployment(ctx context.Context, binary string, spec Spec, rate float64, emit func(row.Row)) (idle, changing Window, err error) {
-	fmt.Printf("# %d daemons, %d records, %d services, load %s\n", spec.Daemons, spec.Records, spec.Services, loadAverage())
+	fmt.Printf("# %d daemons in %d failure domains, %d records, %d services, load %s\n", spec.Daemons, spec.Domains, spec.Records, spec.Services, loadAverage())
 	w, err := start(ctx, binary, spec)
 	if err != nil {
 		return idle, changing, err
--- a/tools/bench/convergence/world.go
+++ b/tools/bench/convergence/world.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// RealDomains is the number of failure domains with real daemons; the synthetic members are in
-	// the others, since they answer no long polls and hold no leases.
-	RealDomains = 5
+	// realDomains is the usual number of failure domains with real daemons; the synthetic members are
+	// in the others, since they answer no long polls and hold no leases.
+	realDomains = 5
 	// seeds is the number of daemons started first, which the synthetic members join.
 	seeds = 3
 	// startLimit bounds the start of all daemons until each knows everything.
@@ -36,6 +36,8 @@
 type Spec struct {
 	// Daemons is the number of processes, Records the number of endpoint records including theirs.
 	Daemons, Records, Services int
+	// Domains is the number of failure domains over which the processes are spread.
+	Domains int
 }
 
 // world is a running deployment.
@@ -51,7 +53,7 @@
 	coldRate float64
 }
 
-// domainName returns the name of a failure domain; the first RealDomains hold the daemons.
+// domainName returns the name of a failure domain; the first ones hold the daemons.
 func domainName(i int) string { return fmt.Sprintf("zone-%02d", i) }
 
 // start runs a deployment and waits until every daemon has the configuration and all records.
@@ -120,7 +122,7 @@
 // synthetic members live as long as ctx, the start ends with limited.
 func (w *world) startDaemons(ctx, limited context.Context) error {
 	for i := range w.spec.Daemons {
-		if _, err := w.fleet.Add(fmt.Sprintf("daemon-%03d", i), domainName(i%RealDomains), fleet.ServerConfig{}); err != nil {
+		if _, err := w.fleet.Add(fmt.Sprintf("daemon-%03d", i), domainName(i%w.spec.Domains), fleet.ServerConfig{}); err != nil {
 			return err
 		}
 	}
@@ -159,7 +161,7 @@
 		return nil
 	}
 	cfg := synthetic.Config{Members: w.spec.Records - w.spec.Daemons, ChangesPerSecond: row.TargetEndpointChanges}
-	for i := RealDomains; i < row.TargetDomains; i++ {
+	for i := w.spec.Domains; i < row.TargetDomains; i++ {
 		cfg.Domains = append(cfg.Domains, domainName(i))
 	}
 	for i := range w.spec.Services {
--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -73,7 +73,7 @@
 			sizes = append(sizes, n)
 		}
 	}
-	windows, err := convergence.Run(ctx, b.binary, sizes, b.emit)
+	windows, err := convergence.Run(ctx, b.binary, sizes, b.domains, b.emit)
 	b.measured.windows = windows
 	return err
 }
@@ -85,7 +85,7 @@
 	windows := b.measured.windows
 	if len(windows) == 0 {
 		var err error
-		if windows, err = convergence.Run(ctx, b.binary, convergence.Sizes[:3], discard); err != nil {
+		if windows, err = convergence.Run(ctx, b.binary, convergence.Sizes[:3], 0, discard); err != nil {
 			return err
 		}
 	}
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -23,6 +23,7 @@
 func main() {
 	binary := flag.String("binary", "bin/kingcupwood", "path of the kingcupwood program")
 	sizes := flag.String("sizes", "", "numbers of daemons of the group convergence, separated by commas")
+	domains := flag.Int("domains", 0, "number of failure domains with daemons in the group convergence; 0 stands for 5")
 	flag.Usage = func() {
 		fmt.Fprintf(flag.CommandLine.Output(), "usage: bench [options] [group ...]\ngroups: %s\n", strings.Join(groupNames(), " "))
 		flag.PrintDefaults()
@@ -30,7 +31,7 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	b := &bench{binary: *binary, sizes: *sizes}
+	b := &bench{binary: *binary, sizes: *sizes, domains: *domains}
 	if err := b.run(ctx, flag.Args()); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		stop()
@@ -46,6 +47,7 @@
 // bench is the state shared by the groups of one run.
 type bench struct {
 	binary, sizes string
+	domains       int
 	// over counts the rows whose bound is passed.
 	over int
 	// measured keeps the windows of the group convergence for the group capacity.
