--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,10 +24,15 @@
 	lostLimit = 4096
 )
 
+// Dialer opens a connection to another daemon; it has the form of net.Dialer.DialContext.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client sends requests to other daemons. It is safe for concurrent use.
 type Client struct {
 	incarnation uint64
+	dialer      Dialer
 	log         *event.Logger
+	attempts    atomic.Uint64
 
 	mu     sync.Mutex
 	closed bool
@@ -44,13 +51,23 @@
 // NewClient returns a Client of the daemon with the given incarnation, which is the sender in the
 // attempt IDs.
 func NewClient(incarnation uint64, log *event.Logger) *Client {
+	return NewClientWithDialer(incarnation, new(net.Dialer).DialContext, log)
+}
+
+// NewClientWithDialer is NewClient with the dialer of all connections.
+func NewClientWithDialer(incarnation uint64, dialer Dialer, log *event.Logger) *Client {
 	return &Client{
-		incarnation: incarnation, log: log,
+		incarnation: incarnation, dialer: dialer, log: log,
 		peers: map[string]*peer{}, rpcs: map[string]*rpcConn{},
 		lost: newLostAttempts(lostLimit),
 	}
 }
 
+// NextAttempt returns the ID of the next attempt of this daemon. It is safe for concurrent use.
+func (c *Client) NextAttempt() fence.AttemptID {
+	return fence.AttemptID{Sender: c.incarnation, Seq: c.attempts.Add(1)}
+}
+
 // Do sends r to the daemon at addr ("ip:port") and returns its response, which may be a refusal with
 // verdict not run. ctx bounds the call. An error is a *verdict.Error: not run if the daemon cannot
 // have received the whole request, otherwise may have run, which Fence may settle.
@@ -130,7 +147,7 @@
 	if err := c.reserve(addr); err != nil {
 		return nil, err
 	}
-	conn, err := dial(ctx, addr)
+	conn, err := dial(ctx, c.dialer, addr)
 	if err != nil {
 		c.discard(addr, nil)
 		return nil, err
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -67,7 +67,7 @@
 		selector.Update(viewOf([]endpoint.Record{{Instance: "server", Service: "pages", Domain: "lj-1", State: endpoint.Ready, CallAddr: "server"}}))
 		h := caller.NewHandler(caller.Config{
 			Instance: name, Incarnation: 1, Snapshot: func() *snapshot.Snapshot { return snap }, View: c.view.Load,
-			Selector: selector, Local: nil, Remote: c, Budget: retry.NewBudget(0.1, 3, time.Now), Recorder: nowhere{},
+			Selector: selector, Local: nil, Remote: c, Budgets: retry.NewBudgets(0.1, 3, time.Now), Recorder: nowhere{},
 			Log: event.Nop(), Now: time.Now,
 		})
 		c.daemons[name] = h
@@ -167,7 +167,7 @@
 	first := c.submit("a", 3*batchSize)
 	records := c.daemons["b"].ExportKeys()
 	is.True(len(records) > batchSize/2)
-	sent, err := HandOver(t.Context(), c.view.Load(), "b", records)
+	sent, err := HandOver(t.Context(), new(net.Dialer).DialContext, c.view.Load(), "b", records)
 	is.NoErr(err)
 	is.Equal(sent, len(records))
 	c.without("b")
@@ -187,7 +187,7 @@
 	view := viewOf(append([]endpoint.Record{}, c.all...))
 	for i, leaving := range []endpoint.InstanceID{"b", "c", "d"} {
 		records := c.daemons[leaving].CloseKeys()
-		sent, _ := HandOver(t.Context(), view, leaving, records)
+		sent, _ := HandOver(t.Context(), new(net.Dialer).DialContext, view, leaving, records)
 		is.Equal(sent, len(records))
 		if leaving == "c" {
 			view.ByService["pages"][i+1].RPCAddr = closed.Addr().String()
@@ -208,11 +208,14 @@
 	done := make(chan struct{}, 2)
 	for _, name := range []endpoint.InstanceID{"a", "b"} {
 		go func() {
-			NewMover(c.daemons[name], c.view.Load, event.Nop()).Run(ctx)
+			NewMover(c.daemons[name], c.view.Load, new(net.Dialer).DialContext, event.Nop()).Run(ctx)
 			done <- struct{}{}
 		}()
 	}
-	c.view.Store(viewOf(c.all))
+	joined := append([]endpoint.Record{}, c.all...)
+	joined[2].ReadySinceMS = time.Now().Add(time.Hour).UnixMilli() // within its grace until changed below
+	c.view.Store(viewOf(joined))
+	c.expectSame(is, "b", first) // before anything has moved
 	expected := 0
 	for key := range first {
 		if owner, _ := caller.Owner(c.view.Load(), "pages", key); owner.Instance == "c" {
@@ -221,6 +224,7 @@
 	}
 	is.True(expected > 0)
 	c.waitForKeys(t, "c", expected)
+	c.view.Store(viewOf(c.all))
 	c.expectSame(is, "b", first)
 
 	// A daemon that has not heard of c yet sends a keyed save to the former owner, as ServeOwned.
--- a/agent/peer/sync/bench_test.go
+++ b/agent/peer/sync/bench_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net"
 	"net/rpc"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/traffic"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -21,24 +21,6 @@
 func (m *benchMembers) Do(f func(now time.Time, s *membership.State)) { f(time.Now(), m.state) }
 func (m *benchMembers) View() *endpoint.View                          { return m.state.View() }
 
-// countingConn counts what the asking daemon sends and receives, without TCP and IP headers.
-type countingConn struct {
-	net.Conn
-	sent, received *atomic.Int64
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.sent.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.received.Add(int64(n))
-	return n, err
-}
-
 func benchEntries(n int) []membership.Entry {
 	var list []membership.Entry
 	for i := range n {
@@ -58,18 +40,18 @@
 func BenchmarkMessages(b *testing.B) {
 	for _, n := range []int{1_000, 16_000} {
 		entries := benchEntries(n)
-		asking, asked := newBenchPair(entries)
+		bytes := &traffic.Counter{}
+		asking, asked := newBenchPair(entries, bytes)
 		measure := func(name string, f func() error) {
 			b.Run(fmt.Sprintf("%s/records-%d", name, n), func(b *testing.B) {
-				asking.sent.Store(0)
-				asking.received.Store(0)
+				before := bytes.Stats()
 				for b.Loop() {
 					if err := f(); err != nil {
 						b.Fatal(err)
 					}
 				}
-				b.ReportMetric(float64(asking.sent.Load())/float64(b.N), "sentB/op")
-				b.ReportMetric(float64(asking.received.Load())/float64(b.N), "receivedB/op")
+				b.ReportMetric(float64(bytes.Stats().Sent-before.Sent)/float64(b.N), "sentB/op")
+				b.ReportMetric(float64(bytes.Stats().Received-before.Received)/float64(b.N), "receivedB/op")
 			})
 		}
 		ctx := context.Background()
@@ -86,7 +68,7 @@
 			asked.cfg.Members.Do(func(now time.Time, s *membership.State) { s.Merge(now, []membership.Entry{changed}) })
 			return repair()
 		})
-		s, err := open(ctx, asking.cfg.Dial, "asked")
+		s, err := open(ctx, asking.dial, "asked")
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -108,33 +90,27 @@
 	}
 }
 
-type benchFollower struct {
-	*Follower
-	sent, received atomic.Int64
-}
-
-func newBenchPair(entries []membership.Entry) (asking, asked *benchFollower) {
-	pair := [2]*benchFollower{}
+// newBenchPair counts the bytes of the connections that are opened in counter.
+func newBenchPair(entries []membership.Entry, counter *traffic.Counter) (asking, asked *Follower) {
+	pair := [2]*Follower{}
 	server := rpc.NewServer()
 	for i := range pair {
-		b := &benchFollower{}
 		store := NewStore(&fakeCodec{})
 		if _, err := store.Apply(mustComplete(&fakeCodec{}, snapshot.Version(1))); err != nil {
 			panic(err)
 		}
 		state := membership.New(membership.Config{Local: entries[i].Record}, time.Now(), 1)
 		state.Merge(time.Now(), entries)
-		b.Follower = NewFollower(Config{
+		pair[i] = NewFollower(Config{
 			Self: entries[i].Record, Members: &benchMembers{state}, Store: store, Log: event.Nop(),
 			Dial: func(context.Context, string) (net.Conn, error) {
 				near, far := net.Pipe()
 				go server.ServeConn(far)
-				return countingConn{near, &b.sent, &b.received}, nil
+				return counter.Conn(near), nil
 			},
 		})
-		pair[i] = b
 	}
-	if err := NewServer(pair[1].Follower).Register(context.Background(), server); err != nil {
+	if err := NewServer(pair[1]).Register(context.Background(), server); err != nil {
 		panic(err)
 	}
 	return pair[0], pair[1]
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -78,7 +78,9 @@
 
 // Follower keeps the snapshot of one daemon up to date.
 type Follower struct {
-	cfg    Config
+	cfg Config
+	// dial is cfg.Dial with counters.
+	dial   Dialer
 	floor  distribution.Floor
 	joined chan struct{}
 	// leading tells that this daemon holds a lease and reads the head itself.
@@ -100,7 +102,7 @@
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
 	return &Follower{
-		cfg: cfg, joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, dial: limitWrites(cfg.Dial), joined: make(chan struct{}), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		objects: rate.NewLimiter(objectRate, objectBurst),
 	}
 }
--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -216,6 +216,30 @@
 	})
 }
 
+// Guards against a restarted daemon that serves on the answers of members that are behind, while the
+// platform is still being asked, and stops when it answers.
+func TestRestartWaitsForPlatform(t *testing.T) {
+	run(t, 12, 3, func(is *is.I, c *cluster) {
+		inside := c.inDomain("domain-1", true)
+		c.setCut("domain-1", true)
+		c.platform.set(func() {
+			for _, d := range inside {
+				c.platform.cut[d.record.Instance] = true
+			}
+		})
+		c.accept(4)
+		c.until("other domains", changeLimit, c.inDomain("domain-1", false), at(4))
+		inside[2].kill()
+		c.platform.set(func() { delete(c.platform.cut, inside[2].record.Instance) })
+		d := c.start(7, "domain-1")
+		for deadline := time.Now().Add(changeLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			is.True(!d.Ready() || d.store.Version() == 4)
+		}
+		is.True(d.Ready())
+		c.setCut("domain-1", false)
+	})
+}
+
 // Guards against a daemon that serves although nobody could tell it the floor.
 func TestNobodyReachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -251,6 +275,17 @@
 	})
 }
 
+// Guards against a daemon that cannot join because all seeds of its settings are dead.
+func TestJoinThroughLeaseHolders(t *testing.T) {
+	run(t, 9, 3, func(_ *is.I, c *cluster) {
+		for _, d := range c.daemons[:2] {
+			d.kill()
+		}
+		d := c.start(9, "domain-0")
+		c.until("joined", 2*changeLimit, []*daemon{d}, func(d *daemon) bool { return len(d.View().Records) >= 8 && d.Ready() })
+	})
+}
+
 // Guards against a mass restart that turns to the platform: the restarted daemons must take floor
 // and snapshot from lease holders and peers.
 func TestMassRestartSparesPlatform(t *testing.T) {
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -39,20 +39,27 @@
 )
 
 // join runs the full exchange with a seed, or with daemons that a busy seed names, until one
-// succeeds. Without other seeds this daemon is the first one.
+// succeeds. The lease rows of the platform provide more seeds if those of the settings fail. Without
+// any seed this daemon is the first one.
 func (f *Follower) join(ctx context.Context) {
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
 	seeds := f.otherSeeds()
-	targets := slices.Clone(seeds)
-	for len(seeds) > 0 {
+	if len(seeds) == 0 {
+		seeds = f.leaseSeeds(ctx)
+	}
+	targets := seeds
+	for failures := 1; len(targets) > 0; failures++ {
 		addr := targets[f.random(int64(len(targets)))]
 		peers, err := f.exchange(ctx, addr)
 		if err == nil {
 			break
 		}
-		if len(peers) > 0 {
+		switch {
+		case len(peers) > 0:
 			targets = peers
-		} else {
+		case failures%seedFailures == 0:
+			targets = slices.Concat(seeds, f.leaseSeeds(ctx))
+		default:
 			targets = seeds
 		}
 		f.cfg.Log.Log(event.PeerJoinFailed, zap.String("seed", addr), zap.Error(err))
@@ -64,10 +71,6 @@
 	close(f.joined)
 }
 
-func (f *Follower) otherSeeds() []string {
-	return slices.DeleteFunc(slices.Clone(f.cfg.Seeds), func(addr string) bool { return addr == f.cfg.Self.RPCAddr })
-}
-
 // exchange sends the own record and takes over all records of the peer. A busy peer names others.
 func (f *Follower) exchange(ctx context.Context, addr string) (peers []string, err error) {
 	var own []membership.Entry
@@ -79,7 +82,7 @@
 		return nil, err
 	}
 	var reply ExchangeReply
-	if err := callOnce(ctx, f.cfg.Dial, addr, exchangeTimeout, "Exchange", args, &reply); err != nil {
+	if err := callOnce(ctx, f.dial, addr, exchangeTimeout, "Exchange", args, &reply); err != nil {
 		return nil, err
 	}
 	if reply.RetryAfter > 0 {
@@ -128,7 +131,9 @@
 	}
 }
 
-// askFloor adds one round of answers to the floor and returns the highest one of a member.
+// askFloor adds one round of answers to the floor and returns the highest one of a member. The floor
+// takes the answers of a round together: with those of the members alone a daemon might serve an older
+// version until the platform has answered, and then stop.
 func (f *Follower) askFloor(ctx context.Context) answer {
 	addrs := f.someMembers(distribution.FloorMembers)
 	replies := make([]HighestReply, len(addrs))
@@ -137,7 +142,7 @@
 		g.Go(func() error {
 			// A late answer may still be written to reply after the timeout, so it is copied.
 			var reply HighestReply
-			if err := callOnce(ctx, f.cfg.Dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
+			if err := callOnce(ctx, f.dial, addr, questionTimeout, "Highest", HighestArgs{}, &reply); err == nil {
 				replies[i] = reply
 			}
 			return nil
@@ -146,26 +151,30 @@
 	_ = g.Wait() // the functions above return no errors
 	var best answer
 	var holders []string
+	var round distribution.Floor
 	for i, reply := range replies {
-		f.floor.Member(reply.Highest)
+		round.Member(reply.Highest)
 		if reply.Highest > best.version {
 			best = answer{addrs[i], reply.Highest}
 		}
 		holders = append(holders, reply.Holders...)
 	}
-	f.askHead(ctx, holders)
+	f.askHead(ctx, &round, holders)
+	if floor, known := round.Value(); known {
+		f.floor.Add(floor, round.Exact())
+	}
 	return best
 }
 
-// askHead adds the version of the head to the floor: from a lease holder that reads it anyway, or
+// askHead adds the version of the head to a round of answers: from a lease holder that reads it anyway, or
 // else from the platform itself, spread out by the number of members.
-func (f *Follower) askHead(ctx context.Context, holders []string) {
+func (f *Follower) askHead(ctx context.Context, round *distribution.Floor, holders []string) {
 	for range min(len(holders), floorHolders) {
 		var reply HighestReply
 		addr := holders[f.random(int64(len(holders)))]
-		err := callOnce(ctx, f.cfg.Dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
+		err := callOnce(ctx, f.dial, addr, 2*questionTimeout, "Highest", HighestArgs{Fresh: true}, &reply)
 		if err == nil && reply.Fresh {
-			f.floor.Platform(reply.Head)
+			round.Platform(reply.Head)
 			return
 		}
 	}
@@ -177,7 +186,7 @@
 		return
 	}
 	if head, err := f.head(ctx); err == nil {
-		f.floor.Platform(head.Version)
+		round.Platform(head.Version)
 	}
 }
 
@@ -266,7 +275,7 @@
 
 // repairWith exchanges the differing records with one member and returns the number of changes.
 func (f *Follower) repairWith(ctx context.Context, addr string) (int, error) {
-	s, err := open(ctx, f.cfg.Dial, addr)
+	s, err := open(ctx, f.dial, addr)
 	if err != nil {
 		return 0, err
 	}
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -25,10 +25,11 @@
 	maxRetryAfter = 800 * time.Millisecond
 	// maxWait bounds a long poll.
 	maxWait = 30 * time.Second
-	// writeTimeout ends the connection to a daemon that does not read, for example a frozen one.
-	writeTimeout = 5 * time.Second
 	// acceptPause separates two attempts to accept a connection after an error.
 	acceptPause = 10 * time.Millisecond
+	// maxConnections bounds the accepted connections of a reconnect storm; more are closed at once
+	// and retried with backoff. A daemon needs about 4 for its children in the tree.
+	maxConnections = 512
 	// redirectPeers is the number of other daemons named to one that is turned away.
 	redirectPeers = 8
 	// maxDomains bounds the failure domains accepted in one request; the target has 19.
@@ -228,6 +229,7 @@
 
 // Serve answers the connections of ln with r until ctx is done, then closes them and returns nil.
 func Serve(ctx context.Context, ln net.Listener, r *rpc.Server) error {
+	open := make(chan struct{}, maxConnections)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
@@ -247,21 +249,17 @@
 			pause(ctx, acceptPause)
 			continue
 		}
+		select {
+		case open <- struct{}{}:
+		default:
+			_ = conn.Close()
+			continue
+		}
 		wg.Go(func() {
+			defer func() { <-open }()
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer stop()
-			r.ServeConn(deadlineConn{conn})
+			r.ServeConn(writeLimitedConn{conn})
 		})
 	}
 }
-
-// deadlineConn limits the time of each write.
-type deadlineConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c deadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
