--- a/tools/bench/row/row.go
+++ b/tools/bench/row/row.go
@@ -13,16 +13,27 @@
 	Unit  string
 	// Bound is the largest allowed value; zero means that the design sets none.
 	Bound float64
+	// Least is the smallest allowed value; zero means that the design sets none.
+	Least float64
+	// Never marks a figure whose only allowed value is zero.
+	Never bool
 }
 
 // Over reports whether the bound is passed.
-func (r Row) Over() bool { return r.Bound > 0 && r.Value > r.Bound }
+func (r Row) Over() bool {
+	return r.Bound > 0 && r.Value > r.Bound || r.Value < r.Least || r.Never && r.Value != 0
+}
 
 // Write prints "name value unit bound ok|over" on one line.
 func (r Row) Write(out io.Writer) error {
 	bound, state := "-", "ok"
-	if r.Bound > 0 {
+	switch {
+	case r.Bound > 0:
 		bound = fmt.Sprintf("<=%g", r.Bound)
+	case r.Least > 0:
+		bound = fmt.Sprintf(">=%g", r.Least)
+	case r.Never:
+		bound = "=0"
 	}
 	if r.Over() {
 		state = "over"
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -177,6 +177,18 @@
 	return err
 }
 
+// StartInstead starts another program in place of the daemon of i, for comparisons. It has to serve
+// the address i.Callers.
+func (f *Fleet) StartInstead(i *Instance, binary string, args ...string) error {
+	p, err := start(f.Dir, i.Name+"-daemon", binary, args...)
+	if err != nil {
+		return err
+	}
+	f.processes = append(f.processes, p)
+	i.DaemonProcess = p
+	return nil
+}
+
 // StartBackend starts the backend server of i.
 func (f *Fleet) StartBackend(i *Instance) error {
 	var b strings.Builder
