Measure a request from its own due time

Cause: the goroutine of a request read the due time after the arrival loop had moved on to the next one.

--- a/tools/bench/load/generator.go
+++ b/tools/bench/load/generator.go
@@ -48,7 +48,9 @@
 	streams []*stream
 	entries []netip.AddrPort
 	client  *http.Client
-	start   time.Time
+	// send sends one request; tests replace it.
+	send  func(ctx context.Context, s *stream, id string, entry netip.AddrPort) (answer, error)
+	start time.Time
 	// from and to bound the measured window, since start.
 	from, to time.Duration
 	// grace is how long answers are awaited after the window.
@@ -63,10 +65,12 @@
 
 func newGenerator(streams []*stream, entries []netip.AddrPort) *generator {
 	transport := &http.Transport{MaxIdleConns: maxOpen, MaxIdleConnsPerHost: idlePerDaemon}
-	return &generator{
+	g := &generator{
 		streams: streams, entries: entries, client: &http.Client{Transport: transport},
 		lag: hdrhistogram.New(1, maxLatencyMicros, significantDigits),
 	}
+	g.send = g.request
+	return g
 }
 
 // run sends the requests until the window ends and waits for the answers.
@@ -87,9 +91,10 @@
 	if s.rate <= 0 {
 		return
 	}
-	var at time.Duration
+	var next time.Duration
 	for n := 0; ctx.Err() == nil; n++ {
-		at += time.Duration(rng.ExpFloat64() * float64(time.Second) / s.rate)
+		next += time.Duration(rng.ExpFloat64() * float64(time.Second) / s.rate)
+		at := next
 		if at >= g.to {
 			return
 		}
@@ -129,8 +134,8 @@
 	}
 }
 
-// send sends a request. The timeout leaves the time that the response needs to reach the caller.
-func (g *generator) send(ctx context.Context, s *stream, id string, entry netip.AddrPort) (answer, error) {
+// request sends a request. The timeout leaves the time that the response needs to reach the caller.
+func (g *generator) request(ctx context.Context, s *stream, id string, entry netip.AddrPort) (answer, error) {
 	var body io.Reader
 	if s.kind.Method == http.MethodPost {
 		body = strings.NewReader(strings.Repeat(".", requestBytes))
