--- a/tools/bench/load/rows.go
+++ b/tools/bench/load/rows.go
@@ -56,6 +56,7 @@
 		{Name: name + "declared_kept", Value: kept, Unit: "%"},
 		{Name: name + "late", Value: share(t.late), Unit: "%"},
 		{Name: name + "refused", Value: share(t.refused), Unit: "%"},
+		{Name: name + "failed", Value: share(t.failed), Unit: "%"},
 		{Name: name + "unknown", Value: share(t.unknown), Unit: "%"},
 		{Name: name + "p50", Value: float64(t.latency.ValueAtQuantile(50)) / 1000, Unit: "ms"},
 		{Name: name + "p99", Value: float64(t.latency.ValueAtQuantile(99)) / 1000, Unit: "ms"},
