--- a/tools/bench/load/generator.go
+++ b/tools/bench/load/generator.go
@@ -60,7 +60,6 @@
 	dropped atomic.Int64
 	mu      sync.Mutex
 	lag     *hdrhistogram.Histogram // by how much requests are sent after they were due
-	failure string                  // the first request without a response
 }
 
 func newGenerator(streams []*stream, entries []netip.AddrPort) *generator {
@@ -123,7 +122,7 @@
 	time.Sleep(s.delay)
 	a.latency = time.Since(due)
 	if err != nil {
-		g.note(id, err)
+		s.tally.note(id, err)
 	}
 	if measured {
 		s.tally.add(a, s.kind.Deadline)
@@ -159,7 +158,7 @@
 		return answer{}, err
 	}
 	if a.status >= http.StatusMultipleChoices {
-		g.note(id, fmt.Errorf("status %d, %v: %.120s", a.status, a.verdict, text))
+		s.tally.note(id, fmt.Errorf("status %d, %v: %.120s", a.status, a.verdict, text))
 	}
 	return a, nil
 }
@@ -169,11 +168,3 @@
 	defer g.mu.Unlock()
 	_ = g.lag.RecordValue(min(d.Microseconds(), maxLatencyMicros)) // within the range
 }
-
-func (g *generator) note(id string, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.failure == "" {
-		g.failure = id + ": " + err.Error()
-	}
-}
--- a/tools/bench/load/main.go
+++ b/tools/bench/load/main.go
@@ -99,8 +99,10 @@
 				return over, err
 			}
 		}
-		if r.generator.failure != "" {
-			fmt.Fprintf(os.Stderr, "%s/%s/%s: first failure: %s\n", r.user.name, r.title(), r.policy, r.generator.failure)
+		for _, s := range r.generator.streams {
+			if s.tally.failure != "" {
+				fmt.Fprintf(os.Stderr, "%s/%s/%s: first failure of its kind: %s\n", r.user.name, r.title(), r.policy, s.tally.failure)
+			}
 		}
 	}
 	return over, nil
--- a/tools/bench/load/tally.go
+++ b/tools/bench/load/tally.go
@@ -31,6 +31,8 @@
 	latency                                      *hdrhistogram.Histogram // of served requests
 	// told holds the verdict of each request of a non-idempotent kind, also outside the window.
 	told map[string]verdict.Verdict
+	// failure is the first request that was not served, with the reason.
+	failure string
 }
 
 func newTally() *tally {
@@ -67,6 +69,15 @@
 	t.told[id] = v
 }
 
+// note keeps the first failure.
+func (t *tally) note(id string, reason error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failure == "" {
+		t.failure = id + ": " + reason.Error()
+	}
+}
+
 // runFaults are violations of invariants 5 and 6 of the design page.
 type runFaults struct{ repeated, falseNotRun int }
 
