Set a part of a kind's rate aside for calls by other services

Cause: a save of Association calls finder/search. In a flood of searches, all searches draw on one token bucket, so the calls made for saves became excess like the flood and were refused; the save failed after it had started (504, "call to finder: status 503").

Change: admission control keeps the declared rate of the kinds that call a kind as a bucket of its own, taken out of the rate of the called kind. The receiving daemon recognises such calls by the depth of the request.

--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -47,13 +47,25 @@
 	deadline := time.Now().Add(retry.HopTimeout(req.Timeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	ticket, err := r.admission.Acquire(ctx, req.Kind, deadline)
+	ticket, err := r.admission.Acquire(ctx, admissionKind(req), deadline)
 	if err != nil {
 		return r.finish(req, refusalResponse(req, err))
 	}
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
+// directDepth is the depth of a request that has entered one daemon only, that of its caller.
+const directDepth = 1
+
+// admissionKind returns the kind of req for admission control, which tells requests of callers from
+// the calls that backend servers make on their behalf.
+func admissionKind(req *call.Request) string {
+	if req.Depth > directDepth {
+		return admission.CalledName(req.Kind)
+	}
+	return req.Kind
+}
+
 // forward passes an admitted request to the backend server.
 func (r *receiver) forward(ctx context.Context, req *call.Request, ticket *admission.Ticket) *call.Response {
 	started := time.Now()
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -18,6 +18,7 @@
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -79,3 +80,18 @@
 	is.Equal(resp.Verdict, verdict.NotRun)
 	is.True(resp.Draining)
 }
+
+// Guards against calls of backend servers that admission control counts as requests of callers, so
+// that a flood of the called kind fails the requests that make these calls.
+func TestCalledRequestsHaveAShareOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	req := testRequest()
+	is.Equal(admissionKind(req), "view")
+	req.Depth = 2
+	is.Equal(admissionKind(req), admission.CalledName("view"))
+	snap := &snapshot.Snapshot{Services: map[string]*snapshot.Service{
+		"pages":    {Kinds: []snapshot.Kind{{ExpectedRate: 40, Calls: []string{"finder/search"}}, {ExpectedRate: 9}}},
+		"ordering": {Kinds: []snapshot.Kind{{ExpectedRate: 20, Calls: []string{"finder/search", "find/search"}}}},
+	}}
+	is.Equal(calledRates(snap, "finder", 5), map[string]float64{"search": 12})
+}
--- a/agent/reconfigure.go
+++ b/agent/reconfigure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"kingcupwood.example/kingcupwood/agent/backend"
@@ -53,5 +54,23 @@
 		return
 	}
 	ready := max(in.view.ReadyCount(service.Name), 1)
-	d.receiver.admission.Configure(admission.ForService(service, in.status.Slots, ready))
+	cfg := admission.ForService(service, in.status.Slots, ready)
+	d.receiver.admission.Configure(cfg.WithCalled(calledRates(in.snapshot, service.Name, ready)))
+}
+
+// calledRates returns by kind of service the declared rate of all kinds of other services that call
+// it, divided by the number of ready servers. It is in requests per second.
+func calledRates(s *snapshot.Snapshot, service string, ready int) map[string]float64 {
+	rates := map[string]float64{}
+	prefix := service + "/"
+	for _, other := range s.Services {
+		for i := range other.Kinds {
+			for _, name := range other.Kinds[i].Calls {
+				if kind, ok := strings.CutPrefix(name, prefix); ok {
+					rates[kind] += other.Kinds[i].ExpectedRate / float64(ready)
+				}
+			}
+		}
+	}
+	return rates
 }
--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -142,13 +142,6 @@
 	return nil, refusal, out
 }
 
-func (c *Controller) kind(name string) *kindState {
-	if k := c.kinds[name]; k != nil {
-		return k
-	}
-	return c.unknown
-}
-
 // tooLate reports whether w would miss its deadline if it started now.
 func (w *Waiter) tooLate(now time.Time) bool {
 	return !w.deadline.After(now) || now.Add(w.kind.shortest()).After(w.deadline)
