Wait until a frozen process has stopped in the failure tests

Cause: TestReceiverFrozenAndResumed failed once under the race detector (ran instead of may-have-run). SIGSTOP takes effect after kill returns, so the receiver could still answer. Change: the tests wait until all threads are in the state T; the assertions are unchanged. The fleet of processes had the same fault.

--- a/agent/peer/call/process_test.go
+++ b/agent/peer/call/process_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/rpc"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -108,6 +110,38 @@
 	_ = r.cmd.Wait()
 }
 
+// freeze suspends the process and waits until all its threads have stopped: the signal takes effect
+// after the system call returns, and a thread that still runs would answer a request.
+func (r *receiver) freeze(t *testing.T) {
+	t.Helper()
+	if err := r.process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for !r.stopped(t) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// stopped reports whether every thread is in the state T (stopped).
+func (r *receiver) stopped(t *testing.T) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", r.process.Pid))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("threads of the receiver: %v, %v", files, err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The state follows the program name, which stands in parentheses.
+		if state := stat[bytes.LastIndexByte(stat, ')')+2]; state != 'T' {
+			return false
+		}
+	}
+	return true
+}
+
 // writeHook calls written after each write.
 type writeHook struct {
 	net.Conn
@@ -126,7 +160,7 @@
 	r := startReceiver(t)
 	c := newTestClient(t)
 	is.NoErr(c.Prepare(within(t, generous), r.addr, 1))
-	is.NoErr(r.process.Signal(syscall.SIGSTOP))
+	r.freeze(t)
 	lost := request(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	codec := &c.peers[r.addr].idle[0].codec
--- a/tools/fleet/process.go
+++ b/tools/fleet/process.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
@@ -83,8 +84,42 @@
 	<-p.done
 }
 
-// Freeze suspends the process until Resume.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+// freezeLimit bounds the wait for the threads of a process to stop.
+const freezeLimit = 5 * time.Second
+
+// Freeze suspends the process until Resume. It returns when all its threads have stopped: the signal
+// takes effect after the system call returns, and a thread that still runs may answer a request.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(freezeLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		stopped, err := p.stopped()
+		if stopped || err != nil {
+			return err
+		}
+	}
+	return errors.Errorf("%s did not stop within %v", p.Name, freezeLimit)
+}
+
+// stopped reports whether every thread is in the state T (stopped).
+func (p *Process) stopped() (bool, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	if err != nil || len(files) == 0 {
+		return false, errors.Errorf("threads of %s: found %d, %v", p.Name, len(files), err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false, errors.Wrapf(err, "threads of %s", p.Name)
+		}
+		// The state follows the program name, which stands in parentheses.
+		if stat[bytes.LastIndexByte(stat, ')')+2] != 'T' {
+			return false, nil
+		}
+	}
+	return true, nil
+}
 
 // Resume continues a process after Freeze.
 func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
