--- a/agent/caller/keys_test.go
+++ b/agent/caller/keys_test.go
@@ -251,3 +251,26 @@
 	}
 	is.Equal(c.runs.Load(), int32(1))
 }
+
+// BenchmarkMisplacedKeys measures the scan of a full table after a change of the view: 24,000 keys, which
+// are ten minutes at 40 keyed requests/s, and 11 servers of the service.
+func BenchmarkMisplacedKeys(b *testing.B) {
+	h := newBench("a")
+	h.config.Instance = "a" // the owner of all keys
+	for n := range 24_000 {
+		h.serveHTTP(request("POST", "/pages/1", "text", HeaderIdempotencyKey, fmt.Sprint("key-", n)))
+	}
+	if got := len(h.ExportKeys()); got != 24_000 {
+		b.Fatalf("%d keys", got)
+	}
+	h.config.Instance = "elsewhere"
+	view := testView("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "elsewhere")
+	for to, records := range h.MisplacedKeys(view) {
+		h.KeysHandedOver(records, to)
+	}
+	for b.Loop() {
+		if moved := h.MisplacedKeys(view); len(moved) != 0 {
+			b.Fatalf("%d owners lack outcomes", len(moved))
+		}
+	}
+}
--- a/agent/caller/move.go
+++ b/agent/caller/move.go
@@ -22,8 +22,8 @@
 		return 0, err
 	}
 	for _, r := range records {
-		owners := h.keys.owners(h.config.View(), r.Key)
-		if !slices.Contains(owners, string(h.config.Instance)) {
+		self := func(owner endpoint.Record) bool { return owner.Instance == h.config.Instance }
+		if !slices.ContainsFunc(h.keys.ownersOf(r.Key), self) {
 			h.keys.strayed.Store(true)
 		}
 	}
@@ -33,7 +33,15 @@
 // MisplacedKeys returns the outcomes that other daemons need as owners by view, by their instance,
 // unless they were handed over to it before.
 func (h *Handler) MisplacedKeys(view *endpoint.View) map[endpoint.InstanceID][]KeyRecord {
-	moved := h.keys.table.Misplaced(func(key idempotency.Key) []string { return h.keys.others(view, key) })
+	now, byService := h.config.Now(), map[string][]endpoint.Record{}
+	moved := h.keys.table.Misplaced(func(key idempotency.Key) []string {
+		list, known := byService[key.Service]
+		if !known {
+			list = mayOwn(view, key.Service)
+			byService[key.Service] = list
+		}
+		return h.keys.namesOfOthers(ownersAmong(list, key.Value, now))
+	})
 	byInstance := make(map[endpoint.InstanceID][]KeyRecord, len(moved))
 	for name, records := range moved {
 		byInstance[endpoint.InstanceID(name)] = records
@@ -49,24 +57,25 @@
 // TakeStrayed reports whether an outcome that another daemon needs was stored since the last call.
 func (h *Handler) TakeStrayed() bool { return h.keys.strayed.Swap(false) }
 
-// owners returns the instances that own key now or soon.
-func (k *keyOwner) owners(view *endpoint.View, key idempotency.Key) []string {
+// namesOfOthers returns the instances of owners without this daemon.
+func (k *keyOwner) namesOfOthers(owners []endpoint.Record) []string {
 	var names []string
-	for _, r := range Owners(view, key.Service, key.Value, k.handler.config.Now()) {
-		names = append(names, string(r.Instance))
+	for _, r := range owners {
+		if r.Instance != k.handler.config.Instance {
+			names = append(names, string(r.Instance))
+		}
 	}
 	return names
 }
 
-// others returns owners without this daemon.
-func (k *keyOwner) others(view *endpoint.View, key idempotency.Key) []string {
-	self := string(k.handler.config.Instance)
-	return slices.DeleteFunc(k.owners(view, key), func(name string) bool { return name == self })
+// ownersOf returns the daemons that own key now or soon.
+func (k *keyOwner) ownersOf(key idempotency.Key) []endpoint.Record {
+	return Owners(k.handler.config.View(), key.Service, key.Value, k.handler.config.Now())
 }
 
 // noteStrayed notes that an outcome was stored which another daemon needs, too.
 func (k *keyOwner) noteStrayed(key idempotency.Key) {
-	if len(k.others(k.handler.config.View(), key)) > 0 {
+	if len(k.namesOfOthers(k.ownersOf(key))) > 0 {
 		k.strayed.Store(true)
 	}
 }
--- a/agent/caller/owner.go
+++ b/agent/caller/owner.go
@@ -32,25 +32,32 @@
 // draining instance stays an owner until it is gone, because it hands its keys over only when its last
 // request has ended.
 func Owners(v *endpoint.View, service, key string, now time.Time) []endpoint.Record {
+	return ownersAmong(mayOwn(v, service), key, now)
+}
+
+// ownersAmong returns the owners of key among list, which is in the order of mayOwn.
+func ownersAmong(list []endpoint.Record, key string, now time.Time) []endpoint.Record {
 	settled := now.Add(-joinGrace).UnixMilli()
 	var owners []endpoint.Record
-	var best endpoint.Record
+	var best *endpoint.Record
 	var bestScore uint64
-	for _, r := range mayOwn(v, service) {
-		if r.ReadySinceMS > settled && len(owners) == 0 && best.Instance != "" {
-			owners = append(owners, best)
+	for i := range list {
+		r := &list[i]
+		joining := r.ReadySinceMS > settled
+		if joining && len(owners) == 0 && best != nil {
+			owners = append(owners, *best)
 		}
 		score := xxhash.Sum64String(string(r.Instance) + "\x00" + key)
-		if best.Instance != "" && score <= bestScore {
+		if best != nil && score <= bestScore {
 			continue
 		}
 		best, bestScore = r, score
-		if r.ReadySinceMS > settled {
-			owners = append(owners, best)
+		if joining {
+			owners = append(owners, *best)
 		}
 	}
-	if len(owners) == 0 && best.Instance != "" {
-		owners = append(owners, best)
+	if len(owners) == 0 && best != nil {
+		owners = append(owners, *best)
 	}
 	return owners
 }
