Put an accepted version in force at the daemon that accepted it

Cause: only lease holders learned of a new version, by reading the head. A version accepted or withdrawn just before a platform outage stayed out of force until the outage ended, although the daemon that carried it out knew its manifest and objects.

Change: the platform client hands the content of a change that it knows to have taken effect to the daemon, before the operator is answered and without another read. Follower.Accepted makes a delta of it, which goes through the same verification as any other, and the version spreads by the tree and the probes. A change whose outcome is not known, or that a repetition on another version settled, is not handed over.

--- a/agent/administration.go
+++ b/agent/administration.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"kingcupwood.example/kingcupwood/agent/operator"
+	"kingcupwood.example/kingcupwood/agent/platform"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -31,3 +32,10 @@
 	last := refusals[len(refusals)-1]
 	return operator.Refusal{Version: last.Version, Reason: last.Reason, At: last.Time}, true
 }
+
+// committed puts a version in force that was accepted through this daemon. The version spreads from here
+// even if the platform fails before a lease holder has read it.
+func (d *Daemon) committed(c platform.Content) {
+	// The follower logs and reports a refusal; the version is accepted all the same.
+	_ = d.follower.Accepted(&c.Manifest, c.Hash, c.Objects)
+}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -104,8 +104,8 @@
 	client, err := platform.NewClient(platform.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
-		Local: d.store.Load,
-		Dial:  d.platformTraffic.Dial(d.network.DialContext),
+		Local: d.store.Load, Committed: d.committed,
+		Dial: d.platformTraffic.Dial(d.network.DialContext),
 	}, d.log)
 	if err != nil {
 		return errors.Wrap(err, "platform client")
--- /dev/null
+++ b/agent/peer/sync/accepted.go
@@ -0,0 +1,32 @@
+package sync
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// sourceOperator is the source of a version that was accepted through this daemon.
+const sourceOperator = "operator"
+
+// Accepted puts a version in force that was accepted through this daemon, so that it spreads by the
+// tree and the probes without another read from the platform. hash is that of the manifest, objects
+// holds the object of each service. The version is verified like any other one and ignored if it is not
+// above the one in force. The error says why it was refused.
+func (f *Follower) Accepted(m *snapshot.Manifest, hash snapshot.Hash, objects map[snapshot.Hash][]byte) error {
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { s.NoteHighest(m.Version) })
+	for {
+		d := distribution.FromManifest(f.cfg.Store.Load(), m, hash)
+		for _, e := range d.Changed {
+			d.Objects = append(d.Objects, objects[e.Hash])
+		}
+		// Another version may have come into force since the delta was made.
+		if err := f.apply(d, sourceOperator); !errors.Is(err, ErrOtherBase) {
+			return err
+		}
+	}
+}
--- a/agent/platform/change.go
+++ b/agent/platform/change.go
@@ -214,6 +214,7 @@
 // commit moves the head in one transaction with the rows of the change.
 func (c *Client) commit(ctx context.Context, p *plan, outcome Outcome) (Outcome, error) {
 	var refusal error
+	planned := p.change
 	found, err := c.settle(ctx, conditionalWrite{
 		operation: fmt.Sprintf("%s %s", p.change.Action, p.change.Service),
 		write: func(ctx context.Context) error {
@@ -235,6 +236,10 @@
 	case found == applied:
 		outcome.State, outcome.Change = StateAccepted, p.change
 		c.log.Log(event.ConfigurationAccepted, append(fields, zap.String("action", string(p.change.Action)))...)
+		// A repetition through another daemon may have come first, on another version.
+		if p.change.sameContent(planned) {
+			c.config.Committed(p.content)
+		}
 		return outcome, nil
 	case found == open:
 		outcome.State = StateUnknown
--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -42,6 +42,10 @@
 	Backoff, BackoffMax time.Duration
 	// Local returns the snapshot that the daemon has in force, or nil; it saves reads of services.
 	Local func() *snapshot.Snapshot
+	// Committed is called with each version that this client has accepted or withdrawn, before the
+	// operator is answered; it may be nil. The object store need not be read for it, which may be out
+	// by then. Calls may overlap.
+	Committed func(Content)
 	// Dial opens the connections to the platform; nil stands for the default of net/http.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Now and Rand are replaced in tests. Rand returns a number in [0, n).
@@ -68,6 +72,9 @@
 	if c.Local == nil {
 		c.Local = func() *snapshot.Snapshot { return nil }
 	}
+	if c.Committed == nil {
+		c.Committed = func(Content) {}
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/agent/platform/plan.go
+++ b/agent/platform/plan.go
@@ -32,6 +32,7 @@
 	head    Head
 	change  Change
 	objects [][]byte
+	content Content
 	// draft is the draft that the change accepts, nil for a withdraw.
 	draft *Draft
 }
@@ -97,6 +98,7 @@
 		return nil, errors.Wrap(err, "encode the manifest")
 	}
 	p.objects = append(p.objects, encoded)
+	p.content = Content{Manifest: manifest, Hash: hash, Objects: objects}
 	p.change.Version = manifest.Version
 	p.head = Head{Version: manifest.Version, Manifest: hash, Token: change.Token}
 	return p, nil
--- a/agent/platform/types.go
+++ b/agent/platform/types.go
@@ -96,12 +96,27 @@
 	return fmt.Sprintf("accept of %s revision %d", c.Service, c.Revision)
 }
 
+// sameContent reports whether both changes lead from one version to the same content.
+func (c Change) sameContent(other Change) bool {
+	return c.Version == other.Version && c.Service == other.Service && c.Revision == other.Revision &&
+		c.Removed == other.Removed && c.Hash == other.Hash
+}
+
 // sameRequest reports whether both changes come from the same request of an operator.
 func (c Change) sameRequest(other Change) bool {
 	return c.Action == other.Action && c.Service == other.Service && c.Operator == other.Operator &&
 		c.Token == other.Token && c.To == other.To && (c.Action == Withdrawn || c.Answers == other.Answers)
 }
 
+// Content is a version with everything that it consists of.
+type Content struct {
+	Manifest snapshot.Manifest
+	// Hash is that of the manifest.
+	Hash snapshot.Hash
+	// Objects holds the encoded configuration of each service in Manifest.
+	Objects map[snapshot.Hash][]byte
+}
+
 // State says what is known about a change.
 type State string
 
