--- a/tools/bench/convergence/run.go
+++ b/tools/bench/convergence/run.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return idle, changing, errors.Wrap(err, "operator")
 	}
-	if spec == Target(failureDaemons) {
+	if spec.Daemons == failureDaemons && spec.Domains == realDomains && spec.Services == row.TargetServices {
 		rows, err := w.runFailures(ctx)
 		for _, r := range rows {
 			emit(r)
