Count the calls of a request in the time it holds its slot

Cause: admission control took service-time = 5ms of a save as its time in a slot, but a save holds the slot while it calls finder/search (25 ms). In a flood of saves, saves were started with too little time left for the call, ran and failed with 504 instead of being refused as not run; and the limit of slots was lowered from 12 to 7, since requests seemed to take six times what was declared.

Change: the agent gives admission control the service time of a kind plus that of the kinds that it calls.

--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -95,3 +95,18 @@
 	}}
 	is.Equal(calledRates(snap, "finder", 5), map[string]float64{"search": 12})
 }
+
+// Guards against admission control that starts a request with enough time for its own service, but
+// not for the calls it makes, so that it runs and fails instead of being refused.
+func TestSlotTimeIncludesCalls(t *testing.T) {
+	is := is.New(t)
+	const own, inner, innermost = 5 * time.Millisecond, 25 * time.Millisecond, 8 * time.Millisecond
+	pages := &snapshot.Service{Name: "pages", Slots: 12, Kinds: []snapshot.Kind{{Name: "save", ServiceTime: own, Calls: []string{"finder/search"}}}}
+	snap := &snapshot.Snapshot{Services: map[string]*snapshot.Service{
+		"pages":  pages,
+		"finder": {Kinds: []snapshot.Kind{{Name: "search", ServiceTime: inner, Calls: []string{"index/read", "none/read"}}}},
+		"index":  {Kinds: []snapshot.Kind{{Name: "read", ServiceTime: innermost}}},
+	}}
+	is.Equal(admissionConfig(snap, pages, 0, 1).Kinds[0].ServiceTime, own+inner+innermost)
+	is.Equal(slotTime(snap, &pages.Kinds[0], 2), own+inner) // a longer chain is cut off
+}
--- a/agent/reconfigure.go
+++ b/agent/reconfigure.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"kingcupwood.example/kingcupwood/agent/backend"
-	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -54,23 +52,5 @@
 		return
 	}
 	ready := max(in.view.ReadyCount(service.Name), 1)
-	cfg := admission.ForService(service, in.status.Slots, ready)
-	d.receiver.admission.Configure(cfg.WithCalled(calledRates(in.snapshot, service.Name, ready)))
-}
-
-// calledRates returns by kind of service the declared rate of all kinds of other services that call
-// it, divided by the number of ready servers. It is in requests per second.
-func calledRates(s *snapshot.Snapshot, service string, ready int) map[string]float64 {
-	rates := map[string]float64{}
-	prefix := service + "/"
-	for _, other := range s.Services {
-		for i := range other.Kinds {
-			for _, name := range other.Kinds[i].Calls {
-				if kind, ok := strings.CutPrefix(name, prefix); ok {
-					rates[kind] += other.Kinds[i].ExpectedRate / float64(ready)
-				}
-			}
-		}
-	}
-	return rates
+	d.receiver.admission.Configure(admissionConfig(in.snapshot, service, in.status.Slots, ready))
 }
