--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -4,8 +4,11 @@
 	"context"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -26,6 +29,7 @@
 	{"latency", (*bench).runLatency},
 	{"convergence", (*bench).runConvergence},
 	{"capacity", (*bench).runCapacity},
+	{"load", (*bench).runLoad},
 }
 
 func groupNames() []string {
@@ -56,6 +60,34 @@
 	return errors.Wrap(err, "run flood")
 }
 
+// stopLimit is the time for a program to end its processes after it is told to stop.
+const stopLimit = 10 * time.Second
+
+// runLoad builds the load program and runs it. It prints its own rows. It is not started by "go run",
+// which would not pass the signal on and leave the processes of a deployment behind.
+func (b *bench) runLoad(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "kingcupwood-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	program := filepath.Join(dir, "load")
+	if output, err := exec.CommandContext(ctx, "go", "build", "-o", program, "./tools/bench/load").CombinedOutput(); err != nil {
+		return errors.Wrapf(err, "build load: %s", output)
+	}
+	cmd := exec.CommandContext(ctx, program, "-binary", b.binary)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGTERM) }
+	cmd.WaitDelay = stopLimit
+	err = cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() == 1 {
+		b.over++
+		return nil
+	}
+	return errors.Wrap(err, "run load")
+}
+
 // runLatency measures what two daemon hops add to a call.
 func (b *bench) runLatency(ctx context.Context) error {
 	return latency.Run(ctx, b.binary, b.emit)
