Wait until a frozen receiver has stopped in the test of the call transport

Cause: TestReceiverFrozenAndResumed sent its request right after SIGSTOP, which takes effect later. On a busy machine the receiver answered before it stopped (seen once: "ran != may-have-run" at process_test.go:121).

Change: the test waits for the stopped state with wait4. The checks are unchanged.

--- a/agent/peer/call/process_test.go
+++ b/agent/peer/call/process_test.go
@@ -99,6 +99,18 @@
 	return r
 }
 
+// freeze stops the process and waits until it has stopped; the signal alone takes effect later.
+func (r *receiver) freeze(t *testing.T) {
+	t.Helper()
+	if err := r.process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var status syscall.WaitStatus
+	if _, err := syscall.Wait4(r.process.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
+		t.Fatalf("the receiver has not stopped: %v, status %#x", err, status)
+	}
+}
+
 // kill ends the process and waits for its end, after which its connections are closed.
 func (r *receiver) kill(t *testing.T) {
 	t.Helper()
@@ -115,7 +127,7 @@
 	r := startReceiver(t)
 	c := newTestClient(t)
 	is.NoErr(c.Prepare(within(t, generous), r.addr, 1))
-	is.NoErr(r.process.Signal(syscall.SIGSTOP))
+	r.freeze(t)
 	lost := request(1)
 	_, err := c.Do(within(t, 50*time.Millisecond), r.addr, lost)
 	is.Equal(verdict.Of(err), verdict.MayHaveRun)
