--- a/agent/change_test.go
+++ b/agent/change_test.go
@@ -40,12 +40,11 @@
 }
 
 // Guards against an answer to a long poll that arrives after a higher version came from elsewhere, and
-// against probe packets that arrive twice and out of order.
+// against probe packets that are lost, arrive twice or out of order.
 func TestUpdatesCrossed(t *testing.T) {
 	t.Parallel()
-	const duplicated, longest = 0.5, 200 * time.Millisecond
 	c := newCluster(t)
-	c.network.disturb(duplicated, longest)
+	c.network.disturb(disturbance{lost: 0.1, duplicated: 0.5, delay: 150 * time.Millisecond})
 	child := c.follower("b")
 	parent := child.daemon.follower.Status().Parents[0]
 	late := link{string(parent), child.name}
--- a/agent/network_test.go
+++ b/agent/network_test.go
@@ -32,16 +32,22 @@
 	hosts map[string]host // by address
 	cuts  []link
 	// changed is closed at each change of cuts.
-	changed chan struct{}
-	// duplicate is the share of UDP packets sent twice, delay the longest random delay of each.
-	duplicate float64
-	delay     time.Duration
-	rng       *rand.Rand
+	changed     chan struct{}
+	disturbance disturbance
+	rng         *rand.Rand
 
 	closed chan struct{}
 	relays sync.WaitGroup
 }
 
+// disturbance is what befalls UDP packets besides cuts.
+type disturbance struct {
+	// lost is the share of packets that are dropped, duplicated that of the rest sent twice.
+	lost, duplicated float64
+	// delay is the longest random delay of a packet.
+	delay time.Duration
+}
+
 func newTestNetwork() *testNetwork {
 	return &testNetwork{
 		hosts: map[string]host{}, changed: make(chan struct{}), closed: make(chan struct{}),
@@ -67,10 +73,8 @@
 	})
 }
 
-// disturb makes UDP packets arrive twice and out of order.
-func (n *testNetwork) disturb(duplicate float64, delay time.Duration) {
-	n.update(func() { n.duplicate, n.delay = duplicate, delay })
-}
+// disturb makes UDP packets get lost, arrive twice and out of order.
+func (n *testNetwork) disturb(d disturbance) { n.update(func() { n.disturbance = d }) }
 
 func (n *testNetwork) update(change func()) {
 	n.mu.Lock()
@@ -227,20 +231,21 @@
 	n := c.from.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isCut(c.from.host, n.hosts[addr.String()]) {
+	d := n.disturbance
+	if n.isCut(c.from.host, n.hosts[addr.String()]) || n.rng.Float64() < d.lost {
 		return len(b), nil
 	}
 	copies := 1
-	if n.rng.Float64() < n.duplicate {
+	if n.rng.Float64() < d.duplicated {
 		copies++
 	}
 	for range copies {
-		if n.delay == 0 {
+		if d.delay == 0 {
 			_, _ = c.UDPConn.WriteToUDPAddrPort(b, addr)
 			continue
 		}
 		packet := slices.Clone(b)
-		time.AfterFunc(time.Duration(n.rng.Int64N(int64(n.delay))), func() {
+		time.AfterFunc(time.Duration(n.rng.Int64N(int64(d.delay))), func() {
 			_, _ = c.UDPConn.WriteToUDPAddrPort(packet, addr) // the socket may be closed by now
 		})
 	}
