Take the declared service time as one that includes calls

The template of the answers says that service-time is the time in a slot with the calls to other services, so a team that answers accordingly was counted twice. The examples leave the calls out (a save of 5 ms calls a search of 25 ms), which is why the declared time alone is not enough either.

Change: the time in a slot is the declared one, and at least that of the calls.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -19,21 +19,21 @@
 	return cfg.WithCalled(calledRates(s, service.Name, ready))
 }
 
-// slotTime returns how long a request of k holds its slot: the declared service time and that of the
-// kinds that it calls, since the slot is held during the calls. Without them, a request would be
-// started when too little time is left for it, and the limit of slots would be lowered because
-// requests take longer than declared. chain bounds the number of services.
+// slotTime returns how long a request of k holds its slot. The declared service time includes the calls
+// to other services, but teams tend to leave them out, so it is at least the time of the calls. With
+// less, a request would be started when too little time is left for it, and the limit of slots would
+// be lowered because requests take longer than declared. chain bounds the number of services.
 func slotTime(s *snapshot.Snapshot, k *snapshot.Kind, chain int) time.Duration {
-	d := k.ServiceTime
+	var calls time.Duration
 	for _, name := range k.Calls {
 		service, kind, _ := strings.Cut(name, "/")
 		if callee := s.Services[service]; callee != nil && chain > 1 {
 			if inner := callee.Kind(kind); inner != nil {
-				d += slotTime(s, inner, chain-1)
+				calls += slotTime(s, inner, chain-1)
 			}
 		}
 	}
-	return d
+	return max(k.ServiceTime, calls)
 }
 
 // calledRates returns by kind of service the declared rate of all kinds of other services that call
