--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -113,11 +113,11 @@
 		transport: transport,
 		table: dynamodb.New(dynamodb.Options{
 			Region: config.Region, BaseEndpoint: aws.String(config.TableURL), Credentials: keys,
-			HTTPClient: httpClient, Retryer: aws.NopRetryer{},
+			HTTPClient: httpClient, Retryer: aws.NopRetryer{}, APIOptions: optionalHeaders,
 		}),
 		objects: s3.New(s3.Options{
 			Region: config.Region, BaseEndpoint: aws.String(config.ObjectsURL), Credentials: keys,
-			HTTPClient: httpClient, Retryer: aws.NopRetryer{}, UsePathStyle: true,
+			HTTPClient: httpClient, Retryer: aws.NopRetryer{}, UsePathStyle: true, APIOptions: optionalHeaders,
 			RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 			ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
 		}),
