--- a/tools/bench/load/experiment.go
+++ b/tools/bench/load/experiment.go
@@ -67,8 +67,8 @@
 	{name: "flood-most", flood: floodMost},
 	{name: "slow", slow: true, once: true},
 	{name: "cold", cold: true, begin: startLate, once: true},
-	{name: "kill", product: true, affects: isVictim, begin: killVictim},
-	{name: "freeze", product: true, affects: isVictim, begin: freezeVictim},
+	{name: "kill", product: true, affects: isVictim, begin: killVictim, once: true},
+	{name: "freeze", product: true, affects: isVictim, begin: freezeVictim, once: true},
 	{name: "drain", product: true, affects: isVictim, begin: drainVictim, once: true},
 	{name: "domain", product: true, affects: isLost, begin: killDomain},
 }
