Report unknown outcomes of the load baselines as such

Cause: a baseline gave no verdict with a failure, and the baseline in front of it passed that on as run.

--- a/tools/bench/load/baseline.go
+++ b/tools/bench/load/baseline.go
@@ -133,12 +133,12 @@
 	out.Host, out.Header = r.Host, r.Header.Clone()
 	resp, err := b.client.Do(out)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
+		fail(w, err)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if body, err = io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes)); err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
+		fail(w, err)
 		return
 	}
 	told := resp.Header.Get(verdict.Header)
@@ -155,3 +155,9 @@
 	w.Header().Set(verdict.Header, verdict.NotRun.String())
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
+
+// fail answers a request of which it is unknown whether it has run.
+func fail(w http.ResponseWriter, err error) {
+	w.Header().Set(verdict.Header, verdict.MayHaveRun.String())
+	http.Error(w, err.Error(), http.StatusBadGateway)
+}
