--- a/tools/bench/convergence/world.go
+++ b/tools/bench/convergence/world.go
@@ -60,6 +60,9 @@
 
 // start runs a deployment and waits until every daemon has the configuration and all records.
 func start(ctx context.Context, binary string, spec Spec) (w *world, err error) {
+	if spec.Daemons < seeds {
+		return nil, errors.Errorf("%d daemons are too few, at least %d are needed", spec.Daemons, seeds)
+	}
 	dir, err := os.MkdirTemp("", "kingcupwood-bench-")
 	if err != nil {
 		return nil, errors.Wrap(err, "directory for settings and logs")
