--- a/tools/bench/latency/latency.go
+++ b/tools/bench/latency/latency.go
@@ -1,7 +1,7 @@
 // Package latency measures what two daemon hops add to a call. It starts a deployment with a sending
 // daemon, a receiving daemon and a backend server, and sends an open loop of calls that alternates
-// between the direct way and the way through both daemons, so that the load of the machine affects
-// both alike.
+// between the direct way, the way through the receiving daemon alone and the way through both, so that
+// the load of the machine affects all alike.
 package latency
 
 import (
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	ways := []*way{newWay(receiver.Backend), newWay(sender.Callers)}
+	ways := []*way{newWay(receiver.Backend), newWay(receiver.Callers), newWay(sender.Callers)}
 	for _, rate := range Rates {
 		if err := measureRate(ways, rate, sender, receiver, emit); err != nil {
 			return err
@@ -134,26 +134,31 @@
 // measureRate runs the rounds of one rate. The bound applies to the median of the rounds, since a
 // single round can be that of a busy machine.
 func measureRate(ways []*way, rate int, sender, receiver *fleet.Instance, emit func(row.Row)) error {
-	var p50, p99 []float64
+	names := []string{"one_hop", "two_hops"}
+	p50, p99 := make([][]float64, len(names)), make([][]float64, len(names))
 	before := cpuTimes(sender, receiver)
 	calls := 0
 	for round := range rounds {
-		direct, via := measureRound(ways, rate, uint64(round))
+		results := measureRound(ways, rate, uint64(round))
 		for _, w := range ways {
 			if w.failed > 0 {
 				return errors.Errorf("%d of the calls to %s failed, the first one: %v", w.failed, w.url, w.failure)
 			}
 		}
-		p50 = append(p50, via.p50-direct.p50)
-		p99 = append(p99, via.p99-direct.p99)
-		name := fmt.Sprintf("latency/%d/round%d/", rate, round+1)
-		emit(row.Row{Name: name + "direct_p99", Value: direct.p99, Unit: "ms"})
-		emit(row.Row{Name: name + "two_hops_p99", Value: via.p99, Unit: "ms"})
+		direct := results[0]
+		emit(row.Row{Name: fmt.Sprintf("latency/%d/round%d/direct_p99", rate, round+1), Value: direct.p99, Unit: "ms"})
+		for n, via := range results[1:] {
+			p50[n] = append(p50[n], via.p50-direct.p50)
+			p99[n] = append(p99[n], via.p99-direct.p99)
+			emit(row.Row{Name: fmt.Sprintf("latency/%d/round%d/%s_added_p99", rate, round+1, names[n]), Value: via.p99 - direct.p99, Unit: "ms"})
+		}
 		calls += rate * int((warmup+roundTime)/time.Second)
 	}
 	name := fmt.Sprintf("latency/%d/", rate)
-	emit(row.Row{Name: name + "added_p50", Value: median(p50), Unit: "ms"})
-	emit(row.Row{Name: name + "added_p99", Value: median(p99), Unit: "ms", Bound: row.AddedMilliseconds})
+	for n, hops := range names {
+		emit(row.Row{Name: name + hops + "_added_p50", Value: median(p50[n]), Unit: "ms"})
+		emit(row.Row{Name: name + hops + "_added_p99", Value: median(p99[n]), Unit: "ms", Bound: row.AddedMilliseconds})
+	}
 	after := cpuTimes(sender, receiver)
 	for n, daemon := range []string{"sender", "receiver"} {
 		perCall := (after[n] - before[n]) / time.Duration(calls)
--- a/tools/bench/latency/way.go
+++ b/tools/bench/latency/way.go
@@ -87,7 +87,7 @@
 }
 
 // measureRound sends rate calls/s on each way and returns the latencies after the warm-up.
-func measureRound(ways []*way, rate int, round uint64) (direct, via quantiles) {
+func measureRound(ways []*way, rate int, round uint64) []quantiles {
 	rng := rand.New(rand.NewPCG(arrivalSeed, round))
 	for _, d := range []time.Duration{warmup, roundTime} {
 		for _, w := range ways {
@@ -95,7 +95,11 @@
 		}
 		openLoop(ways, rate*len(ways), d, rng)
 	}
-	return ways[0].quantiles(), ways[1].quantiles()
+	results := make([]quantiles, len(ways))
+	for n, w := range ways {
+		results[n] = w.quantiles()
+	}
+	return results
 }
 
 // openLoop sends calls with exponentially distributed gaps, in turn on each way.
