Remove a second counter of attempts and repeated command code

The call client numbered attempts as well as the caller side, which alone knows how many sends a request has; its incarnation was unused apart from that. The three commands that run a process share how they log and stop.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -78,7 +78,7 @@
 	}
 	selector := selection.New(selection.Config{Instance: "sender", Domain: "d1"}, time.Now, rand.Uint64)
 	selector.Update(view)
-	client := call.NewClient(2, event.Nop())
+	client := call.NewClient(event.Nop())
 	b.Cleanup(client.Close)
 	return caller.NewHandler(caller.Config{
 		Instance: "sender", Incarnation: 2,
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -150,7 +150,7 @@
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
-	d.client = call.NewClientWithDialer(incarnation, d.network.DialContext, d.log)
+	d.client = call.NewClientWithDialer(d.network.DialContext, d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
 	d.burn = burn.New(burn.Config{}, time.Now)
 	d.callers = caller.NewHandler(caller.Config{
@@ -189,7 +189,7 @@
 	admin := operator.NewHTTPServer(d.administration())
 	callers := d.callerServer()
 	announcements := &http.Server{Handler: d.backend.Announcements(), ReadHeaderTimeout: headerTimeout}
-	d.serve(group, parts, admin, callers, announcements)
+	d.serve(parts, group, admin, callers, announcements)
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -210,7 +210,7 @@
 }
 
 // serve starts all parts in group.
-func (d *Daemon) serve(group *errgroup.Group, ctx context.Context, admin, callers, announcements *http.Server) {
+func (d *Daemon) serve(ctx context.Context, group *errgroup.Group, admin, callers, announcements *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
 	group.Go(func() error {
 		return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx))
--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -59,7 +59,7 @@
 }
 
 func newTestClient(t testing.TB) *Client {
-	c := NewClient(5, event.Nop())
+	c := NewClient(event.Nop())
 	t.Cleanup(c.Close)
 	return c
 }
@@ -96,9 +96,8 @@
 	})
 	c := newTestClient(t)
 	is.NoErr(c.Prepare(within(t, generous), d.addr, 1))
-	for range 3 {
-		want := request(0)
-		want.Attempt = c.NextAttempt() // a repeated ID would be refused as a duplicate
+	for seq := range 3 {
+		want := request(uint64(seq + 1)) // a repeated ID would be refused as a duplicate
 		resp, err := c.Do(within(t, generous), d.addr, want)
 		is.NoErr(err)
 		got.table = nil
--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -5,7 +5,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,10 +28,8 @@
 
 // Client sends requests to other daemons. It is safe for concurrent use.
 type Client struct {
-	incarnation uint64
-	dialer      Dialer
-	log         *event.Logger
-	attempts    atomic.Uint64
+	dialer Dialer
+	log    *event.Logger
 
 	mu     sync.Mutex
 	closed bool
@@ -48,26 +45,20 @@
 	open int
 }
 
-// NewClient returns a Client of the daemon with the given incarnation, which is the sender in the
-// attempt IDs.
-func NewClient(incarnation uint64, log *event.Logger) *Client {
-	return NewClientWithDialer(incarnation, new(net.Dialer).DialContext, log)
+// NewClient returns a Client without connections.
+func NewClient(log *event.Logger) *Client {
+	return NewClientWithDialer(new(net.Dialer).DialContext, log)
 }
 
 // NewClientWithDialer is NewClient with the dialer of all connections.
-func NewClientWithDialer(incarnation uint64, dialer Dialer, log *event.Logger) *Client {
+func NewClientWithDialer(dialer Dialer, log *event.Logger) *Client {
 	return &Client{
-		incarnation: incarnation, dialer: dialer, log: log,
+		dialer: dialer, log: log,
 		peers: map[string]*peer{}, rpcs: map[string]*rpcConn{},
 		lost: newLostAttempts(lostLimit),
 	}
 }
 
-// NextAttempt returns the ID of the next attempt of this daemon. It is safe for concurrent use.
-func (c *Client) NextAttempt() fence.AttemptID {
-	return fence.AttemptID{Sender: c.incarnation, Seq: c.attempts.Add(1)}
-}
-
 // Do sends r to the daemon at addr ("ip:port") and returns its response, which may be a refusal with
 // verdict not run. ctx bounds the call. An error is a *verdict.Error: not run if the daemon cannot
 // have received the whole request, otherwise may have run, which Fence may settle.
--- a/cli/cmd/platform.go
+++ b/cli/cmd/platform.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,9 +17,7 @@
 // platformHeaderTimeout bounds the headers of a request to the stand-in.
 const platformHeaderTimeout = 10 * time.Second
 
-type platformCommand struct {
-	Settings string `long:"settings" required:"true" value-name:"FILE" description:"INI settings file, see docs/settings.md (required)"`
-}
+type platformCommand struct{ settingsOption }
 
 // Execute runs the stand-in for the table service and the object store until a signal arrives.
 func (c *platformCommand) Execute([]string) error {
@@ -29,18 +25,13 @@
 	if err != nil {
 		return err
 	}
-	log, err := event.NewLogger(zapcore.InfoLevel)
-	if err != nil {
-		return err
-	}
-	defer log.Sync()
-	listener, err := net.Listen("tcp", config.Listen.String())
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	return servePlatform(ctx, listener, config, log)
+	return untilSignal(zapcore.InfoLevel, func(ctx context.Context, log *event.Logger) error {
+		listener, err := net.Listen("tcp", config.Listen.String())
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		return servePlatform(ctx, listener, config, log)
+	})
 }
 
 // servePlatform serves until ctx ends. Requests in flight are cut off: a real platform that goes down
