--- a/agent/operator/daemon.go
+++ b/agent/operator/daemon.go
@@ -64,7 +64,8 @@
 				State: r.State.String(), Slots: r.Slots, CallAddr: r.CallAddr, AdminAddr: r.AdminAddr,
 			})
 		}
-		message.Unreachable = slices.Sorted(maps.Keys(view.Unreachable))
+		message.Unreachable = slices.AppendSeq(message.Unreachable, maps.Keys(view.Unreachable))
+		slices.Sort(message.Unreachable)
 	}
 	slices.SortFunc(message.Endpoints, func(a, b EndpointMessage) int { return cmp.Compare(a.Instance, b.Instance) })
 	writeJSON(w, http.StatusOK, message)
--- a/agent/operator/operator_test.go
+++ b/agent/operator/operator_test.go
@@ -140,6 +140,14 @@
 	{http.MethodGet, PathVars, ""},
 }
 
+// Guards against null in place of an empty list, which clients in other languages do not iterate.
+func TestEndpointsWithoutUnreachableDomains(t *testing.T) {
+	is := is.New(t)
+	w := newFixture().request(http.MethodGet, PathEndpoints, "Bearer "+secret, "")
+	is.Equal(w.Code, http.StatusOK)
+	is.True(strings.Contains(w.Body.String(), `"unreachable_domains":[]`))
+}
+
 // Guards against a route that answers without a valid credential, and against tokens in the log.
 func TestCredentials(t *testing.T) {
 	is := is.New(t)
