--- a/agent/peer/sync/accepted.go
+++ b/agent/peer/sync/accepted.go
@@ -25,11 +25,8 @@
 			d.Objects = append(d.Objects, objects[e.Hash])
 		}
 		// Another version may have come into force since the delta was made.
-		err := f.apply(d, sourceOperator)
-		if errors.Is(err, ErrOtherBase) {
-			continue
+		if err := f.apply(d, sourceOperator); !errors.Is(err, ErrOtherBase) {
+			return err
 		}
-		f.announceToHolders()
-		return err
 	}
 }
--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -188,7 +188,7 @@
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
 	for pause(ctx, pullInterval) {
 		now := time.Now()
-		peer, ok := distribution.PullFrom(now, f.pullAfter(), f.cfg.Store.Version(), f.candidates(now, blocked))
+		peer, ok := distribution.PullFrom(now, f.cfg.Store.Version(), f.candidates(now, blocked))
 		if !ok || f.recentlyRefused(now, peer.Version) {
 			continue
 		}
@@ -196,25 +196,10 @@
 			blocked[peer.Instance] = time.Now().Add(f.retryPause(&backoff, err))
 			continue
 		}
-		f.announceToHolders()
 		backoff.Reset()
 	}
 }
 
-// announceToHolders tells the roots of the tree about a version that did not come from them.
-func (f *Follower) announceToHolders() {
-	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { s.AnnounceToHolders() })
-}
-
-// pullAfter returns how long a peer must have been ahead before this daemon pulls from it. The tree does
-// not deliver to a lease holder; one that pulls at once need not fetch the version from the platform.
-func (f *Follower) pullAfter() time.Duration {
-	if f.leading.Load() {
-		return 0
-	}
-	return distribution.PullAfter
-}
-
 // candidates returns the peers known to be ahead that are not blocked.
 func (f *Follower) candidates(now time.Time, blocked map[endpoint.InstanceID]time.Time) []distribution.Candidate {
 	for id, until := range blocked {
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -98,11 +98,6 @@
 	s.ahead = slices.DeleteFunc(s.ahead, func(a Ahead) bool { return a.Version <= s.version })
 }
 
-// AnnounceToHolders has the next Tick tell the lease holders of the own domain about the version set
-// last. It is for a version that did not come down the tree: if every daemon told the holders, they
-// would receive a packet from each member of the domain with each change.
-func (s *State) AnnounceToHolders() { s.announceHolders = true }
-
 // announceVersion tells a few members about a new version in force, so that those which the tree
 // did not reach pull it.
 func (s *State) announceVersion() {
@@ -111,10 +106,6 @@
 	}
 	s.announce = false
 	targets := s.sample(s.domainOf(s.local.record.Domain), versionFanout, nil)
-	if s.announceHolders {
-		s.announceHolders = false
-		targets = append(targets, s.holderMembers()...)
-	}
 	if list := s.remoteDomains(func(d *domain) bool { return !d.unreachable }); len(list) > 0 {
 		targets = append(targets, s.sample(list[s.rng.IntN(len(list))], 1, nil)...)
 	}
@@ -123,18 +114,6 @@
 	}
 }
 
-// holderMembers returns the other lease holders of the own domain. They are the roots of the tree, so
-// a version that reaches them reaches the domain.
-func (s *State) holderMembers() []*member {
-	var list []*member
-	for _, h := range s.holders {
-		if m := s.members[h.Instance]; m != nil && m != s.local {
-			list = append(list, m)
-		}
-	}
-	return list
-}
-
 // NoteHighest records a configuration version that is known to exist.
 func (s *State) NoteHighest(v snapshot.Version) { s.highest = max(s.highest, v) }
 
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -46,11 +46,9 @@
 	version snapshot.Version
 	// announce tells that version is new and is sent to a few members with the next Tick.
 	announce bool
-	// announceHolders includes the lease holders of the own domain.
-	announceHolders bool
-	highest         snapshot.Version
-	ahead           []Ahead
-	holders         map[int]Holder
+	highest  snapshot.Version
+	ahead    []Ahead
+	holders  map[int]Holder
 
 	view        atomic.Pointer[endpoint.View]
 	changed     map[endpoint.InstanceID]struct{}
