Try every seed once before a failed one is asked again

Cause: a restarted daemon in a partitioned failure domain picked seeds at random, so it could ask an unreachable one again and again, one second each, and joined after more than 5 s. Change: a seed that failed is asked again only when all others have failed too.

--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -48,12 +48,14 @@
 		seeds = f.leaseSeeds(ctx)
 	}
 	targets := seeds
+	failed := map[string]bool{}
 	for failures := 1; len(targets) > 0; failures++ {
-		addr := targets[f.random(int64(len(targets)))]
+		addr := f.pickTarget(targets, failed)
 		peers, err := f.exchange(ctx, addr)
 		if err == nil {
 			break
 		}
+		failed[addr] = true
 		switch {
 		case len(peers) > 0:
 			targets = peers
@@ -71,6 +73,17 @@
 	close(f.joined)
 }
 
+// pickTarget returns a random target that has not failed since all others have. A daemon of a partitioned
+// failure domain would otherwise ask unreachable seeds again, one second each, before a reachable one.
+func (f *Follower) pickTarget(targets []string, failed map[string]bool) string {
+	fresh := slices.DeleteFunc(slices.Clone(targets), func(addr string) bool { return failed[addr] })
+	if len(fresh) == 0 {
+		clear(failed)
+		fresh = targets
+	}
+	return fresh[f.random(int64(len(fresh)))]
+}
+
 // exchange sends the own record and takes over all records of the peer. A busy peer names others.
 func (f *Follower) exchange(ctx context.Context, addr string) (peers []string, err error) {
 	var own []membership.Entry
