Define the shared headers, limit and context error of calls once

agent/backend and agent/caller each had the names of the timeout and depth headers, the caller side its own limit of a request body, and agent/backend a copy of the function that finds the cause of a failed connection. All of them are in agent/peer/call now. Also corrects the number of lease renewals in a comment after the change of their interval.

--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -139,9 +139,9 @@
 	is.Equal(r.Host, "pages")
 	is.Equal(r.Header.Get("Accept"), "a")
 	is.Equal(r.Header.Get("X-Hop"), "")
-	is.Equal(r.Header.Get(DepthHeader), "3")
-	is.Equal(r.Header.Get(AttemptHeader), request().Attempt.String())
-	is.True(r.Header.Get(TimeoutHeader) != "")
+	is.Equal(r.Header.Get(call.DepthHeader), "3")
+	is.Equal(r.Header.Get(call.AttemptHeader), request().Attempt.String())
+	is.True(r.Header.Get(call.TimeoutHeader) != "")
 }
 
 // Guards against incomplete, oversized, ambiguous or shed responses with a wrong verdict.
--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -46,7 +46,7 @@
 	}
 	c, err := b.conn(ctx)
 	if err != nil {
-		return nil, verdict.Wrap(verdict.NotRun, contextError(ctx, err))
+		return nil, verdict.Wrap(verdict.NotRun, call.ContextError(ctx, err))
 	}
 	if !started() {
 		b.release(c)
@@ -82,15 +82,15 @@
 		if n == 0 {
 			v = verdict.NotRun
 		}
-		return nil, false, verdict.Wrap(v, errors.Wrap(contextError(ctx, err), "send to backend server"))
+		return nil, false, verdict.Wrap(v, errors.Wrap(call.ContextError(ctx, err), "send to backend server"))
 	}
 	head, err := c.readHead(r.Method)
 	if err != nil {
-		return nil, false, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(contextError(ctx, err), "receive from backend server"))
+		return nil, false, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(call.ContextError(ctx, err), "receive from backend server"))
 	}
 	body, err := readBody(head)
 	if err != nil {
-		return nil, false, verdict.Wrap(verdict.Ran, contextError(ctx, err))
+		return nil, false, verdict.Wrap(verdict.Ran, call.ContextError(ctx, err))
 	}
 	return newResponse(r, head, body), !head.Close, nil
 }
@@ -175,14 +175,3 @@
 	}
 	return r.Timeout
 }
-
-// contextError returns the error of ctx if it is the cause of err.
-func contextError(ctx context.Context, err error) error {
-	if cause := ctx.Err(); cause != nil {
-		return cause
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return context.DeadlineExceeded // the timer of the connection fired before that of ctx
-	}
-	return err
-}
--- a/agent/backend/request.go
+++ b/agent/backend/request.go
@@ -12,16 +12,6 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 )
 
-// Headers of a request to the backend server.
-const (
-	// TimeoutHeader holds the time left in milliseconds.
-	TimeoutHeader = "Kingcupwood-Timeout"
-	// DepthHeader holds the number of daemons that the chain of calls has entered so far.
-	DepthHeader = "Kingcupwood-Depth"
-	// AttemptHeader holds the attempt ID.
-	AttemptHeader = "Kingcupwood-Attempt"
-)
-
 // copyBodyBytes is the size up to which a body is copied behind the header for a single write.
 const copyBodyBytes = 16 << 10
 
@@ -31,7 +21,7 @@
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Host": true, "Content-Length": true, "Expect": true,
-	TimeoutHeader: true, DepthHeader: true, AttemptHeader: true,
+	call.TimeoutHeader: true, call.DepthHeader: true, call.AttemptHeader: true,
 }
 
 // checkRequest rejects what would break the framing of HTTP/1.1.
@@ -97,9 +87,9 @@
 			b = appendHeader(b, name, value)
 		}
 	}
-	b = appendNumber(b, TimeoutHeader, max(left.Milliseconds(), 1))
-	b = appendNumber(b, DepthHeader, int64(r.Depth))
-	b = appendHeader(b, AttemptHeader, r.Attempt.String())
+	b = appendNumber(b, call.TimeoutHeader, max(left.Milliseconds(), 1))
+	b = appendNumber(b, call.DepthHeader, int64(r.Depth))
+	b = appendHeader(b, call.AttemptHeader, r.Attempt.String())
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b = appendNumber(b, "Content-Length", int64(len(r.Body)))
 	}
--- a/agent/caller/attempts_test.go
+++ b/agent/caller/attempts_test.go
@@ -177,7 +177,7 @@
 			b := newBench("a", "b")
 			b.remote.do = script{c.step}.do()
 			for range 20 {
-				b.serveHTTP(request("POST", "/pages/1", "", HeaderTimeout, c.timeout))
+				b.serveHTTP(request("POST", "/pages/1", "", call.TimeoutHeader, c.timeout))
 			}
 			b.remote.do, b.remote.addrs = answer, nil
 			for range 40 {
--- a/agent/caller/deadline_test.go
+++ b/agent/caller/deadline_test.go
@@ -27,7 +27,7 @@
 			<-ctx.Done()
 			return nil, verdict.Wrap(verdict.MayHaveRun, ctx.Err())
 		}
-		w := b.serveHTTP(request("GET", "/pages/1", "", HeaderTimeout, "300"))
+		w := b.serveHTTP(request("GET", "/pages/1", "", call.TimeoutHeader, "300"))
 		is.Equal(w.Code, http.StatusGatewayTimeout)
 		is.Equal(verdictOf(w), "may-have-run")
 		is.Equal(b.remote.sent[0].Timeout, 294*time.Millisecond)
@@ -35,7 +35,7 @@
 
 		// A save that timed out and was fenced in time is known not to have run.
 		b.remote.fenceDo = func(context.Context, string, fence.AttemptID) fence.Answer { return fence.NeverWillRun }
-		w = b.serveHTTP(request("POST", "/pages/1", "", HeaderTimeout, "100"))
+		w = b.serveHTTP(request("POST", "/pages/1", "", call.TimeoutHeader, "100"))
 		is.Equal(verdictOf(w), "not-run")
 		is.Equal(w.Code, http.StatusGatewayTimeout)
 	})
@@ -107,8 +107,8 @@
 				time.Sleep(time.Millisecond)
 				// The backend server calls the next service with the timeout and depth that it got.
 				if hop+1 < MaxDepth {
-					next := request("GET", "/pages/1", "", HeaderDepth, strconv.Itoa(r.Depth),
-						HeaderTimeout, strconv.FormatInt((r.Timeout-time.Millisecond).Milliseconds(), 10))
+					next := request("GET", "/pages/1", "", call.DepthHeader, strconv.Itoa(r.Depth),
+						call.TimeoutHeader, strconv.FormatInt((r.Timeout-time.Millisecond).Milliseconds(), 10))
 					w := httptest.NewRecorder()
 					hops[hop+1].ServeHTTP(w, next.WithContext(ctx))
 					is.Equal(w.Code, http.StatusGatewayTimeout) // the failure of the next hop arrived in time
--- a/agent/caller/handler_test.go
+++ b/agent/caller/handler_test.go
@@ -21,7 +21,7 @@
 
 // Guards against a refusal with a wrong status, without a verdict, or that sends the request on.
 func TestRefusalsBeforeRouting(t *testing.T) {
-	long := strings.Repeat("x", MaxRequestBytes+1)
+	long := strings.Repeat("x", call.MaxRequestBodyBytes+1)
 	unknownLength := request("POST", "/pages/1", "")
 	unknownLength.Body, unknownLength.ContentLength = io.NopCloser(strings.NewReader(long)), -1
 	cut := request("POST", "/pages/1", "text")
@@ -37,13 +37,13 @@
 		"body too large":              {request("POST", "/pages/1", long), http.StatusRequestEntityTooLarge},
 		"body of unknown length":      {unknownLength, http.StatusRequestEntityTooLarge},
 		"body ends early":             {cut, http.StatusBadRequest},
-		"chain too deep":              {request("GET", "/pages/1", "", HeaderDepth, "13"), http.StatusLoopDetected},
-		"depth is no number":          {request("GET", "/pages/1", "", HeaderDepth, "many"), http.StatusBadRequest},
-		"depth is negative":           {request("GET", "/pages/1", "", HeaderDepth, "-1"), http.StatusBadRequest},
-		"timeout is no number":        {request("GET", "/pages/1", "", HeaderTimeout, "1s"), http.StatusBadRequest},
-		"timeout is negative":         {request("GET", "/pages/1", "", HeaderTimeout, "-5"), http.StatusBadRequest},
-		"timeout is over":             {request("GET", "/pages/1", "", HeaderTimeout, "0"), http.StatusGatewayTimeout},
-		"timeout below the reserve":   {request("GET", "/pages/1", "", HeaderTimeout, "2"), http.StatusGatewayTimeout},
+		"chain too deep":              {request("GET", "/pages/1", "", call.DepthHeader, "13"), http.StatusLoopDetected},
+		"depth is no number":          {request("GET", "/pages/1", "", call.DepthHeader, "many"), http.StatusBadRequest},
+		"depth is negative":           {request("GET", "/pages/1", "", call.DepthHeader, "-1"), http.StatusBadRequest},
+		"timeout is no number":        {request("GET", "/pages/1", "", call.TimeoutHeader, "1s"), http.StatusBadRequest},
+		"timeout is negative":         {request("GET", "/pages/1", "", call.TimeoutHeader, "-5"), http.StatusBadRequest},
+		"timeout is over":             {request("GET", "/pages/1", "", call.TimeoutHeader, "0"), http.StatusGatewayTimeout},
+		"timeout below the reserve":   {request("GET", "/pages/1", "", call.TimeoutHeader, "2"), http.StatusGatewayTimeout},
 		"idempotency key is too long": {request("POST", "/pages/1", "", HeaderIdempotencyKey, strings.Repeat("k", MaxKeyBytes+1)), http.StatusBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -167,7 +167,7 @@
 	b.now = func() time.Time { return start }
 	b.serveHTTP(request("GET", "/pages/1?x=1", "", "Connection", "keep-alive, X-Private", "X-Private", "1",
 		"Keep-Alive", "timeout=5", "Te", "trailers", "Upgrade", "h2c", "Proxy-Authorization", "secret",
-		headerOwner, "forged", HeaderDepth, "3", HeaderTimeout, "400", "X-Kept", "yes", "Cookie", "c"))
+		headerOwner, "forged", call.DepthHeader, "3", call.TimeoutHeader, "400", "X-Kept", "yes", "Cookie", "c"))
 	sent := b.remote.sent[0]
 	is.Equal(sent.Header, http.Header{"X-Kept": {"yes"}, "Cookie": {"c"}})
 	is.Equal(sent.Depth, 4)
@@ -232,7 +232,7 @@
 	f.Add("-1", " 5", "Kingcupwood-Key-Owner", "\x00")
 	f.Fuzz(func(t *testing.T, depth, timeout, connection, key string) {
 		b := newBench("a")
-		r := request("GET", "/pages/1", "", HeaderDepth, depth, HeaderTimeout, timeout, "Connection", connection,
+		r := request("GET", "/pages/1", "", call.DepthHeader, depth, call.TimeoutHeader, timeout, "Connection", connection,
 			HeaderIdempotencyKey, key, headerOwner, key)
 		w := b.serveHTTP(r)
 		if w.Code != http.StatusOK && verdictOf(w) != "not-run" {
--- a/agent/caller/keys_test.go
+++ b/agent/caller/keys_test.go
@@ -117,7 +117,7 @@
 		// A submission with less time gives up before the run ends, and may not claim "not run".
 		time.Sleep(10 * time.Millisecond)
 		for _, by := range []string{"a", "b", "c"} {
-			w := c.daemons[by].serveHTTP(request("POST", "/pages/1", "text", HeaderIdempotencyKey, "key", HeaderTimeout, "50"))
+			w := c.daemons[by].serveHTTP(request("POST", "/pages/1", "text", HeaderIdempotencyKey, "key", call.TimeoutHeader, "50"))
 			is.Equal(w.Code, http.StatusGatewayTimeout)
 			is.Equal(verdictOf(w), "may-have-run")
 		}
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -15,14 +15,10 @@
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
-// Request headers of the call path.
+// Request headers of the call path, beside call.TimeoutHeader and call.DepthHeader.
 const (
 	// HeaderService names the service when the Host header does not.
 	HeaderService = "Kingcupwood-Service"
-	// HeaderTimeout is the time left for the request in whole milliseconds.
-	HeaderTimeout = "Kingcupwood-Timeout"
-	// HeaderDepth counts the hops between services so far.
-	HeaderDepth = "Kingcupwood-Depth"
 	// HeaderIdempotencyKey makes two submissions of a non-idempotent request run once.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// headerOwner marks a request that was sent to the owner of its idempotency key.
@@ -37,8 +33,6 @@
 
 // Limits of a request.
 const (
-	// MaxRequestBytes bounds the body of a request.
-	MaxRequestBytes = 1 << 20
 	// MaxDepth bounds a chain of calls between services; a longer one is taken for a loop.
 	MaxDepth = 13
 	// MaxKeyBytes bounds an idempotency key.
@@ -101,13 +95,13 @@
 }
 
 func readDepth(r *http.Request) (int, error) {
-	value := r.Header.Get(HeaderDepth)
+	value := r.Header.Get(call.DepthHeader)
 	if value == "" {
 		return 1, nil
 	}
 	hops, err := strconv.Atoi(value)
 	if err != nil || hops < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", HeaderDepth, value)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", call.DepthHeader, value)
 	}
 	if hops >= MaxDepth {
 		return 0, refuse(http.StatusLoopDetected, "the chain of calls is longer than %d", MaxDepth)
@@ -117,20 +111,20 @@
 
 // readTimeout returns the smaller of the deadline of the kind and the time that the caller allows.
 func readTimeout(r *http.Request, deadline time.Duration) (time.Duration, error) {
-	value := r.Header.Get(HeaderTimeout)
+	value := r.Header.Get(call.TimeoutHeader)
 	if value == "" {
 		return deadline, nil
 	}
 	ms, err := strconv.ParseInt(value, 10, 32)
 	if err != nil || ms < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", HeaderTimeout, value)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", call.TimeoutHeader, value)
 	}
 	return min(deadline, time.Duration(ms)*time.Millisecond), nil
 }
 
 func readBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength > MaxRequestBytes {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", MaxRequestBytes)
+	if r.ContentLength > call.MaxRequestBodyBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", call.MaxRequestBodyBytes)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -140,9 +134,9 @@
 		_, err := io.ReadFull(r.Body, body)
 		return body, bodyError(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxRequestBytes+1))
-	if len(body) > MaxRequestBytes {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", MaxRequestBytes)
+	body, err := io.ReadAll(io.LimitReader(r.Body, call.MaxRequestBodyBytes+1))
+	if len(body) > call.MaxRequestBodyBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", call.MaxRequestBodyBytes)
 	}
 	return body, bodyError(err)
 }
@@ -158,7 +152,7 @@
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-	HeaderTimeout, HeaderDepth, headerOwner,
+	call.TimeoutHeader, call.DepthHeader, headerOwner,
 }
 
 // forwardHeader removes from h what must not reach the backend server, and returns h.
--- a/agent/peer/call/clientconn.go
+++ b/agent/peer/call/clientconn.go
@@ -57,7 +57,7 @@
 		return nil, ctx.Err()
 	}
 	if err != nil {
-		return nil, contextError(ctx, err)
+		return nil, ContextError(ctx, err)
 	}
 	if string(b[:len(greetingMagic)]) != greetingMagic {
 		return nil, errors.Wrap(ErrProtocol, "unknown greeting")
@@ -87,14 +87,14 @@
 		if !complete {
 			v = verdict.NotRun
 		}
-		return nil, verdict.Wrap(v, errors.Wrap(contextError(ctx, err), "send request"))
+		return nil, verdict.Wrap(v, errors.Wrap(ContextError(ctx, err), "send request"))
 	}
 	resp, err := c.readResponse()
 	if err == nil && resp.Attempt != r.Attempt {
 		err = ErrMismatch
 	}
 	if err != nil {
-		return nil, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(contextError(ctx, err), "receive response"))
+		return nil, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(ContextError(ctx, err), "receive response"))
 	}
 	return resp, nil
 }
@@ -123,9 +123,9 @@
 	return resp, nil
 }
 
-// contextError returns the error of ctx if it is the cause of err, so that callers can tell an
+// ContextError returns the error of ctx if it is the cause of err, so that callers can tell an
 // exceeded deadline from a failed connection.
-func contextError(ctx context.Context, err error) error {
+func ContextError(ctx context.Context, err error) error {
 	if cause := ctx.Err(); cause != nil {
 		return cause
 	}
--- a/agent/peer/sync/lead.go
+++ b/agent/peer/sync/lead.go
@@ -31,7 +31,7 @@
 	// renewInterval leaves another attempt before a lease expires.
 	renewInterval = 1250 * time.Millisecond
 	// acquireInterval separates two attempts of one candidate, with jitter 1.25 s on average. At the
-	// target that is 19 domains x 4 candidates / 1.25 s = 61 writes/s, plus 38 renewals/s, of the
+	// target that is 19 domains x 4 candidates / 1.25 s = 61 writes/s, plus 30 renewals/s, of the
 	// several hundred that the platform provides.
 	acquireInterval = time.Second
 	// leaseCandidates is the number of daemons of a domain besides the holders that try for a lease.
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	told := make(chan string, 1)
 	r := newTestReceiver(t, func(_ http.ResponseWriter, r *http.Request) {
-		told <- r.Header.Get(backend.TimeoutHeader)
+		told <- r.Header.Get(call.TimeoutHeader)
 		<-r.Context().Done()
 	})
 	resp := r.ServeCall(context.Background(), testRequest())
--- a/standin/backend/server_test.go
+++ b/standin/backend/server_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 
 	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
@@ -104,7 +105,7 @@
 	s := newSettings(d)
 	s.Work.Calls = []string{"/pages=finder/search"}
 	_, url, stop := start(t, s)
-	header := http.Header{backend.TimeoutHeader: {"20000"}, backend.DepthHeader: {"4"}}
+	header := http.Header{call.TimeoutHeader: {"20000"}, call.DepthHeader: {"4"}}
 	for range 2 {
 		resp, body, err := send(t, t.Context(), url+"/pages/a", "r1", header)
 		is.NoErr(err)
@@ -112,9 +113,9 @@
 		is.True(strings.HasPrefix(body, "r1 /pages/a "))
 		called := <-d.calls
 		is.Equal(called.Host, "finder")
-		is.Equal(called.Header.Get(backend.DepthHeader), "4")
+		is.Equal(called.Header.Get(call.DepthHeader), "4")
 		is.Equal(called.Header.Get(RequestIDHeader), "r1")
-		is.True(called.Header.Get(backend.TimeoutHeader) != "")
+		is.True(called.Header.Get(call.TimeoutHeader) != "")
 	}
 	resp, err := http.Get(url + RunsPath)
 	is.NoErr(err)
@@ -148,7 +149,7 @@
 	s := newSettings(startDaemon(t))
 	s.Work.ServiceTime = time.Hour
 	server, url, stop := start(t, s)
-	resp, _, err := send(t, t.Context(), url+"/", "r1", http.Header{backend.TimeoutHeader: {"10"}})
+	resp, _, err := send(t, t.Context(), url+"/", "r1", http.Header{call.TimeoutHeader: {"10"}})
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 504)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
--- a/standin/backend/work.go
+++ b/standin/backend/work.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -48,7 +48,7 @@
 
 // requestContext ends with the connection of the daemon or the time left according to it.
 func requestContext(r *http.Request) (context.Context, context.CancelFunc) {
-	left, err := strconv.Atoi(r.Header.Get(backend.TimeoutHeader))
+	left, err := strconv.Atoi(r.Header.Get(call.TimeoutHeader))
 	if err != nil || left <= 0 {
 		return context.WithCancel(r.Context())
 	}
@@ -108,9 +108,9 @@
 	}
 	out.Host = to.service
 	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(backend.TimeoutHeader, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+		out.Header.Set(call.TimeoutHeader, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
-	for _, name := range []string{backend.DepthHeader, RequestIDHeader} {
+	for _, name := range []string{call.DepthHeader, RequestIDHeader} {
 		if value := r.Header.Get(name); value != "" {
 			out.Header.Set(name, value)
 		}
--- a/tools/bench/load/baseline.go
+++ b/tools/bench/load/baseline.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/agent/caller"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -105,7 +105,7 @@
 		return
 	}
 	timeout := kind.Deadline
-	if ms, err := strconv.Atoi(r.Header.Get(caller.HeaderTimeout)); err == nil {
+	if ms, err := strconv.Atoi(r.Header.Get(call.TimeoutHeader)); err == nil {
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
--- a/tools/bench/load/generator.go
+++ b/tools/bench/load/generator.go
@@ -15,7 +15,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"kingcupwood.example/kingcupwood/agent/caller"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 	"kingcupwood.example/kingcupwood/standin/backend"
@@ -145,7 +145,7 @@
 	req.Host = s.service
 	req.Header.Set(backend.RequestIDHeader, id)
 	left := s.kind.Deadline - 2*s.delay
-	req.Header.Set(caller.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header.Set(call.TimeoutHeader, strconv.FormatInt(left.Milliseconds(), 10))
 	resp, err := g.client.Do(req)
 	if err != nil {
 		return answer{}, err
