Count a request in the platform stand-in once it has been received

The stand-in counted a write when its headers had arrived; the test then cancelled the client while the rest of the 2.2 kB body was still unsent, the stand-in failed to read the body ("unexpected EOF", logged in a trial), and the write never took effect. Ruled out: a lost write in agent/platform; the outcome "unknown" was right. Change: the body is received before the request is counted and a fault is applied to it. A test sends a request without its body. Conclusion: the fault was in the stand-in, not in the daemon.

--- a/standin/platform/discard.go
+++ b/standin/platform/discard.go
@@ -1,10 +1,6 @@
 package platform
 
-import (
-	"bytes"
-	"io"
-	"net/http"
-)
+import "net/http"
 
 // discardResponse is a response writer for a response that is lost.
 type discardResponse struct{ header http.Header }
@@ -17,14 +13,3 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (d discardResponse) WriteHeader(int) {}
-
-// bufferBody returns r with its body read into memory.
-func bufferBody(w http.ResponseWriter, r *http.Request) (*http.Request, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	if err != nil {
-		return nil, err
-	}
-	buffered := r.Clone(r.Context())
-	buffered.Body = io.NopCloser(bytes.NewReader(data))
-	return buffered, nil
-}
--- a/standin/platform/dynamodb.go
+++ b/standin/platform/dynamodb.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -103,12 +102,7 @@
 }
 
 // serveTable answers one DynamoDB call.
-func (s *Server) serveTable(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	if err != nil {
-		writeTableError(w, invalid("the request cannot be read: %v", err))
-		return
-	}
+func (s *Server) serveTable(w http.ResponseWriter, r *http.Request, body []byte) {
 	output, err := s.callTable(strings.TrimPrefix(r.Header.Get("X-Amz-Target"), targetPrefix), body)
 	if err != nil {
 		writeTableError(w, err)
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -37,7 +37,7 @@
 }
 
 // serveObjects answers one S3 call in path style: /bucket/key.
-func (s *Server) serveObjects(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveObjects(w http.ResponseWriter, r *http.Request, body []byte) {
 	bucket, key, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case !ok || key == "":
@@ -47,7 +47,7 @@
 	case r.Method == http.MethodGet:
 		s.getObject(w, key)
 	case r.Method == http.MethodPut:
-		s.putObject(w, r, key)
+		s.putObject(w, r, key, body)
 	default:
 		writeObjectError(w, http.StatusNotImplemented, "NotImplemented", "method "+r.Method+" is not supported")
 	}
@@ -64,16 +64,11 @@
 	_, _ = io.Copy(w, bytes.NewReader(data))
 }
 
-func (s *Server) putObject(w http.ResponseWriter, r *http.Request, key string) {
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request, key string, data []byte) {
 	if strings.Contains(r.Header.Get("Content-Encoding"), "aws-chunked") {
 		writeObjectError(w, http.StatusNotImplemented, "NotImplemented", "chunked uploads are not supported")
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-	if err != nil {
-		writeObjectError(w, http.StatusBadRequest, "IncompleteBody", err.Error())
-		return
-	}
 	match := r.Header.Get("If-None-Match")
 	if match != "" && match != "*" {
 		writeObjectError(w, http.StatusNotImplemented, "NotImplemented", "If-None-Match must be *")
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/matryer/is"
 
@@ -98,6 +100,19 @@
 	is.Equal(s.Counts(Table).Reads, uint64(1))
 }
 
+// Guards against a write that counts as received, and uses up a fault, before its body has arrived: the
+// client may still give up, and the write never takes effect.
+func TestIncompleteRequestIsNotReceived(t *testing.T) {
+	is := is.New(t)
+	s := testServer()
+	is.NoErr(s.Inject(Fault{Store: Table, Kind: Outage, Count: 1}))
+	abandoned := iotest.ErrReader(io.ErrUnexpectedEOF)
+	s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", abandoned))
+	is.Equal(s.Counts(Table).Writes, uint64(0))
+	is.Equal(request(s, http.MethodPost, "/", "PutItem", `{}`).Code, http.StatusServiceUnavailable)
+	is.Equal(s.Counts(Table).Writes, uint64(1))
+}
+
 // Guards against a stand-in that starts with a misspelt or malformed setting.
 func TestLoadConfig(t *testing.T) {
 	is := is.New(t)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -89,30 +90,43 @@
 	}
 }
 
-func (s *Server) serveStore(w http.ResponseWriter, r *http.Request, store Store, isWrite bool, serve http.HandlerFunc) {
-	s.counters[store].add(s.now(), isWrite)
+// storeHandler answers a request whose body has been received.
+type storeHandler func(w http.ResponseWriter, r *http.Request, body []byte)
+
+// serveStore receives the whole request before it counts the request and applies a fault: a request
+// that its client abandons halfway never reaches the store.
+func (s *Server) serveStore(w http.ResponseWriter, r *http.Request, store Store, isWrite bool, serve storeHandler) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		writeIncomplete(w, store, err)
+		return
+	}
 	fault := s.faults.take(store, isWrite)
+	s.counters[store].add(s.now(), isWrite)
 	if fault == nil {
-		serve(w, r)
+		serve(w, r, body)
 		return
 	}
 	switch fault.Kind {
 	case Outage:
 		writeUnavailable(w, store)
 	case Slow:
-		// The body is read before the delay: the server may close it when the client goes away.
-		buffered, err := bufferBody(w, r)
-		if err != nil {
-			return
-		}
 		fault.wait()
-		serve(w, buffered)
+		serve(w, r, body)
 	case LoseResponse:
-		serve(discardResponse{http.Header{}}, r)
+		serve(discardResponse{http.Header{}}, r, body)
 		panic(http.ErrAbortHandler) // net/http closes the connection without a response
 	}
 }
 
+func writeIncomplete(w http.ResponseWriter, store Store, err error) {
+	if store == Objects {
+		writeObjectError(w, http.StatusBadRequest, "IncompleteBody", err.Error())
+		return
+	}
+	writeTableError(w, invalid("the request cannot be read: %v", err))
+}
+
 func writeUnavailable(w http.ResponseWriter, store Store) {
 	if store == Objects {
 		writeObjectError(w, http.StatusServiceUnavailable, "ServiceUnavailable", "injected outage")
