Measure chains of calls 13 deep with 13 services

Cause: the depth of the target, 13, was tested with fakes only; whether retries multiply along a chain was not known. Change: the benchmark group "chain" starts 13 services with a daemon and a backend server each, and 13 backend servers that call each other directly.

--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/tools/bench/capacity"
+	"kingcupwood.example/kingcupwood/tools/bench/chain"
 	"kingcupwood.example/kingcupwood/tools/bench/convergence"
 	"kingcupwood.example/kingcupwood/tools/bench/latency"
 	"kingcupwood.example/kingcupwood/tools/bench/row"
@@ -27,6 +28,7 @@
 var groups = []group{
 	{"flood", (*bench).runFlood},
 	{"latency", (*bench).runLatency},
+	{"chain", (*bench).runChain},
 	{"convergence", (*bench).runConvergence},
 	{"capacity", (*bench).runCapacity},
 	{"load", (*bench).runLoad},
@@ -93,6 +95,9 @@
 	return latency.Run(ctx, b.binary, b.emit)
 }
 
+// runChain measures a chain of calls of the greatest depth.
+func (b *bench) runChain(ctx context.Context) error { return chain.Run(ctx, b.binary, b.emit) }
+
 func (b *bench) runConvergence(ctx context.Context) error {
 	sizes := convergence.Sizes
 	if b.sizes != "" {
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -27,6 +27,8 @@
 	Service     string
 	Slots       int
 	Connections int
+	// Calls is the address for calls to other services; the zero value stands for the daemon.
+	Calls netip.AddrPort
 	// Extra holds further lines of the settings file by section.
 	Extra map[string][]string
 }
@@ -197,7 +199,11 @@
 	for _, line := range i.Server.Extra["backend"] {
 		fmt.Fprintln(&b, line)
 	}
-	fmt.Fprintf(&b, "[daemon]\nannounce = %s\ncall = %s\n", i.announcements, i.Callers)
+	calls := i.Server.Calls
+	if !calls.IsValid() {
+		calls = i.Callers
+	}
+	fmt.Fprintf(&b, "[daemon]\nannounce = %s\ncall = %s\n", i.announcements, calls)
 	for section, lines := range i.Server.Extra {
 		if section != "backend" {
 			fmt.Fprintf(&b, "[%s]\n%s\n", section, strings.Join(lines, "\n"))
