Count a call as nested only with a running attempt

Cause: admission control took every request with a depth above 1 for a call between services. Any caller can send Kingcupwood-Depth, so an outside caller could use up the share of the calls on which saves depend.

The depth bounds loops and the timeout bounds the deadline as before, whoever sends them. The stand-in passes the attempt on. A backend server that enters another daemon is admitted like an outside caller.

Ruled out: asking the daemon that runs the attempt when a call enters elsewhere (a round trip for each nested call).

--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -41,6 +41,8 @@
 	StartedMS uint64
 	// AskKey asks another daemon for an idempotency key.
 	AskKey AskKey
+	// Running reports whether the backend server of this daemon works on an attempt.
+	Running func(fence.AttemptID) bool
 	// Snapshot returns the snapshot in force, nil while there is none that may be served.
 	Snapshot func() *snapshot.Snapshot
 	// View returns the current endpoints.
@@ -96,7 +98,7 @@
 		h.refuse(w, f)
 		return
 	}
-	e, err := newExchange(snap, r, h.config.Now())
+	e, err := newExchange(snap, r, h.config.Now(), h.config.Running)
 	if err != nil {
 		f := asRefusal(err)
 		setCommon(w.Header(), snap, &result{refusal: f})
--- a/agent/caller/handler_test.go
+++ b/agent/caller/handler_test.go
@@ -245,3 +245,22 @@
 		}
 	})
 }
+
+// Guards against outside callers that count as backend servers by a depth or an attempt that they made up, and
+// against calls of backend servers that do not.
+func TestNestedCalls(t *testing.T) {
+	is := is.New(t)
+	b := newBench("self")
+	for attempt, want := range map[string]bool{
+		runningAttempt.String(): true, "": false, "0000000000000009-4": false, "9-": false, "-3": false, "many": false,
+	} {
+		for depth, nested := range map[string]bool{"0": false, "1": want} {
+			b.remote.do = func(_ context.Context, _ string, r *call.Request) (*call.Response, error) {
+				is.Equal(r.Nested, nested)
+				return ran(r), nil
+			}
+			w := b.serveHTTP(request("GET", "/pages/1", "", call.DepthHeader, depth, call.AttemptHeader, attempt))
+			is.Equal(w.Code, http.StatusOK)
+		}
+	}
+}
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -11,11 +11,12 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
-// Request headers of the call path, beside call.TimeoutHeader and call.DepthHeader.
+// Request headers of the call path, beside those of package call.
 const (
 	// HeaderService names the service when the Host header does not.
 	HeaderService = "Kingcupwood-Service"
@@ -53,8 +54,9 @@
 	request call.Request
 }
 
-// newExchange routes r on snap and reads its body. Errors are *refusal.
-func newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
+// newExchange routes r on snap and reads its body. running reports whether the backend server of this
+// daemon works on an attempt. Errors are *refusal.
+func newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time, running func(fence.AttemptID) bool) (*exchange, error) {
 	name := serviceName(r)
 	service, kind, ok := snap.Match(name, r.Method, r.URL.Path)
 	if !ok {
@@ -76,9 +78,10 @@
 	if err != nil {
 		return nil, err
 	}
+	nested := depth > 1 && isNested(r, running)
 	e := &exchange{snap: snap, service: service, kind: kind, deadline: now.Add(timeout), key: key}
 	e.request = call.Request{
-		Service: service.Name, Kind: kind.Name, Version: uint64(snap.Version), Depth: depth,
+		Service: service.Name, Kind: kind.Name, Version: uint64(snap.Version), Depth: depth, Nested: nested,
 		Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: forwardHeader(r.Header), Body: body,
 	}
 	return e, nil
@@ -109,6 +112,13 @@
 	return hops + 1, nil
 }
 
+// isNested reports whether r is a call of the backend server of this daemon on behalf of a request that it
+// works on. An outside caller cannot name such an attempt.
+func isNested(r *http.Request, running func(fence.AttemptID) bool) bool {
+	id, ok := fence.ParseAttemptID(r.Header.Get(call.AttemptHeader))
+	return ok && running(id)
+}
+
 // readTimeout returns the smaller of the deadline of the kind and the time that the caller allows.
 func readTimeout(r *http.Request, deadline time.Duration) (time.Duration, error) {
 	value := r.Header.Get(call.TimeoutHeader)
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -155,7 +155,7 @@
 	d.burn = burn.New(burn.Config{}, time.Now)
 	d.callers = caller.NewHandler(caller.Config{
 		Instance: local.Instance, Incarnation: incarnation, StartedMS: local.Incarnation,
-		AskKey: keys.Asker(d.network.DialContext), Snapshot: d.snapshot, View: d.prober.View,
+		AskKey: keys.Asker(d.network.DialContext), Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
 		Budgets:  retry.NewBudgets(retryRatio, retryMinPerSecond, time.Now),
 		Recorder: d.burn, Log: d.log, Now: time.Now,
--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -98,6 +98,7 @@
 	is.NoErr(c.Prepare(within(t, generous), d.addr, 1))
 	for seq := range 3 {
 		want := request(uint64(seq + 1)) // a repeated ID would be refused as a duplicate
+		want.Nested = seq%2 == 0
 		resp, err := c.Do(within(t, generous), d.addr, want)
 		is.NoErr(err)
 		got.table = nil
--- a/agent/peer/call/header.go
+++ b/agent/peer/call/header.go
@@ -26,6 +26,7 @@
 	Target        string
 	Host          string
 	Header        []string
+	Nested        bool
 }
 
 type responseHeader struct {
@@ -67,7 +68,7 @@
 		Service: r.Service, Kind: r.Kind, Version: r.Version,
 		TimeoutMicros: r.Timeout.Microseconds(), Depth: r.Depth,
 		Method: r.Method, Target: r.Target, Host: r.Host,
-		Header: flatten(s.request.Header[:0], r.Header),
+		Header: flatten(s.request.Header[:0], r.Header), Nested: r.Nested,
 	}
 	return encMode.MarshalToBuffer(&s.request, buf)
 }
@@ -89,7 +90,7 @@
 		Attempt: fence.AttemptID{Sender: h.Sender, Seq: h.Seq},
 		Service: h.Service, Kind: h.Kind, Version: h.Version,
 		Timeout: timeout, Depth: h.Depth,
-		Method: h.Method, Target: h.Target, Host: h.Host, Header: header,
+		Method: h.Method, Target: h.Target, Host: h.Host, Header: header, Nested: h.Nested,
 	}, nil
 }
 
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -44,7 +44,10 @@
 	// positive.
 	Timeout time.Duration
 	// Depth is the number of daemons that the chain of calls has entered so far.
-	Depth  int
+	Depth int
+	// Nested says that the sender has seen the request come from a backend server that works on a request
+	// of this chain. Without it the depth is only what the caller claims.
+	Nested bool
 	Method string
 	Target string
 	Host   string
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -29,6 +29,7 @@
 	// owned runs requests whose idempotency key this daemon owns.
 	owned    func(ctx context.Context, r *call.Request) *call.Response
 	draining atomic.Bool
+	running  runningAttempts
 }
 
 // ServeCall implements call.Handler.
@@ -54,13 +55,10 @@
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
-// directDepth is the depth of a request that has entered one daemon only, that of its caller.
-const directDepth = 1
-
 // admissionKind returns the kind of req for admission control, which tells requests of callers from
 // the calls that backend servers make on their behalf.
 func admissionKind(req *call.Request) string {
-	if req.Depth > directDepth {
+	if req.Nested {
 		return admission.CalledName(req.Kind)
 	}
 	return req.Kind
@@ -69,7 +67,11 @@
 // forward passes an admitted request to the backend server.
 func (r *receiver) forward(ctx context.Context, req *call.Request, ticket *admission.Ticket) *call.Response {
 	started := time.Now()
-	resp, err := r.backend.Do(ctx, req, req.Start)
+	defer r.running.remove(req.Attempt)
+	resp, err := r.backend.Do(ctx, req, func() bool {
+		r.running.add(req.Attempt)
+		return req.Start()
+	})
 	outcome := admission.Outcome{}
 	switch {
 	case err != nil:
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -88,6 +88,8 @@
 	req := testRequest()
 	is.Equal(admissionKind(req), "view")
 	req.Depth = 2
+	is.Equal(admissionKind(req), "view") // a claim of the caller
+	req.Nested = true
 	is.Equal(admissionKind(req), admission.CalledName("view"))
 	snap := &snapshot.Snapshot{Services: map[string]*snapshot.Service{
 		"pages":    {Kinds: []snapshot.Kind{{ExpectedRate: 40, Calls: []string{"finder/search"}}, {ExpectedRate: 9}}},
@@ -114,3 +116,18 @@
 	is.Equal(cfg.Kinds[1].ServiceTime, 60*time.Millisecond)           // declared with its calls
 	is.Equal(slotTime(snap, &pages.Kinds[0], 2), 25*time.Millisecond) // a longer chain is cut off
 }
+
+// Guards against a backend server whose calls count as those of outside callers while it works on a request, and
+// against an attempt that it can use for ever.
+func TestAttemptIsRunningWhileTheBackendServerWorks(t *testing.T) {
+	is := is.New(t)
+	var r *receiver
+	during := make(chan bool, 1)
+	r = newTestReceiver(t, func(_ http.ResponseWriter, req *http.Request) {
+		id, ok := fence.ParseAttemptID(req.Header.Get(call.AttemptHeader))
+		during <- ok && id == testRequest().Attempt && r.running.contains(id)
+	})
+	is.Equal(r.ServeCall(t.Context(), testRequest()).Status, http.StatusOK)
+	is.True(<-during)
+	is.True(!r.running.contains(testRequest().Attempt))
+}
--- a/pkg/fence/table.go
+++ b/pkg/fence/table.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 )
 
@@ -27,6 +29,16 @@
 // String returns the form used in logs and in the header Kingcupwood-Attempt.
 func (id AttemptID) String() string { return fmt.Sprintf("%016x-%d", id.Sender, id.Seq) }
 
+// ParseAttemptID reads the form of String, and reports whether it is one.
+func ParseAttemptID(s string) (AttemptID, bool) {
+	sender, seq, found := strings.Cut(s, "-")
+	id := AttemptID{}
+	var errSender, errSeq error
+	id.Sender, errSender = strconv.ParseUint(sender, 16, 64)
+	id.Seq, errSeq = strconv.ParseUint(seq, 10, 64)
+	return id, found && errSender == nil && errSeq == nil
+}
+
 // Answer is the reply to a fence.
 type Answer uint8
 
--- a/standin/backend/server_test.go
+++ b/standin/backend/server_test.go
@@ -98,14 +98,14 @@
 }
 
 // Guards against repeated runs that tests cannot see, and against calls to other services without
-// timeout, depth and request ID.
+// timeout, depth, attempt and request ID.
 func TestRunsAndCalls(t *testing.T) {
 	is := is.New(t)
 	d := startDaemon(t)
 	s := newSettings(d)
 	s.Work.Calls = []string{"/pages=finder/search"}
 	_, url, stop := start(t, s)
-	header := http.Header{call.TimeoutHeader: {"20000"}, call.DepthHeader: {"4"}}
+	header := http.Header{call.TimeoutHeader: {"20000"}, call.DepthHeader: {"4"}, call.AttemptHeader: {"9-3"}}
 	for range 2 {
 		resp, body, err := send(t, t.Context(), url+"/pages/a", "r1", header)
 		is.NoErr(err)
@@ -114,6 +114,7 @@
 		called := <-d.calls
 		is.Equal(called.Host, "finder")
 		is.Equal(called.Header.Get(call.DepthHeader), "4")
+		is.Equal(called.Header.Get(call.AttemptHeader), "9-3")
 		is.Equal(called.Header.Get(RequestIDHeader), "r1")
 		is.True(called.Header.Get(call.TimeoutHeader) != "")
 	}
--- a/standin/backend/work.go
+++ b/standin/backend/work.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// call sends a request to another service through the daemon, with the timeout, depth and ID of r.
+// call sends a request to another service through the daemon, with the timeout, depth, attempt and ID of r.
 func (s *Server) call(ctx context.Context, r *http.Request, to target) error {
 	url := "http://" + s.settings.Daemon.Call.String() + to.path
 	out, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -110,7 +110,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		out.Header.Set(call.TimeoutHeader, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
-	for _, name := range []string{call.DepthHeader, RequestIDHeader} {
+	for _, name := range []string{call.DepthHeader, call.AttemptHeader, RequestIDHeader} {
 		if value := r.Header.Get(name); value != "" {
 			out.Header.Set(name, value)
 		}
