Define the headers that are not passed on once

Cause: agent/caller and agent/backend each had a list of the headers of one connection and a reader of the Connection header, so that a name could be added to one only. Some test set-up stood twice.

Change: package call, which both use, has the list, ConnectionOptions and RemoveHopHeaders. The caller side also drops Host, Expect and the attempt now, which the backend side dropped before.

Left: agent/caller and agent/peer/keys share imports and a handler configuration (most of the pair is the import list).

--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -162,7 +162,7 @@
 			resp.RetryAfter = time.Duration(seconds) * time.Second
 		}
 	}
-	removeHopHeaders(head.Header)
+	call.RemoveHopHeaders(head.Header)
 	head.Header.Del(verdict.Header)
 	resp.Header = head.Header
 	return resp
--- a/agent/backend/request.go
+++ b/agent/backend/request.go
@@ -15,15 +15,6 @@
 // copyBodyBytes is the size up to which a body is copied behind the header for a single write.
 const copyBodyBytes = 16 << 10
 
-// replacedHeaders are set by the daemon or concern one connection only, so that they are not copied
-// from the caller. The names are canonical.
-var replacedHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Host": true, "Content-Length": true, "Expect": true,
-	call.TimeoutHeader: true, call.DepthHeader: true, call.AttemptHeader: true,
-}
-
 // checkRequest rejects what would break the framing of HTTP/1.1.
 func checkRequest(r *call.Request) error {
 	if !isToken(r.Method) || r.Method == http.MethodConnect {
@@ -77,10 +68,10 @@
 	b = append(b, r.Target...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = appendHeader(b, "Host", r.Host)
-	listed := connectionOptions(r.Header)
+	listed := call.ConnectionOptions(r.Header)
 	for name, values := range r.Header {
 		canonical := http.CanonicalHeaderKey(name)
-		if replacedHeaders[canonical] || listed[canonical] {
+		if call.IsHopHeader(canonical) || listed[canonical] || canonical == "Content-Length" {
 			continue
 		}
 		for _, value := range values {
@@ -110,34 +101,6 @@
 	return append(b, "\r\n"...)
 }
 
-// connectionOptions returns the canonical names listed in the Connection header; nil if there are
-// none.
-func connectionOptions(h http.Header) map[string]bool {
-	var listed map[string]bool
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			if listed == nil {
-				listed = map[string]bool{}
-			}
-			listed[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return listed
-}
-
-// removeHopHeaders removes from the header of a response what concerns one connection only. The
-// length stays, because the response to HEAD has one without a body.
-func removeHopHeaders(h http.Header) {
-	for name := range connectionOptions(h) {
-		delete(h, name)
-	}
-	for name := range h {
-		if replacedHeaders[name] && name != "Content-Length" {
-			delete(h, name)
-		}
-	}
-}
-
 // write sends the head in c.out and body, in one system call where possible. It returns the number
 // of bytes that were sent.
 func (c *conn) write(body []byte) (int64, error) {
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -158,23 +158,12 @@
 	return refuse(http.StatusBadRequest, "the request body ended early: %v", errors.Cause(err))
 }
 
-// hopHeaders belong to one connection or are set anew by each daemon, so they are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-	call.TimeoutHeader, call.DepthHeader, headerOwner,
-}
-
-// forwardHeader removes from h what must not reach the backend server, and returns h.
+// forwardHeader removes from h what must not reach the backend server, and returns h. The length of the
+// body is known, and only daemons name the owner of a key.
 func forwardHeader(h http.Header) http.Header {
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
+	call.RemoveHopHeaders(h)
+	delete(h, "Content-Length")
+	delete(h, headerOwner)
 	return h
 }
 
--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	_ "embed"
 	"fmt"
 	"io"
 	"net/http"
@@ -52,25 +53,12 @@
 	"c1": "pages", "c2": "pages", "c3": "pages",
 }
 
+//go:embed platform/testdata/service.ini
+var serviceAnswers string
+
 // answersOf is an answer file; revisions differ in their slots.
 func answersOf(service string, slots int) []byte {
-	return fmt.Appendf(nil, `[service]
-name = %s
-team = wiki
-capacity-slots = %d
-capacity-connections = 100
-servers = 2
-
-[kind view]
-match = GET /
-rank = 2
-idempotent = yes
-deadline = 800ms
-expected-rate = 40/s
-service-time = 5ms
-worth = 1
-objective = 99%%
-`, service, slots)
+	return fmt.Appendf(nil, serviceAnswers, service, slots, 2, "")
 }
 
 // node is an instance: a daemon and a backend server.
--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -139,15 +139,20 @@
 	is.Equal(string(resp.Body), "/next body")
 }
 
+// startCounting starts a daemon that echoes and counts its runs.
+func startCounting(t *testing.T) (*daemon, *atomic.Int32) {
+	var runs atomic.Int32
+	return startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		runs.Add(1)
+		return echo(ctx, r)
+	}), &runs
+}
+
 // Guards against a duplicate that runs, and against telling its sender "not run" although the first
 // delivery has run.
 func TestDuplicateDelivery(t *testing.T) {
 	is := is.New(t)
-	var runs atomic.Int32
-	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
-		runs.Add(1)
-		return echo(ctx, r)
-	})
+	d, runs := startCounting(t)
 	c := newTestClient(t)
 	_, err := c.Do(within(t, generous), d.addr, request(1))
 	is.NoErr(err)
@@ -192,11 +197,7 @@
 // Guards against a request that runs after its fence has overtaken it.
 func TestFenceOvertakesRequest(t *testing.T) {
 	is := is.New(t)
-	var runs atomic.Int32
-	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
-		runs.Add(1)
-		return echo(ctx, r)
-	})
+	d, runs := startCounting(t)
 	c := newTestClient(t)
 	r := request(1)
 	c.noteLost(r.Attempt, d.addr, 77)
--- a/agent/peer/sync/follower_test.go
+++ b/agent/peer/sync/follower_test.go
@@ -193,20 +193,27 @@
 	}
 }
 
+// killWhileCutOff cuts a domain off from the platform and the other domains, accepts version, and kills one
+// daemon inside once all outside have it.
+func (c *cluster) killWhileCutOff(domain string, version snapshot.Version) *daemon {
+	inside := c.inDomain(domain, true)
+	c.setCut(domain, true)
+	c.platform.set(func() {
+		for _, d := range inside {
+			c.platform.cut[d.record.Instance] = true
+		}
+	})
+	c.accept(version)
+	c.until("other domains", changeLimit, c.inDomain(domain, false), at(version))
+	inside[2].kill()
+	return inside[2]
+}
+
 // Guards against a restart in a domain that is cut off from the platform and the other domains:
 // it must serve the highest version known inside, and follow when the partition ends.
 func TestRestartInPartitionedDomain(t *testing.T) {
 	run(t, 12, 3, func(is *is.I, c *cluster) {
-		inside := c.inDomain("domain-1", true)
-		c.setCut("domain-1", true)
-		c.platform.set(func() {
-			for _, d := range inside {
-				c.platform.cut[d.record.Instance] = true
-			}
-		})
-		c.accept(4)
-		c.until("other domains", changeLimit, c.inDomain("domain-1", false), at(4))
-		inside[2].kill()
+		c.killWhileCutOff("domain-1", 4)
 		d := c.start(7, "domain-1")
 		c.until("ready inside", 2*changeLimit, []*daemon{d}, (*daemon).Ready)
 		is.Equal(d.store.Version(), snapshot.Version(3))
@@ -220,17 +227,8 @@
 // platform is still being asked, and stops when it answers.
 func TestRestartWaitsForPlatform(t *testing.T) {
 	run(t, 12, 3, func(is *is.I, c *cluster) {
-		inside := c.inDomain("domain-1", true)
-		c.setCut("domain-1", true)
-		c.platform.set(func() {
-			for _, d := range inside {
-				c.platform.cut[d.record.Instance] = true
-			}
-		})
-		c.accept(4)
-		c.until("other domains", changeLimit, c.inDomain("domain-1", false), at(4))
-		inside[2].kill()
-		c.platform.set(func() { delete(c.platform.cut, inside[2].record.Instance) })
+		killed := c.killWhileCutOff("domain-1", 4)
+		c.platform.set(func() { delete(c.platform.cut, killed.record.Instance) })
 		d := c.start(7, "domain-1")
 		for deadline := time.Now().Add(changeLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 			is.True(!d.Ready() || d.store.Version() == 4)
--- a/agent/platform/harness_test.go
+++ b/agent/platform/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	_ "embed"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -18,26 +19,12 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+//go:embed testdata/service.ini
+var serviceAnswers string
+
 // answersFor is an answer file.
 func answersFor(name string, slots int, dependsOn ...string) []byte {
-	return fmt.Appendf(nil, `[service]
-name = %s
-team = wiki
-capacity-slots = %d
-capacity-connections = 100
-servers = 4
-depends-on = %s
-
-[kind view]
-match = GET /
-rank = 2
-idempotent = yes
-deadline = 800ms
-expected-rate = 40/s
-service-time = 5ms
-worth = 1
-objective = 99%%
-`, name, slots, strings.Join(dependsOn, ", "))
+	return fmt.Appendf(nil, serviceAnswers, name, slots, 4, strings.Join(dependsOn, ", "))
 }
 
 // clock is a settable clock.
