--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -112,31 +112,10 @@
 // Guards against a late response that is taken for the response to the next request.
 func TestLateResponse(t *testing.T) {
 	is := is.New(t)
-	arrived, release, written := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
-		if r.Attempt.Seq == 1 {
-			close(arrived)
-			<-release
-			defer close(written)
-		}
-		return echo(ctx, r)
-	})
-	c := newTestClient(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-arrived
-		cancel()
-	}()
-	_, err := c.Do(ctx, d.addr, request(1))
+	body, err := bodyAfterLateResponse(t, newTestClient(t).Do)
 	is.Equal(verdict.Of(err), verdict.MayHaveRun)
 	is.True(errors.Is(err, context.Canceled))
-	close(release)
-	<-written
-	next := request(2)
-	next.Target = "/next"
-	resp, err := c.Do(within(t, generous), d.addr, next)
-	is.NoErr(err)
-	is.Equal(string(resp.Body), "/next body")
+	is.Equal(body, "/next body")
 }
 
 // startCounting starts a daemon that echoes and counts its runs.
