--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -37,6 +37,12 @@
 type Config struct {
 	Instance    endpoint.InstanceID
 	Incarnation uint64
+	// StartedMS is the Unix time of the start in milliseconds. It is the first Incarnation of the record.
+	StartedMS uint64
+	// AskKey asks another daemon for an idempotency key.
+	AskKey AskKey
+	// Running reports whether the backend server of this daemon works on an attempt.
+	Running func(fence.AttemptID) bool
 	// Snapshot returns the snapshot in force, nil while there is none that may be served.
 	Snapshot func() *snapshot.Snapshot
 	// View returns the current endpoints.
@@ -60,7 +66,7 @@
 }
 
 type metrics struct {
-	requests, retries, refusals, fences expvar.Int
+	requests, retries, refusals, fences, questions expvar.Int
 }
 
 // NewHandler returns a Handler for config.
@@ -77,6 +83,7 @@
 	m.Set("retries", &h.metrics.retries)
 	m.Set("refusals", &h.metrics.refusals)
 	m.Set("fences", &h.metrics.fences)
+	m.Set("key_questions", &h.metrics.questions)
 	m.Set("keys", expvar.Func(func() any { return h.keys.table.Len() }))
 	return m
 }
@@ -91,7 +98,7 @@
 		h.refuse(w, f)
 		return
 	}
-	e, err := newExchange(snap, r, h.config.Now())
+	e, err := newExchange(snap, r, h.config.Now(), h.config.Running)
 	if err != nil {
 		f := asRefusal(err)
 		setCommon(w.Header(), snap, &result{refusal: f})
--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -98,6 +98,7 @@
 	is.NoErr(c.Prepare(within(t, generous), d.addr, 1))
 	for seq := range 3 {
 		want := request(uint64(seq + 1)) // a repeated ID would be refused as a duplicate
+		want.Nested = seq%2 == 0
 		resp, err := c.Do(within(t, generous), d.addr, want)
 		is.NoErr(err)
 		got.table = nil
@@ -111,42 +112,26 @@
 // Guards against a late response that is taken for the response to the next request.
 func TestLateResponse(t *testing.T) {
 	is := is.New(t)
-	arrived, release, written := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
-		if r.Attempt.Seq == 1 {
-			close(arrived)
-			<-release
-			defer close(written)
-		}
-		return echo(ctx, r)
-	})
-	c := newTestClient(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-arrived
-		cancel()
-	}()
-	_, err := c.Do(ctx, d.addr, request(1))
+	body, err := bodyAfterLateResponse(t, newTestClient(t).Do)
 	is.Equal(verdict.Of(err), verdict.MayHaveRun)
 	is.True(errors.Is(err, context.Canceled))
-	close(release)
-	<-written
-	next := request(2)
-	next.Target = "/next"
-	resp, err := c.Do(within(t, generous), d.addr, next)
-	is.NoErr(err)
-	is.Equal(string(resp.Body), "/next body")
+	is.Equal(body, "/next body")
+}
+
+// startCounting starts a daemon that echoes and counts its runs.
+func startCounting(t *testing.T) (*daemon, *atomic.Int32) {
+	var runs atomic.Int32
+	return startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		runs.Add(1)
+		return echo(ctx, r)
+	}), &runs
 }
 
 // Guards against a duplicate that runs, and against telling its sender "not run" although the first
 // delivery has run.
 func TestDuplicateDelivery(t *testing.T) {
 	is := is.New(t)
-	var runs atomic.Int32
-	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
-		runs.Add(1)
-		return echo(ctx, r)
-	})
+	d, runs := startCounting(t)
 	c := newTestClient(t)
 	_, err := c.Do(within(t, generous), d.addr, request(1))
 	is.NoErr(err)
@@ -191,11 +176,7 @@
 // Guards against a request that runs after its fence has overtaken it.
 func TestFenceOvertakesRequest(t *testing.T) {
 	is := is.New(t)
-	var runs atomic.Int32
-	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
-		runs.Add(1)
-		return echo(ctx, r)
-	})
+	d, runs := startCounting(t)
 	c := newTestClient(t)
 	r := request(1)
 	c.noteLost(r.Attempt, d.addr, 77)
