--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -42,7 +42,7 @@
 // errRefused tells that a peer offered a version that this daemon refused.
 var errRefused = errors.New("the offered version was refused")
 
-// follow keeps a long poll open at the parent in the tree while this daemon does not lead.
+// follow keeps a long poll open at the parent in the tree, a lease holder at the other holder.
 func (f *Follower) follow(ctx context.Context) {
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
 	var s *session
@@ -53,7 +53,7 @@
 		if !slices.Equal(parents, last) {
 			last, next = parents, 0
 		}
-		if f.leading.Load() || len(parents) == 0 {
+		if len(parents) == 0 {
 			closeSession(s)
 			s = nil
 			pause(ctx, idlePause)
@@ -98,9 +98,24 @@
 	return backoff.Next(f.random)
 }
 
-// parents returns the daemons to poll in order of preference.
+// parents returns the daemons to poll in order of preference. The holders of a domain poll one
+// another: what one has read, the other need not read from the platform, and no half of the domain
+// waits for its own root.
 func (f *Follower) parents() []endpoint.InstanceID {
-	return distribution.Parents(f.cfg.Self.Instance, f.cfg.Self.Domain, f.holders(), f.domainMembers())
+	holders := f.holders()
+	if slices.Contains(holders, f.cfg.Self.Instance) {
+		return f.otherHolders()
+	}
+	return distribution.Parents(f.cfg.Self.Instance, f.cfg.Self.Domain, holders, f.domainMembers())
+}
+
+// otherHolders returns the known holders of the own domain that are alive, without this daemon.
+func (f *Follower) otherHolders() []endpoint.InstanceID {
+	records := f.cfg.Members.View().Records
+	return slices.DeleteFunc(f.holders(), func(id endpoint.InstanceID) bool {
+		_, live := records[id]
+		return id == f.cfg.Self.Instance || !live
+	})
 }
 
 // pollParent polls once over s, or over a new connection if s is nil or leads elsewhere. It returns
@@ -141,6 +156,12 @@
 func (f *Follower) poll(ctx context.Context, s *session, wait time.Duration) error {
 	have := f.cfg.Store.Version()
 	err := f.pollFor(ctx, s, PollArgs{Have: have, Full: have == 0, Wait: wait, Domain: f.cfg.Self.Domain})
+	if now := f.cfg.Store.Version(); errors.Is(err, ErrOtherBase) && now > have {
+		// Another source gave this daemon a version during the poll. A delta to the present one is
+		// some hundred bytes, a complete one some hundred kilobytes.
+		have = now
+		err = f.pollFor(ctx, s, PollArgs{Have: have})
+	}
 	if errors.Is(err, ErrOtherBase) || (errors.Is(err, errRefused) && have != 0) {
 		// The delta does not fit what is in force here; a complete one always does.
 		err = f.pollFor(ctx, s, PollArgs{Have: have, Full: true})
@@ -149,6 +170,7 @@
 }
 
 func (f *Follower) pollFor(ctx context.Context, s *session, args PollArgs) error {
+	args.Packed = true
 	var reply PollReply
 	if err := s.call(ctx, args.Wait+pollGrace, "Poll", args, &reply); err != nil {
 		return err
@@ -165,7 +187,10 @@
 	if len(reply.Delta) == 0 {
 		return nil
 	}
-	d, err := decodeDelta(reply.Delta)
+	d, err := f.readDelta(&reply)
+	if errors.Is(err, ErrOtherBase) {
+		return err
+	}
 	if err != nil {
 		f.refuse(reply.Highest, s.addr, err)
 		return errors.Wrap(errRefused, err.Error())
@@ -173,6 +198,16 @@
 	return f.offer(d, s.addr)
 }
 
+// readDelta returns the delta of a reply with its objects in full. It returns ErrOtherBase if they are
+// packed and their base is not known here.
+func (f *Follower) readDelta(reply *PollReply) (*snapshot.Delta, error) {
+	d, err := decodeDelta(reply.Delta)
+	if err == nil && reply.Packed {
+		err = f.cfg.Store.unpack(d)
+	}
+	return d, err
+}
+
 func (f *Follower) offer(d *snapshot.Delta, source string) error {
 	err := f.apply(d, source)
 	if err == nil || errors.Is(err, ErrOtherBase) {
