Probes: authenticate packets with a group key

Cause: a forged probe with a false high version keeps restarted daemons from serving, as they wait for that version floor.

The code covers both addresses. The receiver refuses stamps more than 5 minutes off its clock and those that it has seen. Refused packets are dropped before they are decoded, counted by reason and logged at most once in 10 s (event 4104). The prober does not get keys from the settings yet.

Ruled out: sequence numbers without time stamps, since a receiver must then keep every sender for ever, and one without a clock must be refused or accepted blindly after a restart of either side.

--- a/agent/peer/probe/bench_test.go
+++ b/agent/peer/probe/bench_test.go
@@ -7,35 +7,39 @@
 	"time"
 
 	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/packetauth"
 )
 
 // BenchmarkSockets reports the CPU time and the traffic of each daemon for probes over the loopback
 // interface at idle. The process runs all daemons; the bound is 42 ms/s for a whole daemon.
 func BenchmarkSockets(b *testing.B) {
-	const period = 5 * time.Second
 	for _, n := range []int{25, 50, 100, 200} {
-		b.Run(fmt.Sprintf("daemons-%d", n), func(b *testing.B) {
-			var probers []*Prober
-			var entries []membership.Entry
-			for i := range n {
-				p, record, stop := start(b, i)
-				defer stop()
-				probers, entries = append(probers, p), append(entries, membership.Entry{Record: record})
-			}
-			for _, p := range probers {
-				p.Do(func(now time.Time, s *membership.State) { s.Merge(now, entries) })
-			}
-			time.Sleep(2 * period) // the updates of the start are sent
-			for range b.N {
-				cpu, before := cpuTime(), total(probers)
-				time.Sleep(period)
-				used, after := cpuTime()-cpu, total(probers)
-				each := float64(n) * period.Seconds()
-				b.ReportMetric(float64(used.Microseconds())/1000/each, "cpu-ms/s")
-				b.ReportMetric(float64(after.SentBytes-before.SentBytes)/each, "sentB/s")
-				b.ReportMetric(float64(after.ReceivedBytes-before.ReceivedBytes)/each, "receivedB/s")
-			}
-		})
+		b.Run(fmt.Sprintf("daemons-%d", n), func(b *testing.B) { benchmarkSockets(b, n, nil) })
+	}
+	b.Run("daemons-100-authenticated", func(b *testing.B) { benchmarkSockets(b, 100, ring(b, "a")) })
+}
+
+func benchmarkSockets(b *testing.B, n int, keys *packetauth.Ring) {
+	const period = 5 * time.Second
+	var probers []*Prober
+	var entries []membership.Entry
+	for i := range n {
+		p, record, stop := startWith(b, i, keys)
+		defer stop()
+		probers, entries = append(probers, p), append(entries, membership.Entry{Record: record})
+	}
+	for _, p := range probers {
+		p.Do(func(now time.Time, s *membership.State) { s.Merge(now, entries) })
+	}
+	time.Sleep(2 * period) // the updates of the start are sent
+	for range b.N {
+		cpu, before := cpuTime(), total(probers)
+		time.Sleep(period)
+		used, after := cpuTime()-cpu, total(probers)
+		each := float64(n) * period.Seconds()
+		b.ReportMetric(float64(used.Microseconds())/1000/each, "cpu-ms/s")
+		b.ReportMetric(float64(after.SentBytes-before.SentBytes)/each, "sentB/s")
+		b.ReportMetric(float64(after.ReceivedBytes-before.ReceivedBytes)/each, "receivedB/s")
 	}
 }
 
--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -12,15 +12,20 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/packetauth"
 )
 
 // receiveRetryPause separates attempts after an error of the socket, such as exhausted buffers.
 const receiveRetryPause = 10 * time.Millisecond
 
+// rejectLogInterval separates two events about refused packets.
+const rejectLogInterval = 10 * time.Second
+
 // Conn is the part of *net.UDPConn that a Prober uses.
 type Conn interface {
 	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
@@ -39,6 +44,8 @@
 	conn  Conn
 	log   *event.Logger
 	state *membership.State
+	// auth is nil if packets are not authenticated.
+	auth *packetauth.Authenticator
 	// mu guards state. It is never held during a system call.
 	mu sync.Mutex
 
@@ -47,11 +54,22 @@
 
 	sentPackets, sentBytes         atomic.Uint64
 	receivedPackets, receivedBytes atomic.Uint64
+	rejected                       [packetauth.Rejects]atomic.Uint64
+	// rejectLog bounds the events for refused packets; anybody can cause them.
+	rejectLog rate.Sometimes
 }
 
 // New returns a Prober that sends and receives over conn and closes it when Run ends.
 func New(conn Conn, state *membership.State, log *event.Logger) *Prober {
-	return &Prober{conn: conn, state: state, log: log}
+	return &Prober{conn: conn, state: state, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval}}
+}
+
+// NewAuthenticated is New with packets that auth seals and opens. The state must leave
+// packetauth.Overhead bytes of each packet free.
+func NewAuthenticated(conn Conn, state *membership.State, auth *packetauth.Authenticator, log *event.Logger) *Prober {
+	p := New(conn, state, log)
+	p.auth = auth
+	return p
 }
 
 // Run receives packets and ticks until ctx is done. It then announces that this daemon leaves,
@@ -112,8 +130,50 @@
 		p.receivedPackets.Add(1)
 		p.receivedBytes.Add(uint64(n))
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		p.deliver(p.handle(from, buf[:n]))
+		if message, err := p.open(from, buf[:n]); err != nil {
+			p.reject(from, err)
+		} else {
+			p.deliver(p.handle(from, message))
+		}
+	}
+}
+
+// open returns the message in a packet.
+func (p *Prober) open(from netip.AddrPort, packet []byte) ([]byte, error) {
+	if p.auth == nil {
+		return packet, nil
+	}
+	return p.auth.Open(time.Now(), from, packet)
+}
+
+// seal returns the packet for a message.
+func (p *Prober) seal(to netip.AddrPort, message []byte) []byte {
+	if p.auth == nil {
+		return message
+	}
+	return p.auth.Seal(time.Now(), to, message)
+}
+
+// reject counts a refused packet. Only receive calls it.
+func (p *Prober) reject(from netip.AddrPort, err error) {
+	var reason packetauth.Reject
+	if errors.As(err, &reason) {
+		p.rejected[reason].Add(1)
+	}
+	p.rejectLog.Do(func() {
+		p.log.Log(event.ProbeRejected, zap.Stringer("from", from), zap.Stringer("reason", reason), zap.Any("rejected", p.Rejected()))
+	})
+}
+
+// Rejected returns the number of refused packets by reason; reasons that did not occur are left out.
+func (p *Prober) Rejected() map[string]uint64 {
+	counts := map[string]uint64{}
+	for reason := range p.rejected {
+		if n := p.rejected[reason].Load(); n > 0 {
+			counts[packetauth.Reject(reason).String()] = n
+		}
 	}
+	return counts
 }
 
 func (p *Prober) handle(from netip.AddrPort, data []byte) []membership.Packet {
@@ -136,12 +196,13 @@
 
 func (p *Prober) deliver(packets []membership.Packet) {
 	for _, packet := range packets {
-		if _, err := p.conn.WriteToUDPAddrPort(packet.Data, packet.To); err != nil {
+		data := p.seal(packet.To, packet.Data)
+		if _, err := p.conn.WriteToUDPAddrPort(data, packet.To); err != nil {
 			p.log.Log(event.ProbeSendFailed, zap.Stringer("to", packet.To), zap.Error(err))
 			continue
 		}
 		p.sentPackets.Add(1)
-		p.sentBytes.Add(uint64(len(packet.Data)))
+		p.sentBytes.Add(uint64(len(data)))
 	}
 }
 
--- a/agent/peer/probe/probe_test.go
+++ b/agent/peer/probe/probe_test.go
@@ -1,10 +1,13 @@
 package probe
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,12 +17,16 @@
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/packetauth"
 )
 
 // deadline is generous; only a lost packet of the loopback interface delays the test.
 const deadline = time.Minute
 
-func start(t testing.TB, i int) (*Prober, endpoint.Record, func()) {
+func start(t testing.TB, i int) (*Prober, endpoint.Record, func()) { return startWith(t, i, nil) }
+
+// startWith starts a Prober with the keys in ring, or without authentication for nil.
+func startWith(t testing.TB, i int, ring *packetauth.Ring) (*Prober, endpoint.Record, func()) {
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	if err != nil {
@@ -30,6 +37,11 @@
 		ProbeAddr: conn.LocalAddr().String(), State: endpoint.Ready,
 	}
 	p := New(conn, membership.New(membership.Config{Local: r}, time.Now(), uint64(i)), event.Nop())
+	if ring != nil {
+		state := membership.New(membership.Config{Local: r, Reserve: packetauth.Overhead}, time.Now(), uint64(i))
+		auth := packetauth.New(netip.MustParseAddrPort(r.ProbeAddr), func() *packetauth.Ring { return ring }, rand.Uint32)
+		p = NewAuthenticated(conn, state, auth, event.Nop())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
@@ -85,3 +97,51 @@
 	is.NoErr(conn.Close())
 	is.True(p.Run(context.Background()) != nil)
 }
+
+func ring(t testing.TB, digit string) *packetauth.Ring {
+	t.Helper()
+	r, err := packetauth.ParseRing([]byte(strings.Repeat(digit, 2*packetauth.KeyBytes)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against an authenticated prober that takes a configuration version from a forged, truncated or
+// replayed packet, or from a daemon with another key or none, and against refusals that are not counted.
+func TestRefusedPackets(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	a, recordA, stopA := startWith(t, 1, ring(t, "a"))
+	defer stopA()
+	b, _, stopB := startWith(t, 2, ring(t, "a"))
+	defer stopB()
+	for i, keys := range []*packetauth.Ring{nil, ring(t, "b")} {
+		stranger, _, stop := startWith(t, 3+i, keys)
+		defer stop()
+		stranger.Do(func(now time.Time, s *membership.State) {
+			s.SetVersion(1 << 40)
+			s.Merge(now, []membership.Entry{{Record: recordA}})
+		})
+	}
+	b.Do(func(now time.Time, s *membership.State) { s.Merge(now, []membership.Entry{{Record: recordA}}) })
+	eventually(t, func() bool { return a.Rejected()["unknown-key"] >= 3 && len(a.View().Records) == 2 })
+
+	// This socket has the key and one valid packet, which it damages and repeats.
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	is.NoErr(err)
+	defer func() { is.NoErr(conn.Close()) }()
+	own, to := netip.MustParseAddrPort(conn.LocalAddr().String()), netip.MustParseAddrPort(recordA.ProbeAddr)
+	valid := packetauth.New(own, func() *packetauth.Ring { return ring(t, "a") }, rand.Uint32).Seal(time.Now(), to, nil)
+	forged := bytes.Clone(valid)
+	forged[len(forged)-1] ^= 1
+	for _, packet := range [][]byte{valid, valid, forged, valid[:len(valid)-1]} {
+		_, err := conn.WriteToUDPAddrPort(packet, to)
+		is.NoErr(err)
+	}
+	eventually(t, func() bool {
+		r := a.Rejected()
+		return r["replayed"] == 1 && r["wrong-code"] == 1 && r["truncated"] == 1
+	})
+	a.Do(func(_ time.Time, s *membership.State) { is.Equal(uint64(s.Highest()), uint64(0)) })
+}
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -7,6 +7,7 @@
 	ProbeReceiveFailed  = Event{4101, zapcore.WarnLevel, "probe socket: receiving failed"}
 	ProbeSendFailed     = Event{4102, zapcore.DebugLevel, "probe socket: sending failed"}
 	DomainReachability  = Event{4103, zapcore.WarnLevel, "reachability of a failure domain changed"}
+	ProbeRejected       = Event{4104, zapcore.WarnLevel, "probe refused by its authentication"}
 	PeerJoined          = Event{4201, zapcore.InfoLevel, "joined the membership"}
 	PeerJoinFailed      = Event{4202, zapcore.WarnLevel, "joining the membership failed, will be retried"}
 	PeerRepairFailed    = Event{4203, zapcore.DebugLevel, "anti-entropy exchange with a member failed"}
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -77,6 +77,9 @@
 	// Local is the record of this instance: identity, failure domain, incarnation (start time in
 	// milliseconds) and addresses.
 	Local endpoint.Record
+	// Reserve is the number of bytes of MaxPacketBytes that packets leave free, for what the sender of
+	// the packets adds to them.
+	Reserve int
 }
 
 // Packet is a datagram to be sent to a member.
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -262,3 +262,23 @@
 		}
 	})
 }
+
+// Guards against packets that exceed the limit once their code is added.
+func TestReserve(t *testing.T) {
+	const reserve = 32
+	sizes := map[int]int{}
+	for _, left := range []int{0, reserve} {
+		s := New(Config{Local: testRecord(1, "domain-0", 1000), Reserve: left}, epoch, 1)
+		for i := range 100 {
+			s.Merge(epoch, []Entry{{Record: testRecord(i+2, "domain-0", 1000)}})
+		}
+		for i := range 50 {
+			for _, p := range s.Tick(epoch.Add(time.Duration(i) * TickInterval)) {
+				sizes[left] = max(sizes[left], len(p.Data))
+			}
+		}
+	}
+	if sizes[0] <= MaxPacketBytes-reserve || sizes[reserve] > MaxPacketBytes-reserve {
+		t.Fatalf("largest packets by reserve: %v", sizes)
+	}
+}
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -15,10 +15,12 @@
 
 // State is the membership of one daemon.
 type State struct {
-	self    endpoint.InstanceID
-	local   *member
-	members map[endpoint.InstanceID]*member
-	domains map[string]*domain
+	self  endpoint.InstanceID
+	local *member
+	// maxPacket is the largest size of a packet in bytes.
+	maxPacket int
+	members   map[endpoint.InstanceID]*member
+	domains   map[string]*domain
 	// sorted lists the domains by name; iteration over it is deterministic.
 	sorted []*domain
 	// dead lists dead members in order of diedAt.
@@ -60,15 +62,16 @@
 // the same packets.
 func New(cfg Config, now time.Time, seed uint64) *State {
 	s := &State{
-		self:    cfg.Local.Instance,
-		members: map[endpoint.InstanceID]*member{},
-		domains: map[string]*domain{},
-		strings: map[string]string{},
-		rng:     rand.New(rand.NewPCG(seed, seed>>1)),
-		queue:   newQueue(),
-		trusted: true,
-		holders: map[int]Holder{},
-		changed: map[endpoint.InstanceID]struct{}{},
+		self:      cfg.Local.Instance,
+		maxPacket: MaxPacketBytes - cfg.Reserve,
+		members:   map[endpoint.InstanceID]*member{},
+		domains:   map[string]*domain{},
+		strings:   map[string]string{},
+		rng:       rand.New(rand.NewPCG(seed, seed>>1)),
+		queue:     newQueue(),
+		trusted:   true,
+		holders:   map[int]Holder{},
+		changed:   map[endpoint.InstanceID]struct{}{},
 	}
 	record := cfg.Local
 	if record.State == 0 {
@@ -197,7 +200,7 @@
 		m.Updates = append(m.Updates, mustEncode(u))
 	}
 	// The header of the update array grows by up to 2 bytes.
-	budget := MaxPacketBytes - len(mustEncode(m)) - 2
+	budget := s.maxPacket - len(mustEncode(m)) - 2
 	m.Updates = append(m.Updates, s.queue.take(budget, s.transmitLimit(), remote)...)
 	s.out = append(s.out, Packet{To: addr, Data: mustEncode(m)})
 }
