TCP between daemons: mutual TLS 1.3; files, settings and command for keys

Cause: whoever reached the calls or rpc address of a daemon could send calls, fences, sync requests and idempotency keys.

Change: section [security] names certificate, private key, authorities and probe keys, all or none. Calls and net/rpc run over TLS 1.3 with certificates on both sides; the certificate of the accepting daemon names the IP address that was dialed. Files are read again every 5 s and replace the former ones only if all are valid (events 1009, 1010); open connections stay. The handshake of an accepted connection runs in the goroutine that serves it, within 5 s. Connections close without a TLS message, which could block on a frozen peer; the check of idle connections looks at the socket below TLS. kingcupwood keys makes the files.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -9,12 +9,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"kingcupwood.example/kingcupwood/agent/backend"
 	"kingcupwood.example/kingcupwood/agent/caller"
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/agent/peer/secure"
+	"kingcupwood.example/kingcupwood/lib/credentials"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/burn"
@@ -36,7 +39,8 @@
 }
 
 // twoHops connects a caller-facing handler to a receiving side over the call transport.
-func twoHops(b *testing.B) http.Handler {
+// It is authenticated with keys if these are not nil.
+func twoHops(b *testing.B, keys *credentials.Store) http.Handler {
 	b.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -63,6 +67,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	dial := new(net.Dialer).DialContext
+	if keys != nil {
+		listener, dial = secure.NewListener(listener, keys, event.Nop()), secure.Dial(dial, keys)
+	}
 	calls := call.NewServer(receive, 1, event.Nop())
 	go func() { _ = calls.Serve(listener) }()
 	b.Cleanup(func() { _ = calls.Shutdown(context.Background()) })
@@ -78,7 +86,7 @@
 	}
 	selector := selection.New(selection.Config{Instance: "sender", Domain: "d1"}, time.Now, rand.Uint64)
 	selector.Update(view)
-	client := call.NewClient(event.Nop())
+	client := call.NewClientWithDialer(dial, event.Nop())
 	b.Cleanup(client.Close)
 	return caller.NewHandler(caller.Config{
 		Instance: "sender", Incarnation: 2,
@@ -102,10 +110,25 @@
 // call transport, admission control and the backend server. Allocations include the backend server
 // and the client.
 func BenchmarkTwoHops(b *testing.B) {
-	front := httptest.NewServer(twoHops(b))
+	b.Run("plain", func(b *testing.B) { benchmarkTwoHops(b, nil) })
+	b.Run("tls", func(b *testing.B) {
+		files := filesIn(b.TempDir())
+		writeFiles(b, files, newKeySet(b))
+		keys, err := credentials.Open(files, event.Nop())
+		if err != nil {
+			b.Fatal(err)
+		}
+		benchmarkTwoHops(b, keys)
+	})
+}
+
+func benchmarkTwoHops(b *testing.B, keys *credentials.Store) {
+	front := httptest.NewServer(twoHops(b, keys))
 	defer front.Close()
 	body := strings.Repeat("x", 512)
 	b.ReportAllocs()
+	used := cpuTime()
+	defer func() { b.ReportMetric(float64((cpuTime()-used).Microseconds())/float64(b.N), "cpu-us/op") }()
 	for b.Loop() {
 		req, err := http.NewRequest(http.MethodPost, front.URL+"/pages/a", strings.NewReader(body))
 		if err != nil {
@@ -123,3 +146,11 @@
 		}
 	}
 }
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -18,6 +18,7 @@
 	"kingcupwood.example/kingcupwood/agent/caller"
 	"kingcupwood.example/kingcupwood/agent/operator"
 	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/lib/credentials"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	standin "kingcupwood.example/kingcupwood/standin/platform"
@@ -90,15 +91,20 @@
 	direct *platform.Client
 	nodes  map[string]*node
 	watch  *watcher
+	// files are those of all daemons; they are empty without authentication.
+	files credentials.Files
 	// mu guards changes.
 	mu      sync.Mutex
 	changes int
 }
 
 // newCluster starts all instances with version 2 in force, one change for each service.
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T) *cluster { return newSecuredCluster(t, credentials.Files{}) }
+
+// newSecuredCluster is newCluster with the key files of all daemons.
+func newSecuredCluster(t *testing.T, files credentials.Files) *cluster {
 	t.Helper()
-	c := &cluster{t: t, network: newTestNetwork(), nodes: map[string]*node{}}
+	c := &cluster{t: t, network: newTestNetwork(), nodes: map[string]*node{}, files: files}
 	c.watch = newWatcher(t)
 	c.platform = httptest.NewServer(standin.NewServer(standin.Config{
 		Table: standin.DefaultTable, Bucket: standin.DefaultBucket,
@@ -167,6 +173,8 @@
 			s.Peers.Seeds = append(s.Peers.Seeds, netip.MustParseAddrPort(other.daemon.listeners.rpc.Addr().String()))
 		}
 	}
+	s.Security.Certificate, s.Security.PrivateKey = c.files.Certificate, c.files.PrivateKey
+	s.Security.Authority, s.Security.ProbeKeys = c.files.Authority, c.files.ProbeKeys
 	p := &s.Platform
 	p.TableURL, p.ObjectURL, p.Region = c.platform.URL, c.platform.URL, "local"
 	p.Table, p.Bucket, p.AccessKey, p.SecretKey = standin.DefaultTable, standin.DefaultBucket, "k", "s"
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -27,7 +27,6 @@
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
-	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/selection"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -48,20 +47,22 @@
 	started  time.Time
 
 	listeners *listeners
-	platform  *platform.Client
-	store     *peersync.Store
-	follower  *peersync.Follower
-	prober    *probe.Prober
-	backend   *backend.Backend
-	receiver  *receiver
-	selector  *selection.Selector
-	calls     *call.Server
-	client    *call.Client
-	callers   *caller.Handler
-	rpc       *rpc.Server
-	burn      *burn.Tracker
-	gate      *gate
-	record    recordKeeper
+	// security is nil if daemons are not authenticated to each other.
+	security *security
+	platform *platform.Client
+	store    *peersync.Store
+	follower *peersync.Follower
+	prober   *probe.Prober
+	backend  *backend.Backend
+	receiver *receiver
+	selector *selection.Selector
+	calls    *call.Server
+	client   *call.Client
+	callers  *caller.Handler
+	rpc      *rpc.Server
+	burn     *burn.Tracker
+	gate     *gate
+	record   recordKeeper
 	// peerTraffic counts the net/rpc connections between daemons, platformTraffic those to the
 	// platform.
 	peerTraffic, platformTraffic traffic.Counter
@@ -75,11 +76,19 @@
 
 // NewWithNetwork is New with the network through which the daemon reaches others.
 func NewWithNetwork(s *Settings, network Network, log *event.Logger) (*Daemon, error) {
+	security, err := openSecurity(s, log)
+	if err != nil {
+		return nil, err
+	}
 	l, err := openListeners(s, network)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, network: network, log: log, started: time.Now(), listeners: l}
+	d := &Daemon{settings: s, network: network, log: log, started: time.Now(), listeners: l, security: security}
+	l.rpc = d.peerTraffic.Listener(l.rpc)
+	if security != nil {
+		l.calls, l.rpc = security.listen(l.calls), security.listen(l.rpc)
+	}
 	if err := d.build(); err != nil {
 		l.close()
 		return nil, err
@@ -93,7 +102,7 @@
 		return err
 	}
 	local := d.localRecord()
-	d.prober = probe.New(d.listeners.probes, membership.New(membership.Config{Local: local}, d.started, rand.Uint64()), d.log)
+	d.prober = d.newProber(local)
 	d.buildDistribution(local)
 	d.buildRequestPath(local)
 	return d.buildRPC()
@@ -150,7 +159,7 @@
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
-	d.client = call.NewClientWithDialer(d.network.DialContext, d.log)
+	d.client = call.NewClientWithDialer(d.secured(d.network.DialContext), d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
 	d.burn = burn.New(burn.Config{}, time.Now)
 	d.callers = caller.NewHandler(caller.Config{
@@ -213,13 +222,14 @@
 func (d *Daemon) serve(ctx context.Context, group *errgroup.Group, admin, callers, announcements *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
 	group.Go(func() error {
-		return peersync.Serve(ctx, d.peerTraffic.Listener(d.listeners.rpc), d.rpcWithSync(ctx))
+		return peersync.Serve(ctx, d.listeners.rpc, d.rpcWithSync(ctx))
 	})
 	group.Go(func() error { return d.follower.Run(ctx) })
 	group.Go(func() error { return ignoreClosed(d.calls.Serve(d.listeners.calls)) })
 	group.Go(func() error { d.reconfigure(ctx); return nil })
+	group.Go(func() error { d.watchSecurity(ctx); return nil })
 	group.Go(func() error {
-		keys.NewMover(d.callers, d.prober.View, d.network.DialContext, d.log).Run(ctx)
+		keys.NewMover(d.callers, d.prober.View, d.secured(d.network.DialContext), d.log).Run(ctx)
 		return nil
 	})
 	for server, listener := range map[*http.Server]net.Listener{
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -16,6 +16,7 @@
 	m.Set("configuration", expvar.Func(d.configurationMetrics))
 	m.Set("membership", expvar.Func(d.membershipMetrics))
 	m.Set("peer_traffic", expvar.Func(func() any { return d.peerTraffic.Stats() }))
+	m.Set("security", expvar.Func(d.securityMetrics))
 	m.Set("platform_traffic", expvar.Func(func() any { return d.platformTraffic.Stats() }))
 	return m
 }
--- /dev/null
+++ b/agent/peer/secure/bench_test.go
@@ -0,0 +1,42 @@
+package secure
+
+import (
+	"crypto/tls"
+	"net"
+	"testing"
+	"time"
+
+	"kingcupwood.example/kingcupwood/lib/traffic"
+)
+
+// BenchmarkHandshake reports the time and the bytes of a new connection with one byte in each direction,
+// for the configuration of the daemons and for what was weighed against it.
+func BenchmarkHandshake(b *testing.B) {
+	authority := newAuthority(b)
+	for _, way := range []struct {
+		name            string
+		hybrid, tickets bool
+	}{{"chosen", false, false}, {"hybrid-key-exchange", true, false}, {"resumed", false, true}} {
+		b.Run(way.name, func(b *testing.B) {
+			c := credentialsOf(b, authority, &authority, "127.0.0.1", time.Now())
+			if way.hybrid {
+				c.server.CurvePreferences = nil
+			}
+			if way.tickets {
+				c.server.SessionTicketsDisabled = false
+				c.client.ClientSessionCache = tls.NewLRUClientSessionCache(1)
+			}
+			address := echo(b, c).Addr().String()
+			var counter traffic.Counter
+			dial := Dial(counter.Dial(new(net.Dialer).DialContext), c)
+			for b.Loop() {
+				if err := roundTrip(b.Context(), dial, address); err != nil {
+					b.Fatal(err)
+				}
+			}
+			s := counter.Stats()
+			b.ReportMetric(float64(s.Sent)/float64(b.N), "sentB/op")
+			b.ReportMetric(float64(s.Received)/float64(b.N), "receivedB/op")
+		})
+	}
+}
--- /dev/null
+++ b/agent/peer/secure/secure_test.go
@@ -0,0 +1,138 @@
+package secure
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"kingcupwood.example/kingcupwood/lib/credentials"
+	"kingcupwood.example/kingcupwood/lib/event"
+)
+
+// fixed are credentials that are used as they are, also wrong ones.
+type fixed struct{ server, client *tls.Config }
+
+func (f fixed) Server() *tls.Config { return f.server }
+
+func (f fixed) Client(ip string) *tls.Config {
+	c := f.client.Clone()
+	c.ServerName = ip
+	return c
+}
+
+func newAuthority(t testing.TB) credentials.Pair {
+	t.Helper()
+	authority, err := credentials.NewAuthority("test", time.Now().Add(-2*time.Hour), 4*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority
+}
+
+// credentialsOf trusts authority; its certificate is from issuer, or there is none.
+func credentialsOf(t testing.TB, authority credentials.Pair, issuer *credentials.Pair, addr string, from time.Time) fixed {
+	t.Helper()
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(authority.Certificate)
+	config := tls.Config{MinVersion: tls.VersionTLS13, SessionTicketsDisabled: true, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, CurvePreferences: []tls.CurveID{tls.X25519}}
+	if issuer != nil {
+		pair, err := issuer.Issue("", []netip.Addr{netip.MustParseAddr(addr)}, from, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		certificate, err := tls.X509KeyPair(pair.Certificate, pair.PrivateKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// A client sends its certificate whatever authorities the server names.
+		config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &certificate, nil }
+		config.Certificates = []tls.Certificate{certificate}
+	}
+	return fixed{server: &config, client: &config}
+}
+
+// echo serves one connection after the other until the test ends and returns the listener.
+func echo(t testing.TB, c Credentials) *Listener {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(raw, c, event.Nop())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(conn, conn)
+			_ = conn.Close()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close(); <-done })
+	return l
+}
+
+// roundTrip sends a byte through a new connection and reads it back.
+func roundTrip(ctx context.Context, dial DialFunc, addr string) error {
+	conn, err := dial(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	b := []byte{1}
+	if _, err := conn.Write(b); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(conn, b)
+	return err
+}
+
+// Guards against a peer that is accepted without a certificate, without TLS, with an expired certificate
+// or with one of another authority, and against a server with a certificate for another address.
+func TestPeersAreAuthenticated(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	now, authority, other := time.Now(), newAuthority(t), newAuthority(t)
+	good := credentialsOf(t, authority, &authority, "127.0.0.1", now)
+	bad := map[string]fixed{
+		"another authority": credentialsOf(t, authority, &other, "127.0.0.1", now),
+		"expired":           credentialsOf(t, authority, &authority, "127.0.0.1", now.Add(-90*time.Minute)),
+		"none":              credentialsOf(t, authority, nil, "", now),
+	}
+	t.Run("group", func(t *testing.T) {
+		plain := new(net.Dialer).DialContext
+		l := echo(t, good)
+		is.NoErr(roundTrip(t.Context(), Dial(plain, good), l.Addr().String()))
+		refused := uint64(0)
+		for _, c := range bad {
+			is.True(roundTrip(t.Context(), Dial(plain, c), l.Addr().String()) != nil) // client was accepted
+			server := echo(t, c)
+			is.True(roundTrip(t.Context(), Dial(plain, good), server.Addr().String()) != nil) // server was accepted
+			refused++
+			is.Equal(l.Refused(), refused) // the refusal is not counted
+		}
+		conn, err := plain(t.Context(), "tcp", l.Addr().String())
+		is.NoErr(err)
+		_, err = io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\n", 10))
+		is.NoErr(err)
+		answer, _ := io.ReadAll(conn)
+		is.NoErr(conn.Close())
+		is.True(len(answer) < 16) // a TLS alert at most
+		is.Equal(l.Refused(), refused+1)
+		elsewhere := echo(t, credentialsOf(t, authority, &authority, "127.0.0.2", now))
+		is.True(roundTrip(t.Context(), Dial(plain, good), elsewhere.Addr().String()) != nil)
+	})
+}
--- /dev/null
+++ b/agent/security_test.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/agent/peer/secure"
+	"kingcupwood.example/kingcupwood/lib/credentials"
+	"kingcupwood.example/kingcupwood/lib/event"
+)
+
+// keySet is what the files of a deployment on loopback are made from.
+type keySet struct {
+	authority credentials.Pair
+	probeKey  []byte
+}
+
+func newKeySet(t testing.TB) keySet {
+	t.Helper()
+	authority, err := credentials.NewAuthority("test", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := credentials.NewProbeKey()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keySet{authority, key}
+}
+
+// issue returns a certificate for a daemon on loopback.
+func (k keySet) issue(t testing.TB) credentials.Pair {
+	t.Helper()
+	pair, err := k.authority.Issue("daemon", []netip.Addr{netip.MustParseAddr("127.0.0.1")}, time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
+
+func filesIn(dir string) credentials.Files {
+	path := func(name string) string { return filepath.Join(dir, name) }
+	return credentials.Files{Certificate: path("crt"), PrivateKey: path("key"), Authority: path("ca"), ProbeKeys: path("probe")}
+}
+
+// writeFiles writes the files with a certificate from set; others adds authorities and keys that are
+// accepted besides.
+func writeFiles(t testing.TB, f credentials.Files, set keySet, others ...keySet) {
+	t.Helper()
+	pair, authorities, ring := set.issue(t), set.authority.Certificate, set.probeKey
+	for _, other := range others {
+		authorities = append(authorities[:len(authorities):len(authorities)], other.authority.Certificate...)
+		ring = append(ring[:len(ring):len(ring)], other.probeKey...)
+	}
+	for path, data := range map[string][]byte{f.Certificate: pair.Certificate, f.PrivateKey: pair.PrivateKey, f.Authority: authorities, f.ProbeKeys: ring} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a rotation of authority and probe key that cuts or fails a call, stops configuration
+// changes or makes daemons lose each other, and against former keys that are still accepted at its end.
+func TestRotationUnderLoad(t *testing.T) {
+	is := is.New(t)
+	files, before, after := filesIn(t.TempDir()), newKeySet(t), newKeySet(t)
+	writeFiles(t, files, before)
+	c := newSecuredCluster(t, files)
+	var calls, failed atomic.Int64
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for _, name := range []string{"a1", "a3", "b3", "c1"} {
+		load.Go(func() {
+			for service := "pages"; ; calls.Add(1) {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := c.get(name, service); err != nil {
+					failed.Add(1)
+					t.Errorf("%s by %s: %v", service, name, err)
+				}
+				time.Sleep(waitStep)
+			}
+		})
+	}
+	for n, step := range []func(){
+		func() { writeFiles(t, files, before, after) },
+		func() { writeFiles(t, files, after, before) },
+		func() { writeFiles(t, files, after) },
+	} {
+		step()
+		for _, name := range c.names() {
+			c.nodes[name].daemon.security.credentials.Reload()
+			time.Sleep(10 * waitStep) // daemons with the former and the next files run side by side
+		}
+		c.accept("a1", "pages", 20+n, c.nodes["a1"].daemon.snapshot().Version)
+		c.inForce(c.nodes["a1"].daemon.snapshot().Version, c.in(domains...))
+	}
+	close(stop)
+	load.Wait()
+	is.True(calls.Load() > 100)
+	is.Equal(failed.Load(), int64(0))
+	for _, n := range c.in(domains...) {
+		is.Equal(len(n.daemon.prober.Rejected()), 0) // a probe of a rotation was refused
+		is.Equal(len(n.daemon.prober.View().Records), len(c.nodes))
+	}
+	former := filesIn(t.TempDir())
+	writeFiles(t, former, before, after)
+	for _, address := range []net.Addr{c.nodes["b1"].daemon.listeners.calls.Addr(), c.nodes["b1"].daemon.listeners.rpc.Addr()} {
+		is.True(exchange(t, former, address) != nil)
+		is.NoErr(exchange(t, files, address))
+	}
+}
+
+// exchange connects with the files and waits for a byte or for the refusal. A daemon that accepts the
+// connection greets, or, at its net/rpc address, waits for a request.
+func exchange(t *testing.T, files credentials.Files, address net.Addr) error {
+	t.Helper()
+	store, err := credentials.Open(files, event.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := secure.Dial(new(net.Dialer).DialContext, store)(t.Context(), "tcp", address.String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return nil
+	}
+	return err
+}
+
+// Guards against a daemon without keys that joins a deployment with keys, or that gets an answer to a
+// call, a fence or a request for the configuration.
+func TestStrangerIsRefused(t *testing.T) {
+	is := is.New(t)
+	files := filesIn(t.TempDir())
+	writeFiles(t, files, newKeySet(t))
+	c := newSecuredCluster(t, files)
+	c.files = credentials.Files{}
+	c.nodes["x1"] = c.newNode(host{name: "x1", domain: "a"})
+	c.start("x1")
+	stranger := c.nodes["x1"].daemon
+	c.eventually(setupWithin, "the stranger is refused", func() bool {
+		return c.nodes["a1"].daemon.securityMetrics().(securityMetrics).RefusedConnections > 0
+	})
+	is.Equal(len(stranger.prober.View().Records), 1)
+	for _, name := range []string{"a1", "b2", "c3"} {
+		_, known := c.nodes[name].daemon.prober.View().Records["x1"]
+		is.True(!known)
+		is.True(exchange(t, files, stranger.listeners.calls.Addr()) != nil) // it has no certificate
+	}
+}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -44,6 +44,13 @@
 		// Seeds are the net/rpc addresses of some daemons, of which at least one should be running.
 		Seeds []netip.AddrPort `key:"seeds" optional:"true"`
 	} `section:"peers"`
+	// Security names the files for authentication between daemons: all of them, or none.
+	Security struct {
+		Certificate string `key:"certificate" optional:"true"`
+		PrivateKey  string `key:"private-key" optional:"true"`
+		Authority   string `key:"authority" optional:"true"`
+		ProbeKeys   string `key:"probe-keys" optional:"true"`
+	} `section:"security"`
 	Platform struct {
 		TableURL  string `key:"table-url"`
 		ObjectURL string `key:"object-url"`
@@ -91,6 +98,7 @@
 	if _, err := s.logLevel(); err != nil {
 		fail("daemon", "log-level", err.Error())
 	}
+	s.checkSecurity(fail)
 	if !isHTTP(s.Platform.TableURL) {
 		fail("platform", "table-url", "must start with http:// or https://")
 	}
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -56,9 +56,5 @@
 
 // dialPeer opens a counted connection to the net/rpc address of another daemon.
 func (d *Daemon) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	conn, err := d.network.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return d.peerTraffic.Conn(conn), nil
+	return d.secured(d.peerTraffic.Dial(d.network.DialContext))(ctx, "tcp", addr)
 }
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -34,6 +34,7 @@
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
 		{name: "report", short: "Print the service-level report", long: "Asks all daemons for the outcomes of requests and prints the service level and its burn rates.", data: &reportCommand{}},
+		{name: "keys", short: "Make keys and certificates", long: "Makes the files with which daemons are authenticated to each other. Existing files are never replaced.", sub: keysCommands()},
 		{name: "answers", short: "Write, check and submit answer files", long: "Writes, checks and submits the files in which teams describe their services.", sub: answersCommands()},
 		{name: "config", short: "Show and change the configuration", long: "Shows, accepts and withdraws configurations through the administration API of a daemon.", sub: configCommands()},
 	}
--- /dev/null
+++ b/lib/credentials/store_test.go
@@ -0,0 +1,90 @@
+package credentials
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+)
+
+func write(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func issue(t *testing.T, authority Pair, now time.Time) Pair {
+	t.Helper()
+	pair, err := authority.Issue("", []netip.Addr{netip.MustParseAddr("127.0.0.1")}, now, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
+
+// Guards against a broken, unfitting, expired or missing file that replaces a good one, is refused
+// without an event or with one at each look, and against a correct change that is not taken over.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	dir, now := t.TempDir(), time.Now()
+	f := Files{filepath.Join(dir, "crt"), filepath.Join(dir, "key"), filepath.Join(dir, "ca"), filepath.Join(dir, "probe")}
+	authority, err := NewAuthority("one", now, 2*time.Hour)
+	is.NoErr(err)
+	other, err := NewAuthority("two", now, time.Hour)
+	is.NoErr(err)
+	good := issue(t, authority, now)
+	probeKey, err := NewProbeKey()
+	is.NoErr(err)
+	restore := func() {
+		write(t, f.Certificate, good.Certificate)
+		write(t, f.PrivateKey, good.PrivateKey)
+		write(t, f.Authority, authority.Certificate)
+		write(t, f.ProbeKeys, probeKey)
+	}
+	restore()
+	core, logs := observer.New(zapcore.DebugLevel)
+	s, err := Open(f, event.Wrap(zap.New(core)))
+	is.NoErr(err)
+	used := s.current.Load()
+	strange := issue(t, other, now)
+	expired := issue(t, authority, now.Add(-90*time.Minute))
+	for _, broken := range []struct {
+		key    string
+		change func()
+	}{
+		{"certificate", func() { write(t, f.Certificate, good.Certificate[:100]) }},
+		{"private-key", func() { write(t, f.PrivateKey, strange.PrivateKey) }},
+		{"private-key", func() { is.NoErr(os.Remove(f.PrivateKey)) }},
+		{"authority", func() { write(t, f.Authority, good.Certificate) }},
+		{"authority", func() { write(t, f.Authority, nil) }},
+		{"certificate", func() { write(t, f.Authority, other.Certificate) }},
+		{"probe-keys", func() { write(t, f.ProbeKeys, []byte("1234")) }},
+		{"certificate", func() { write(t, f.Certificate, expired.Certificate); write(t, f.PrivateKey, expired.PrivateKey) }},
+	} {
+		broken.change()
+		s.Reload()
+		s.Reload()
+		refused := logs.FilterMessage(event.CredentialsRefused.Text).TakeAll()
+		_ = logs.TakeAll()
+		is.Equal(len(refused), 1) // one event for one fault
+		is.Equal(refused[0].ContextMap()["key"], broken.key)
+		is.True(s.current.Load() == used) // the former files stay in use
+		restore()
+		s.Reload()
+		used = s.current.Load()
+		is.Equal(logs.FilterMessage(event.CredentialsReloaded.Text).Len(), 1)
+		_ = logs.TakeAll()
+	}
+	write(t, f.Authority, append(append([]byte{}, authority.Certificate...), other.Certificate...))
+	s.Reload()
+	is.True(s.current.Load() != used)
+}
--- a/lib/event/daemon.go
+++ b/lib/event/daemon.go
@@ -8,3 +8,11 @@
 	KeysHandedOver  = Event{1006, zapcore.InfoLevel, "idempotency keys handed over"}
 	KeysMoved       = Event{1007, zapcore.InfoLevel, "idempotency keys moved to another daemon"}
 )
+
+// Events of the authentication between daemons.
+var (
+	Unauthenticated     = Event{1008, zapcore.WarnLevel, "daemons are not authenticated to each other"}
+	CredentialsReloaded = Event{1009, zapcore.InfoLevel, "changed key files are in use"}
+	CredentialsRefused  = Event{1010, zapcore.ErrorLevel, "changed key files refused; the former ones stay in use"}
+	PeerRefused         = Event{4306, zapcore.WarnLevel, "connection refused by its authentication"}
+)
