--- a/tools/bench/convergence/run.go
+++ b/tools/bench/convergence/run.go
@@ -27,17 +27,28 @@
 	return Spec{Daemons: n, Records: row.TargetDaemons, Services: row.TargetServices, Domains: realDomains}
 }
 
-// Run measures deployments of the given sizes and the failures, and passes each row to emit. The
-// daemons are spread over the given number of failure domains, or the usual one if it is 0.
-func Run(ctx context.Context, binary string, sizes []int, domains int, emit func(row.Row)) ([]Window, error) {
+// Options change the deployments of Run.
+type Options struct {
+	// Domains is the number of failure domains with daemons; 0 stands for the usual one.
+	Domains int
+	// OnlyDaemons leaves out the synthetic members, Keys authenticates the daemons to each other.
+	// Synthetic members have no keys.
+	OnlyDaemons, Keys bool
+}
+
+// Run measures deployments of the given sizes and the failures, and passes each row to emit.
+func Run(ctx context.Context, binary string, sizes []int, options Options, emit func(row.Row)) ([]Window, error) {
 	var windows []Window
 	perDaemon := 0.0
 	for _, n := range sizes {
 		spec := Target(n)
-		if domains > 0 {
-			spec.Domains = domains
+		if options.Domains > 0 {
+			spec.Domains = options.Domains
+		}
+		spec.Records, spec.Keys = affordable(spec, perDaemon), options.Keys
+		if options.OnlyDaemons {
+			spec.Records = n
 		}
-		spec.Records = affordable(spec, perDaemon)
 		idle, changing, err := Deployment(ctx, binary, spec, row.TargetChanges, emit)
 		if err != nil {
 			return windows, err
--- a/tools/bench/convergence/world.go
+++ b/tools/bench/convergence/world.go
@@ -40,6 +40,8 @@
 	Daemons, Records, Services int
 	// Domains is the number of failure domains over which the processes are spread.
 	Domains int
+	// Keys tells that the daemons are authenticated to each other.
+	Keys bool
 }
 
 // world is a running deployment.
@@ -94,6 +96,11 @@
 }
 
 func (w *world) startPlatform(ctx context.Context) error {
+	if w.spec.Keys {
+		if err := w.fleet.Secure(); err != nil {
+			return err
+		}
+	}
 	if err := w.fleet.StartPlatform(); err != nil {
 		return err
 	}
--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -90,7 +90,7 @@
 
 // runLatency measures what two daemon hops add to a call.
 func (b *bench) runLatency(ctx context.Context) error {
-	return latency.Run(ctx, b.binary, b.emit)
+	return latency.Run(ctx, b.binary, b.keys, b.emit)
 }
 
 func (b *bench) runConvergence(ctx context.Context) error {
@@ -105,7 +105,7 @@
 			sizes = append(sizes, n)
 		}
 	}
-	windows, err := convergence.Run(ctx, b.binary, sizes, b.domains, b.emit)
+	windows, err := convergence.Run(ctx, b.binary, sizes, b.options, b.emit)
 	b.measured.windows = windows
 	return err
 }
@@ -117,7 +117,7 @@
 	windows := b.measured.windows
 	if len(windows) == 0 {
 		var err error
-		if windows, err = convergence.Run(ctx, b.binary, []int{variationDaemons}, 0, discard); err != nil {
+		if windows, err = convergence.Run(ctx, b.binary, []int{variationDaemons}, convergence.Options{}, discard); err != nil {
 			return err
 		}
 	}
--- a/tools/bench/latency/latency.go
+++ b/tools/bench/latency/latency.go
@@ -59,8 +59,8 @@
 objective = 99%%
 `
 
-// Run measures every rate and reports the rows.
-func Run(ctx context.Context, binary string, emit func(row.Row)) error {
+// Run measures every rate and reports the rows. With keys the daemons are authenticated to each other.
+func Run(ctx context.Context, binary string, keys bool, emit func(row.Row)) error {
 	dir, err := os.MkdirTemp("", "kingcupwood-latency-")
 	if err != nil {
 		return err
@@ -71,6 +71,11 @@
 		return err
 	}
 	defer f.Close()
+	if keys {
+		if err := f.Secure(); err != nil {
+			return err
+		}
+	}
 	sender, receiver, err := deploy(ctx, f)
 	if err != nil {
 		return err
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"kingcupwood.example/kingcupwood/tools/bench/convergence"
 	"kingcupwood.example/kingcupwood/tools/bench/row"
 )
 
@@ -24,6 +25,8 @@
 	binary := flag.String("binary", "bin/kingcupwood", "path of the kingcupwood program")
 	sizes := flag.String("sizes", "", "numbers of daemons of the group convergence, separated by commas")
 	domains := flag.Int("domains", 0, "number of failure domains with daemons in the group convergence; 0 stands for 5")
+	keys := flag.Bool("keys", false, "authenticate the daemons to each other in the groups latency and convergence; implies -only-daemons")
+	onlyDaemons := flag.Bool("only-daemons", false, "no records besides those of the daemons in the group convergence")
 	flag.Usage = func() {
 		fmt.Fprintf(flag.CommandLine.Output(), "usage: bench [options] [group ...]\ngroups: %s\n", strings.Join(groupNames(), " "))
 		flag.PrintDefaults()
@@ -31,7 +34,9 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	b := &bench{binary: *binary, sizes: *sizes, domains: *domains}
+	b := &bench{binary: *binary, sizes: *sizes, keys: *keys, options: convergence.Options{
+		Domains: *domains, Keys: *keys, OnlyDaemons: *onlyDaemons || *keys,
+	}}
 	if err := b.run(ctx, flag.Args()); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		stop()
@@ -47,7 +52,8 @@
 // bench is the state shared by the groups of one run.
 type bench struct {
 	binary, sizes string
-	domains       int
+	keys          bool
+	options       convergence.Options
 	// over counts the rows whose bound is passed.
 	over int
 	// measured keeps the windows of the group convergence for the group capacity.
--- a/tools/demo/demo.go
+++ b/tools/demo/demo.go
@@ -46,7 +46,7 @@
 
 func (d *demo) steps() []step {
 	return []step{
-		{"start the platform, 9 daemons and 9 backend servers in 3 failure domains", d.start, true},
+		{"make keys, start the platform, 9 daemons and 9 backend servers in 3 failure domains", d.start, true},
 		{"check, submit and accept the answers of both services", d.accept, true},
 		{"views and saves through every daemon", d.traffic, true},
 		{"a save submitted 3 times with one idempotency key runs once", d.idempotency, false},
@@ -87,6 +87,9 @@
 			return "", err
 		}
 	}
+	if err := d.fleet.Secure(); err != nil {
+		return "", err
+	}
 	if err := d.fleet.Start(); err != nil {
 		return "", err
 	}
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -55,6 +55,8 @@
 
 	platformProcess *Process
 	processes       []*Process
+	// secured is set by Secure.
+	secured bool
 	// port is the last port handed out.
 	port int
 }
@@ -169,7 +171,11 @@
 secret-key = fleet
 `, i.Name, i.Domain, i.Callers, i.announcements, i.Admin, i.calls, i.RPC, i.probes,
 		strings.Join(seeds, ", "), f.Platform, f.Platform)
-	path, err := f.write(i.Name+"-daemon", text)
+	security, err := f.securitySection(i)
+	if err != nil {
+		return err
+	}
+	path, err := f.write(i.Name+"-daemon", text+security)
 	if err != nil {
 		return err
 	}
