--- a/tools/bench/convergence/run.go
+++ b/tools/bench/convergence/run.go
@@ -31,6 +31,9 @@
 type Options struct {
 	// Domains is the number of failure domains with daemons, Records that of the endpoint records.
 	Domains, Records int
+	// OnlyDaemons leaves out the synthetic members, Keys authenticates the daemons to each other.
+	// Synthetic members have no keys.
+	OnlyDaemons, Keys bool
 }
 
 // Run measures deployments of the given sizes and the failures, and passes each row to emit.
@@ -45,7 +48,10 @@
 		if o.Records > 0 {
 			spec.Records = o.Records
 		}
-		spec.Records = affordable(spec, perDaemon)
+		spec.Records, spec.Keys = affordable(spec, perDaemon), o.Keys
+		if o.OnlyDaemons {
+			spec.Records = n
+		}
 		idle, changing, err := Deployment(ctx, binary, spec, row.TargetChanges, emit)
 		if err != nil {
 			return windows, err
--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -92,7 +92,7 @@
 
 // runLatency measures what two daemon hops add to a call.
 func (b *bench) runLatency(ctx context.Context) error {
-	return latency.Run(ctx, b.binary, b.emit)
+	return latency.Run(ctx, b.binary, b.keys, b.emit)
 }
 
 // runChain measures a chain of calls of the greatest depth.
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -14,8 +14,8 @@
 	"syscall"
 	"time"
 
-	"kingcupwood.example/kingcupwood/tools/bench/latency"
 	"kingcupwood.example/kingcupwood/tools/bench/convergence"
+	"kingcupwood.example/kingcupwood/tools/bench/latency"
 	"kingcupwood.example/kingcupwood/tools/bench/row"
 )
 
@@ -28,6 +28,8 @@
 	domains := flag.Int("domains", 0, "number of failure domains with daemons in the group convergence; 0 stands for 5")
 	relay := flag.String("relay", "", "run as a TCP relay for LISTEN,TARGET; the group latency starts such processes")
 	records := flag.Int("records", 0, "number of endpoint records in the group convergence, for less memory; 0 stands for 16000")
+	keys := flag.Bool("keys", false, "authenticate the daemons to each other in the groups latency and convergence; implies -only-daemons")
+	onlyDaemons := flag.Bool("only-daemons", false, "no records besides those of the daemons in the group convergence")
 	flag.Usage = func() {
 		fmt.Fprintf(flag.CommandLine.Output(), "usage: bench [options] [group ...]\ngroups: %s\n", strings.Join(groupNames(), " "))
 		flag.PrintDefaults()
@@ -39,7 +41,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	b := &bench{binary: *binary, sizes: *sizes, options: convergence.Options{Domains: *domains, Records: *records}}
+	b := &bench{binary: *binary, sizes: *sizes, keys: *keys, options: convergence.Options{
+		Domains: *domains, Records: *records, Keys: *keys, OnlyDaemons: *onlyDaemons || *keys,
+	}}
 	if err := b.run(ctx, flag.Args()); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		stop()
@@ -55,6 +59,7 @@
 // bench is the state shared by the groups of one run.
 type bench struct {
 	binary, sizes string
+	keys          bool
 	options       convergence.Options
 	// over counts the rows whose bound is passed.
 	over int
