Derive the tree position only when members or lease holders change

Cause: each long poll and each attempt for a lease (every 1.25 s on every daemon) scanned all records and sorted the own failure domain by rendezvous hash; each choice of a peer for anti-entropy listed and sorted all addresses.

Change: the view carries an immutable list of the own domain that is replaced only when a member joins, dies or moves. The follower keeps its position (parents, rank among candidates) behind an atomic pointer, keyed by that list and the holders. The order itself is unchanged, so daemons still agree on it. A peer for anti-entropy is picked by index from the membership.

Left as it is: a change of a record copies the map of all records for the view (at most 4 times a second).

--- a/agent/peer/sync/bench_test.go
+++ b/agent/peer/sync/bench_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// BenchmarkMembership reports what a daemon does for each long poll, attempt for a lease and choice of a
+// peer for anti-entropy, with all records of the target: 842 members in its own failure domain.
+func BenchmarkMembership(b *testing.B) {
+	f := newTargetFollower()
+	for name, call := range map[string]func(){
+		"parents":   func() { f.parents() },
+		"candidate": func() { f.isCandidate() },
+		"repair":    func() { f.repairPeer(2) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				call()
+			}
+		})
+	}
+}
+
 // newBenchPair counts the bytes of the connections that are opened in counter.
 func newBenchPair(entries []membership.Entry, counter *traffic.Counter) (asking, asked *Follower) {
 	pair := [2]*Follower{}
--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -98,11 +98,6 @@
 	return backoff.Next(f.random)
 }
 
-// parents returns the daemons to poll in order of preference.
-func (f *Follower) parents() []endpoint.InstanceID {
-	return distribution.Parents(f.cfg.Self.Instance, f.cfg.Self.Domain, f.holders(), f.domainMembers())
-}
-
 // pollParent polls once over s, or over a new connection if s is nil or leads elsewhere. It returns
 // the connection for the next poll.
 func (f *Follower) pollParent(ctx context.Context, s *session, id endpoint.InstanceID) (*session, error) {
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -86,6 +86,9 @@
 	// leading tells that this daemon holds a lease and reads the head itself.
 	leading atomic.Bool
 
+	// place caches the position in the tree; position replaces it.
+	place atomic.Pointer[position]
+
 	// objects limits the reads of the object store.
 	objects *rate.Limiter
 
@@ -156,7 +159,7 @@
 func (f *Follower) Status() Status {
 	s := Status{
 		Version: f.cfg.Store.Version(), FloorExact: f.floor.Exact(), Ready: f.Ready(), Leading: f.Leading(),
-		Parents: f.parents(), Refusals: f.Refusals(),
+		Parents: slices.Clone(f.parents()), Refusals: f.Refusals(),
 		Unreachable: slices.Sorted(maps.Keys(f.cfg.Members.View().Unreachable)),
 	}
 	s.Floor, s.FloorKnown = f.floor.Value()
@@ -238,26 +241,3 @@
 		return true
 	}
 }
-
-// domainMembers returns the live members of the own failure domain, including this one.
-func (f *Follower) domainMembers() []endpoint.InstanceID {
-	var live []endpoint.InstanceID
-	for id, r := range f.cfg.Members.View().Records {
-		if r.Domain == f.cfg.Self.Domain {
-			live = append(live, id)
-		}
-	}
-	slices.Sort(live)
-	return live
-}
-
-// holders returns the known lease holders of the own failure domain.
-func (f *Follower) holders() []endpoint.InstanceID {
-	var list []endpoint.InstanceID
-	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
-		for _, h := range s.Holders() {
-			list = append(list, h.Instance)
-		}
-	})
-	return list
-}
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -11,6 +11,7 @@
 
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -272,18 +273,25 @@
 	return busy
 }
 
+// repairPeer returns the address of the daemon for an exchange. It looks at no list of all members.
 func (f *Follower) repairPeer(round int) (string, bool) {
-	addrs := f.reachable(round%2 == 1)
-	if len(addrs) == 0 {
-		addrs = f.reachable(false)
-	}
-	if seeds := f.otherSeeds(); len(addrs) == 0 || (round%seedEvery == 0 && len(seeds) > 0) {
-		addrs = seeds
+	seeds := f.otherSeeds()
+	if round%seedEvery != 0 || len(seeds) == 0 {
+		var peer endpoint.Record
+		var ok bool
+		f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
+			if peer, ok = s.RandomPeer(round%2 == 1, f.random); !ok {
+				peer, ok = s.RandomPeer(false, f.random)
+			}
+		})
+		if ok {
+			return peer.RPCAddr, true
+		}
 	}
-	if len(addrs) == 0 {
+	if len(seeds) == 0 {
 		return "", false
 	}
-	return addrs[f.random(int64(len(addrs)))], true
+	return seeds[f.random(int64(len(seeds)))], true
 }
 
 // repairWith exchanges the differing records with one member and returns the number of changes.
--- a/agent/peer/sync/lead.go
+++ b/agent/peer/sync/lead.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,7 +11,6 @@
 
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/distribution"
-	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -92,19 +90,6 @@
 	return lease, slot, start, err == nil && time.Since(start) < leaseTTL
 }
 
-// isCandidate reports whether this daemon is a known holder or among the first of the others.
-func (f *Follower) isCandidate() bool {
-	holders := f.holders()
-	if slices.Contains(holders, f.cfg.Self.Instance) {
-		return true
-	}
-	others := slices.DeleteFunc(f.domainMembers(), func(id endpoint.InstanceID) bool {
-		return slices.Contains(holders, id)
-	})
-	place := slices.Index(distribution.Order(f.cfg.Self.Domain, nil, others), f.cfg.Self.Instance)
-	return place >= 0 && place < leaseCandidates
-}
-
 // hold renews the lease and reads the head until the lease is lost. A daemon that was paused past
 // the lifetime of the lease stops by its own clock; what it reads late is ignored by version.
 func (f *Follower) hold(ctx context.Context, lease Lease, slot int, start time.Time) {
--- a/pkg/distribution/tree.go
+++ b/pkg/distribution/tree.go
@@ -56,15 +56,36 @@
 // the first Roots daemons in order are the roots. It returns nil for a root. All parents come
 // before self in Order, so daemons with the same members never form a cycle.
 func Parents(self endpoint.InstanceID, domain string, holders, live []endpoint.InstanceID) []endpoint.InstanceID {
+	return PositionOf(self, domain, holders, live).Parents
+}
+
+// Position is what a daemon needs to know of the tree of its failure domain. It changes only with
+// the live members and the holders, and takes a sort of all members to derive, so callers keep it.
+type Position struct {
+	// Parents is the result of Parents.
+	Parents []endpoint.InstanceID
+	// Rank is the number of members before this one in the order without holders; -1 for a holder
+	// and for an instance that is not live.
+	Rank int
+}
+
+// PositionOf returns the position of self.
+func PositionOf(self endpoint.InstanceID, domain string, holders, live []endpoint.InstanceID) Position {
 	order := Order(domain, holders, live)
-	roots := 0
-	for roots < len(order) && slices.Contains(holders, order[roots]) {
-		roots++
+	held := 0
+	for held < len(order) && slices.Contains(holders, order[held]) {
+		held++
 	}
+	place := slices.Index(order, self)
+	return Position{Parents: parentsOf(order, held, place), Rank: max(-1, place-held)}
+}
+
+// parentsOf returns the parents of the daemon at place of order, which starts with held holders.
+func parentsOf(order []endpoint.InstanceID, held, place int) []endpoint.InstanceID {
+	roots := held
 	if roots == 0 {
 		roots = min(Roots, len(order))
 	}
-	place := slices.Index(order, self)
 	if place < roots {
 		return nil
 	}
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -76,6 +76,15 @@
 	ByService map[string][]Record
 	// Unreachable holds the failure domains that cannot be reached at present.
 	Unreachable map[string]bool
+	// Own lists the members of the failure domain of this daemon. Views share it until one of them
+	// joins or dies, so that a reader can keep what it derived from it.
+	Own *Members
+}
+
+// Members is an immutable list of live instances.
+type Members struct {
+	// Instances is in order of instance.
+	Instances []InstanceID
 }
 
 // ReadyCount returns the number of ready records of service in reachable domains.
--- a/pkg/membership/reach.go
+++ b/pkg/membership/reach.go
@@ -125,6 +125,14 @@
 	}, true)
 }
 
+// HolderInstances returns the holders by slot, empty where none is known.
+func (s *State) HolderInstances() (list [MaxHolders]endpoint.InstanceID) {
+	for slot := range list {
+		list[slot] = s.holders[slot].Instance
+	}
+	return list
+}
+
 // Holders returns the known lease holders of the own domain in order of slot.
 func (s *State) Holders() []Holder {
 	var list []Holder
--- a/pkg/membership/repair.go
+++ b/pkg/membership/repair.go
@@ -69,6 +69,32 @@
 	return list
 }
 
+// RandomPeer returns the record of a random other member in a reachable failure domain, or only in the
+// own one, and whether there is one. random returns a value in [0, n).
+func (s *State) RandomPeer(ownOnly bool, random func(n int64) int64) (endpoint.Record, bool) {
+	wanted := func(d *domain) bool { return !d.unreachable && (!ownOnly || !s.remote(d.name)) }
+	count := 0
+	for _, d := range s.sorted {
+		if wanted(d) {
+			count += len(d.order)
+		}
+	}
+	if count == 0 {
+		return endpoint.Record{}, false
+	}
+	at := int(random(int64(count)))
+	for _, d := range s.sorted {
+		switch {
+		case !wanted(d):
+		case at < len(d.order):
+			return d.order[at].record, true
+		default:
+			at -= len(d.order)
+		}
+	}
+	return endpoint.Record{}, false
+}
+
 // Merge takes over the newer ones of entries and returns the number of changes. A few changes are
 // passed on with the probes; more are left to anti-entropy, which repairs them in bulk.
 func (s *State) Merge(now time.Time, entries []Entry) int {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -23,7 +23,7 @@
 	if old == nil {
 		old = &endpoint.View{}
 	}
-	next := &endpoint.View{Records: old.Records, ByService: old.ByService, Unreachable: map[string]bool{}}
+	next := &endpoint.View{Records: old.Records, ByService: old.ByService, Unreachable: map[string]bool{}, Own: old.Own}
 	for _, d := range s.sorted {
 		if d.unreachable {
 			next.Unreachable[d.name] = true
@@ -31,6 +31,7 @@
 	}
 	if len(s.changed) > 0 {
 		s.updateRecords(old, next)
+		s.updateOwn(old, next)
 	}
 	clear(s.changed)
 	s.reachDirty = false
@@ -62,6 +63,29 @@
 	}
 }
 
+// updateOwn replaces the list of the own failure domain if a member joined or died.
+func (s *State) updateOwn(old, next *endpoint.View) {
+	own := s.local.record.Domain
+	isOwn := func(v *endpoint.View, id endpoint.InstanceID) bool {
+		r, ok := v.Records[id]
+		return ok && r.Domain == own
+	}
+	same := old.Own != nil
+	for id := range s.changed {
+		same = same && isOwn(old, id) == isOwn(next, id)
+	}
+	if same {
+		return
+	}
+	d := s.domainOf(own)
+	list := append(make([]endpoint.InstanceID, 0, len(d.order)+1), s.self)
+	for _, m := range d.order {
+		list = append(list, m.record.Instance)
+	}
+	slices.Sort(list)
+	next.Own = &endpoint.Members{Instances: list}
+}
+
 // updateService replaces the list of one service: changed records are taken out of the old list
 // and the present ones are added.
 func (s *State) updateService(byService map[string][]endpoint.Record, service string, added []endpoint.Record) {
