--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -98,26 +98,6 @@
 	return backoff.Next(f.random)
 }
 
-// parents returns the daemons to poll in order of preference. The holders of a domain poll one
-// another: what one has read, the other need not read from the platform, and no half of the domain
-// waits for its own root.
-func (f *Follower) parents() []endpoint.InstanceID {
-	holders := f.holders()
-	if slices.Contains(holders, f.cfg.Self.Instance) {
-		return f.otherHolders()
-	}
-	return distribution.Parents(f.cfg.Self.Instance, f.cfg.Self.Domain, holders, f.domainMembers())
-}
-
-// otherHolders returns the known holders of the own domain that are alive, without this daemon.
-func (f *Follower) otherHolders() []endpoint.InstanceID {
-	records := f.cfg.Members.View().Records
-	return slices.DeleteFunc(f.holders(), func(id endpoint.InstanceID) bool {
-		_, live := records[id]
-		return id == f.cfg.Self.Instance || !live
-	})
-}
-
 // pollParent polls once over s, or over a new connection if s is nil or leads elsewhere. It returns
 // the connection for the next poll.
 func (f *Follower) pollParent(ctx context.Context, s *session, id endpoint.InstanceID) (*session, error) {
