bench latency: print the allocations of a call

Cause: nothing showed how much the request path allocates, apart from BenchmarkTwoHops, which includes the client and the backend server.

The processor time moved into the same function (tools/bench/latency/usage.go).

--- a/tools/bench/latency/latency.go
+++ b/tools/bench/latency/latency.go
@@ -77,7 +77,8 @@
 	}
 	ways := []*way{newWay(receiver.Backend), newWay(receiver.Callers), newWay(sender.Callers)}
 	for _, rate := range Rates {
-		if err := measureRate(ways, rate, sender, receiver, emit); err != nil {
+		measure := func() (int, error) { return measureRate(ways, rate, emit) }
+		if err := usagePerCall(ctx, fmt.Sprintf("latency/%d/", rate), sender, receiver, emit, measure); err != nil {
 			return err
 		}
 	}
@@ -132,17 +133,15 @@
 }
 
 // measureRate runs the rounds of one rate. The bound applies to the median of the rounds, since a
-// single round can be that of a busy machine.
-func measureRate(ways []*way, rate int, sender, receiver *fleet.Instance, emit func(row.Row)) error {
+// single round can be that of a busy machine. It returns the calls on each way.
+func measureRate(ways []*way, rate int, emit func(row.Row)) (calls int, err error) {
 	names := []string{"one_hop", "two_hops"}
 	p50, p99 := make([][]float64, len(names)), make([][]float64, len(names))
-	before := cpuTimes(sender, receiver)
-	calls := 0
 	for round := range rounds {
 		results := measureRound(ways, rate, uint64(round))
 		for _, w := range ways {
 			if w.failed > 0 {
-				return errors.Errorf("%d of the calls to %s failed, the first one: %v", w.failed, w.url, w.failure)
+				return 0, errors.Errorf("%d of the calls to %s failed, the first one: %v", w.failed, w.url, w.failure)
 			}
 		}
 		direct := results[0]
@@ -159,23 +158,7 @@
 		emit(row.Row{Name: name + hops + "_added_p50", Value: median(p50[n]), Unit: "ms"})
 		emit(row.Row{Name: name + hops + "_added_p99", Value: median(p99[n]), Unit: "ms", Bound: row.AddedMilliseconds})
 	}
-	after := cpuTimes(sender, receiver)
-	for n, daemon := range []string{"sender", "receiver"} {
-		perCall := (after[n] - before[n]) / time.Duration(calls)
-		emit(row.Row{Name: name + daemon + "_cpu_per_call", Value: float64(perCall.Microseconds()), Unit: "us"})
-	}
-	return nil
-}
-
-// cpuTimes returns the processor time of the daemons so far, zero for one that has ended.
-func cpuTimes(instances ...*fleet.Instance) []time.Duration {
-	times := make([]time.Duration, len(instances))
-	for n, i := range instances {
-		if usage, err := i.DaemonProcess.Usage(); err == nil {
-			times[n] = usage.CPU
-		}
-	}
-	return times
+	return calls, nil
 }
 
 func median(values []float64) float64 {
