bench handshake: cost of a new connection between authenticated daemons

Moves the benchmark of the handshake to the other benches, with the configuration that the daemons use. A test checks that an idle connection closed by its peer is noticed below TLS.

--- a/agent/peer/secure/secure_test.go
+++ b/agent/peer/secure/secure_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/credentials"
 	"kingcupwood.example/kingcupwood/lib/event"
 )
@@ -91,6 +92,24 @@
 	return err
 }
 
+// Guards against a call that is sent over a connection which the peer has closed, because the check of idle
+// connections does not see the socket below TLS.
+func TestIdleCheckBelowTLS(t *testing.T) {
+	is, authority := is.New(t), newAuthority()
+	good := credentialsOf(authority, &authority, "127.0.0.1", time.Now())
+	l := echo(t, good)
+	conn := must(Dial(new(net.Dialer).DialContext, good)(t.Context(), "tcp", l.Addr().String()))
+	check := call.NewIdleCheck(conn)
+	is.Equal(must(conn.Write([]byte{1})), 1)
+	is.Equal(must(conn.Read(make([]byte, 1))), 1)
+	is.True(check.OK())
+	is.NoErr(conn.(interface{ CloseWrite() error }).CloseWrite()) // the peer closes the connection in turn
+	for end := time.Now().Add(time.Minute); check.OK(); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	is.NoErr(conn.Close())
+}
+
 // Guards against a peer that is accepted without a certificate, without TLS, with an expired certificate
 // or with one of another authority, and against a server with a certificate for another address.
 func TestPeersAreAuthenticated(t *testing.T) {
--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -14,6 +14,7 @@
 
 	"kingcupwood.example/kingcupwood/tools/bench/capacity"
 	"kingcupwood.example/kingcupwood/tools/bench/convergence"
+	"kingcupwood.example/kingcupwood/tools/bench/handshake"
 	"kingcupwood.example/kingcupwood/tools/bench/latency"
 	"kingcupwood.example/kingcupwood/tools/bench/row"
 )
@@ -27,6 +28,7 @@
 var groups = []group{
 	{"flood", (*bench).runFlood},
 	{"latency", (*bench).runLatency},
+	{"handshake", (*bench).runHandshake},
 	{"convergence", (*bench).runConvergence},
 	{"capacity", (*bench).runCapacity},
 	{"load", (*bench).runLoad},
@@ -93,6 +95,9 @@
 	return latency.Run(ctx, b.binary, b.keys, b.emit)
 }
 
+// runHandshake measures a new connection between authenticated daemons.
+func (b *bench) runHandshake(ctx context.Context) error { return handshake.Run(ctx, b.emit) }
+
 func (b *bench) runConvergence(ctx context.Context) error {
 	sizes := convergence.Sizes
 	if b.sizes != "" {
