--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -15,6 +15,7 @@
 	"kingcupwood.example/kingcupwood/tools/bench/capacity"
 	"kingcupwood.example/kingcupwood/tools/bench/chain"
 	"kingcupwood.example/kingcupwood/tools/bench/convergence"
+	"kingcupwood.example/kingcupwood/tools/bench/handshake"
 	"kingcupwood.example/kingcupwood/tools/bench/latency"
 	"kingcupwood.example/kingcupwood/tools/bench/row"
 )
@@ -29,6 +30,7 @@
 	{"flood", (*bench).runFlood},
 	{"latency", (*bench).runLatency},
 	{"chain", (*bench).runChain},
+	{"handshake", (*bench).runHandshake},
 	{"convergence", (*bench).runConvergence},
 	{"capacity", (*bench).runCapacity},
 	{"load", (*bench).runLoad},
@@ -97,6 +99,8 @@
 
 // runChain measures a chain of calls of the greatest depth.
 func (b *bench) runChain(ctx context.Context) error { return chain.Run(ctx, b.binary, b.emit) }
+// runHandshake measures a new connection between authenticated daemons.
+func (b *bench) runHandshake(ctx context.Context) error { return handshake.Run(ctx, b.emit) }
 
 func (b *bench) runConvergence(ctx context.Context) error {
 	sizes := convergence.Sizes
