--- a/agent/platform/client.go
+++ b/agent/platform/client.go
@@ -104,6 +104,7 @@
 		MaxConnsPerHost:     maxConnections,
 		IdleConnTimeout:     idleConnectionTime,
 		DialContext:         config.Dial,
+		DisableCompression:  true,
 	}
 	httpClient := &http.Client{Transport: transport}
 	keys := credentials.NewStaticCredentialsProvider(config.AccessKey, config.SecretKey, "")
