Use short names in the renewal of a lease

Cause: the renewal is the largest cause left, 0.9 kB/s; 470 bytes of its 1,006 were the body, mostly the expressions and their names. Change: names of one letter in the expressions; the attributes and the condition are the same. 78 bytes less.

--- a/agent/platform/lease.go
+++ b/agent/platform/lease.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"time"
 
+	"github.com/aws/aws-sdk-go-v2/aws"
 	"go.uber.org/zap"
 
 	"kingcupwood.example/kingcupwood/lib/event"
@@ -12,6 +13,9 @@
 
 const leasePartition = "lease"
 
+// renewNames are short names for the most frequent write: 78 of its 470 bytes of body were names.
+var renewNames = map[string]string{"#t": "token", "#h": "holder", "#e": "expires"}
+
 // Lease is a lease in the table. The clocks of the holders decide when it may be taken over; that
 // two holders never both write is ensured by Token, not by the clocks.
 type Lease struct {
@@ -113,9 +117,11 @@
 	l.Expires = c.config.Now().Add(ttl)
 	// The times are compared so that a delayed renewal neither shortens a later one nor revives a
 	// released lease.
-	condition := where("#token = :token AND #holder = :holder AND #expires > :zero AND #expires < :expires",
-		row{":token": number(l.Token), ":holder": text(l.Holder), ":zero": number(0), ":expires": milliseconds(l.Expires)})
-	err := c.writeAsHolder(ctx, "renew lease", l, "SET #expires = :expires", condition,
+	condition := clause{
+		text: aws.String("#t = :t AND #h = :h AND #e > :z AND #e < :e"), names: renewNames,
+		values: row{":t": number(l.Token), ":h": text(l.Holder), ":z": number(0), ":e": milliseconds(l.Expires)},
+	}
+	err := c.writeAsHolder(ctx, "renew lease", l, "SET #e = :e", condition,
 		func(current Lease) bool { return !current.Expires.Before(l.Expires.Truncate(time.Millisecond)) })
 	return l, err
 }
--- a/agent/platform/rows.go
+++ b/agent/platform/rows.go
@@ -87,14 +87,16 @@
 	return c
 }
 
-// naming returns c with the names of a further expression.
+// naming returns c with the names of a further expression that it lacks.
 func (c clause) naming(expression string) clause {
 	names := maps.Clone(c.names)
 	if names == nil {
 		names = map[string]string{}
 	}
 	for _, name := range namePattern.FindAllString(expression, -1) {
-		names[name] = name[1:]
+		if names[name] == "" {
+			names[name] = name[1:]
+		}
 	}
 	c.names = names
 	return c
