Spread a version in a large domain without its lease holders

Cause: with both lease holders dead and undetected the tree has no source. The accepting daemon told 3 random members, mostly leaves, and each generation of pulls took 300 ms plus two ticks, so half of 842 daemons had the version only after up to 1.23 s (bound 1 s).

Change: the accepting daemon also tells its ancestors in the tree (5 packets for each accept), and the children of a root (8 in a domain) pull without waiting.

--- a/agent/peer/sync/accepted.go
+++ b/agent/peer/sync/accepted.go
@@ -18,7 +18,12 @@
 // holds the object of each service. The version is verified like any other one and ignored if it is not
 // above the one in force. The error says why it was refused.
 func (f *Follower) Accepted(m *snapshot.Manifest, hash snapshot.Hash, objects map[snapshot.Hash][]byte) error {
-	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { s.NoteHighest(m.Version) })
+	place := f.position()
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) {
+		s.NoteHighest(m.Version)
+		// The branch of the tree above gets the version even if no root can deliver it.
+		s.AnnounceTo(m.Version, place.Parents[:place.Ancestors])
+	})
 	for {
 		d := distribution.FromManifest(f.cfg.Store.Load(), m, hash)
 		for _, e := range d.Changed {
--- a/agent/peer/sync/cluster_test.go
+++ b/agent/peer/sync/cluster_test.go
@@ -29,6 +29,8 @@
 	daemons  []*daemon
 	byAddr   map[string]*daemon // by net/rpc and by probe address
 	cut      map[string]bool    // domains cut off from the others
+	// known holds the records that daemons start with in place of a join, at the version of the head.
+	known []membership.Entry
 }
 
 type daemon struct {
@@ -45,6 +47,8 @@
 	state   *membership.State
 	stopped bool
 	applied []snapshot.Version
+	// appliedAt is the time of the last version.
+	appliedAt time.Time
 }
 
 func newCluster(t *testing.T, head snapshot.Version) *cluster {
@@ -55,18 +59,30 @@
 	}
 }
 
+func recordOf(i int, domain string) endpoint.Record {
+	host := fmt.Sprintf("10.0.%d.%d", i/250, i%250)
+	return endpoint.Record{
+		Instance: endpoint.InstanceID(fmt.Sprintf("instance-%02d", i)), Domain: domain, Incarnation: uint64(time.Now().UnixMilli()),
+		RPCAddr: host + ":7001", ProbeAddr: host + ":7002", State: endpoint.Ready,
+	}
+}
+
 // start starts instance i in a domain, replacing an earlier run of it. Instance 0 is the seed, and
 // so is instance 1 for it.
 func (c *cluster) start(i int, domain string) *daemon {
-	r := endpoint.Record{
-		Instance: endpoint.InstanceID(fmt.Sprintf("instance-%02d", i)), Domain: domain, Incarnation: uint64(time.Now().UnixMilli()),
-		RPCAddr: fmt.Sprintf("10.0.0.%d:7001", i), ProbeAddr: fmt.Sprintf("10.0.0.%d:7002", i), State: endpoint.Ready,
+	r := recordOf(i, domain)
+	seeds := []string{"10.0.0.0:7001", "10.0.0.1:7001"}
+	if c.known != nil {
+		r, seeds = c.known[i].Record, nil
 	}
 	d := &daemon{c: c, record: r, store: NewStore(c.codec)}
 	d.ln = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	d.state = membership.New(membership.Config{Local: r}, time.Now(), uint64(i)+1)
+	if c.known != nil {
+		d.prepare()
+	}
 	d.Follower = NewFollower(Config{
-		Self: r, Seeds: []string{"10.0.0.0:7001", "10.0.0.1:7001"}, Members: d, Store: d.store,
+		Self: r, Seeds: seeds, Members: d, Store: d.store,
 		Platform: platformOf{c.platform, r.Instance, d.wait}, Dial: d.connect, Log: event.Nop(), Seed: uint64(i) + 1, OnApply: d.onApply,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -89,6 +105,15 @@
 	return d
 }
 
+// prepare gives d all records and the version of the head.
+func (d *daemon) prepare() {
+	d.state.Merge(time.Now(), d.c.known)
+	if _, err := d.store.Apply(mustComplete(d.c.codec, d.c.head())); err != nil {
+		d.c.t.Fatal(err)
+	}
+	d.state.SetVersion(d.c.head())
+}
+
 // kill ends a daemon without notice to others.
 func (d *daemon) kill() {
 	d.mu.Lock()
@@ -136,7 +161,7 @@
 	if n := len(d.applied); n > 0 && d.applied[n-1] >= s.Version {
 		d.c.t.Errorf("%s: version %d after %d", d.record.Instance, s.Version, d.applied[n-1])
 	}
-	d.applied = append(d.applied, s.Version)
+	d.applied, d.appliedAt = append(d.applied, s.Version), time.Now()
 }
 
 // Do implements Members.
--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -183,7 +183,7 @@
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
 	for pause(ctx, pullInterval) {
 		now := time.Now()
-		peer, ok := distribution.PullFrom(now, f.cfg.Store.Version(), f.candidates(now, blocked))
+		peer, ok := distribution.PullFrom(now, f.pullAfter(), f.cfg.Store.Version(), f.candidates(now, blocked))
 		if !ok || f.recentlyRefused(now, peer.Version) {
 			continue
 		}
@@ -195,6 +195,15 @@
 	}
 }
 
+// pullAfter returns how long a peer must have been ahead before this daemon pulls from it. A child of a
+// root does not wait: the root may be dead, and the whole branch below waits for this daemon.
+func (f *Follower) pullAfter() time.Duration {
+	if f.position().Ancestors == 1 {
+		return 0
+	}
+	return distribution.PullAfter
+}
+
 // candidates returns the peers known to be ahead that are not blocked.
 func (f *Follower) candidates(now time.Time, blocked map[endpoint.InstanceID]time.Time) []distribution.Candidate {
 	for id, until := range blocked {
--- a/pkg/distribution/decide.go
+++ b/pkg/distribution/decide.go
@@ -39,12 +39,12 @@
 	Since    time.Time
 }
 
-// PullFrom returns the candidate with the highest version among those seen for PullAfter, and
+// PullFrom returns the candidate with the highest version among those seen for the time after, and
 // whether there is one.
-func PullFrom(now time.Time, current snapshot.Version, candidates []Candidate) (Candidate, bool) {
+func PullFrom(now time.Time, after time.Duration, current snapshot.Version, candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	for _, c := range candidates {
-		if c.Version > max(current, best.Version) && now.Sub(c.Since) >= PullAfter {
+		if c.Version > max(current, best.Version) && now.Sub(c.Since) >= after {
 			best = c
 		}
 	}
--- a/pkg/distribution/distribution_test.go
+++ b/pkg/distribution/distribution_test.go
@@ -104,10 +104,10 @@
 	list := []Candidate{
 		{"a", 6, now.Add(-PullAfter)}, {"b", 8, now.Add(-PullAfter + 1)}, {"c", 7, now.Add(-time.Second)}, {"d", 5, now.Add(-time.Hour)},
 	}
-	best, ok := PullFrom(now, 5, list)
+	best, ok := PullFrom(now, PullAfter, 5, list)
 	is.True(ok)
 	is.Equal(best.Instance, endpoint.InstanceID("c"))
-	_, ok = PullFrom(now, 7, list)
+	_, ok = PullFrom(now, PullAfter, 7, list)
 	is.True(!ok)
 }
 
--- a/pkg/distribution/tree.go
+++ b/pkg/distribution/tree.go
@@ -67,6 +67,8 @@
 	// Rank is the number of members before this one in the order without holders; -1 for a holder
 	// and for an instance that is not live.
 	Rank int
+	// Ancestors is the number of parents that are on the way to the root; 1 for the child of a root.
+	Ancestors int
 }
 
 // PositionOf returns the position of self.
@@ -77,28 +79,30 @@
 		held++
 	}
 	place := slices.Index(order, self)
-	return Position{Parents: parentsOf(order, held, place), Rank: max(-1, place-held)}
+	parents, ancestors := parentsOf(order, held, place)
+	return Position{Parents: parents, Rank: max(-1, place-held), Ancestors: ancestors}
 }
 
-// parentsOf returns the parents of the daemon at place of order, which starts with held holders.
-func parentsOf(order []endpoint.InstanceID, held, place int) []endpoint.InstanceID {
+// parentsOf returns the parents of the daemon at place of order, which starts with held holders, and how
+// many of them are its ancestors.
+func parentsOf(order []endpoint.InstanceID, held, place int) (parents []endpoint.InstanceID, ancestors int) {
 	roots := held
 	if roots == 0 {
 		roots = min(Roots, len(order))
 	}
 	if place < roots {
-		return nil
+		return nil, 0
 	}
-	var parents []endpoint.InstanceID
 	at := place
 	for at >= roots {
 		at = (at - roots) / Fanout
 		parents = append(parents, order[at])
 	}
+	ancestors = len(parents)
 	for i := (place - roots) / Fanout; i >= 0 && len(parents) < MaxParents; i-- {
 		if !slices.Contains(parents, order[i]) {
 			parents = append(parents, order[i])
 		}
 	}
-	return parents
+	return parents, ancestors
 }
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -98,6 +98,11 @@
 	s.ahead = slices.DeleteFunc(s.ahead, func(a Ahead) bool { return a.Version <= s.version })
 }
 
+// AnnounceTo names members that are told about version v, besides random ones, once it is in force.
+func (s *State) AnnounceTo(v snapshot.Version, list []endpoint.InstanceID) {
+	s.announceTo, s.announceAt = list, v
+}
+
 // announceVersion tells a few members about a new version in force, so that those which the tree
 // did not reach pull it.
 func (s *State) announceVersion() {
@@ -109,6 +114,13 @@
 	if list := s.remoteDomains(func(d *domain) bool { return !d.unreachable }); len(list) > 0 {
 		targets = append(targets, s.sample(list[s.rng.IntN(len(list))], 1, nil)...)
 	}
+	if s.announceAt == s.version {
+		for _, id := range s.announceTo {
+			if m := s.members[id]; m != nil && m != s.local && m.status != Dead {
+				targets = append(targets, m)
+			}
+		}
+	}
 	for _, m := range targets {
 		s.sendTo(m, message{Kind: kindPush})
 	}
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -46,9 +46,12 @@
 	version snapshot.Version
 	// announce tells that version is new and is sent to a few members with the next Tick.
 	announce bool
-	highest  snapshot.Version
-	ahead    []Ahead
-	holders  map[int]Holder
+	// announceTo lists further members that are told about version announceAt with it.
+	announceTo []endpoint.InstanceID
+	announceAt snapshot.Version
+	highest    snapshot.Version
+	ahead      []Ahead
+	holders    map[int]Holder
 
 	view        atomic.Pointer[endpoint.View]
 	changed     map[endpoint.InstanceID]struct{}
