--- a/tools/bench/groups.go
+++ b/tools/bench/groups.go
@@ -99,6 +99,7 @@
 
 // runChain measures a chain of calls of the greatest depth.
 func (b *bench) runChain(ctx context.Context) error { return chain.Run(ctx, b.binary, b.emit) }
+
 // runHandshake measures a new connection between authenticated daemons.
 func (b *bench) runHandshake(ctx context.Context) error { return handshake.Run(ctx, b.emit) }
 
