Ask for idempotency keys over authenticated connections

Cause: the question to a former owner of a key was merged beside the authentication between daemons and opened its connection without it, so the other daemon refused it. Change: one function opens the connections to other daemons for calls, keys and questions. A test asks for a key between two daemons with keys; it fails without the change.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -60,6 +60,7 @@
 	calls    *call.Server
 	client   *call.Client
 	callers  *caller.Handler
+	askKey   caller.AskKey
 	rpc      *rpc.Server
 	burn     *burn.Tracker
 	gate     *gate
@@ -160,12 +161,13 @@
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
-	d.client = call.NewClientWithDialer(d.secured(d.network.DialContext), d.log)
+	d.client = call.NewClientWithDialer(d.dialDaemon, d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
 	d.burn = burn.New(burn.Config{}, time.Now)
+	d.askKey = keys.Asker(d.dialDaemon)
 	d.callers = caller.NewHandler(caller.Config{
 		Instance: local.Instance, Incarnation: incarnation, StartedMS: local.Incarnation,
-		AskKey: keys.Asker(d.network.DialContext), Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
+		AskKey: d.askKey, Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
 		Budgets:  retry.NewBudgets(retryRatio, retryMinPerSecond, time.Now),
 		Recorder: d.burn, Log: d.log, Now: time.Now,
@@ -231,7 +233,7 @@
 	group.Go(func() error { d.reconfigure(ctx); return nil })
 	group.Go(func() error { d.watchSecurity(ctx); return nil })
 	group.Go(func() error {
-		keys.NewMover(d.callers, d.prober.View, d.secured(d.network.DialContext), d.log).Run(ctx)
+		keys.NewMover(d.callers, d.prober.View, d.dialDaemon, d.log).Run(ctx)
 		return nil
 	})
 	for server, listener := range map[*http.Server]net.Listener{
--- a/agent/security.go
+++ b/agent/security.go
@@ -85,6 +85,11 @@
 	return secure.Dial(dial, d.security.credentials)
 }
 
+// dialDaemon opens a connection to another daemon. It has the form of net.Dialer.DialContext.
+func (d *Daemon) dialDaemon(ctx context.Context, network, addr string) (net.Conn, error) {
+	return d.secured(d.network.DialContext)(ctx, network, addr)
+}
+
 func (d *Daemon) newProber(local endpoint.Record) *probe.Prober {
 	config := membership.Config{Local: local}
 	if d.security == nil {
--- a/agent/security_test.go
+++ b/agent/security_test.go
@@ -13,9 +13,11 @@
 
 	"github.com/matryer/is"
 
+	"kingcupwood.example/kingcupwood/agent/caller"
 	"kingcupwood.example/kingcupwood/agent/peer/secure"
 	"kingcupwood.example/kingcupwood/lib/credentials"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/idempotency"
 )
 
 // keySet is what the files of a deployment on loopback are made from.
@@ -143,3 +145,16 @@
 	is.Equal(len(member.prober.View().Records), len(c.nodes)-1)
 	is.True(exchange(t, files, stranger.listeners.calls.Addr()) != nil) // it has no certificate
 }
+
+// Guards against a question about an idempotency key over a connection without authentication: the other
+// daemon refuses it, and every save with a key is refused after a change of owners.
+func TestKeyIsAskedForWithAuthentication(t *testing.T) {
+	is := is.New(t)
+	files := filesIn(t.TempDir())
+	writeFiles(t, files, newKeySet())
+	c := newSecuredCluster(t, files)
+	question := caller.KeyQuestion{Key: idempotency.Key{Service: "pages", Value: "k"}, Asker: idempotency.Peer{Name: "a1"}}
+	answer, err := c.nodes["a1"].daemon.askKey(t.Context(), c.nodes["b1"].daemon.listeners.rpc.Addr().String(), question)
+	is.NoErr(err)
+	is.Equal(answer.State, idempotency.Free)
+}
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -68,7 +68,7 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	sent, err := keys.HandOver(limit, d.secured(d.network.DialContext), d.prober.View(), d.record.instance(), records)
+	sent, err := keys.HandOver(limit, d.dialDaemon, d.prober.View(), d.record.instance(), records)
 	d.log.Log(event.KeysHandedOver, zap.Int("keys", len(records)), zap.Int("sent", sent), zap.Error(err))
 }
 
