--- a/pkg/packetauth/packet.go
+++ b/pkg/packetauth/packet.go
@@ -9,13 +9,13 @@
 	"time"
 )
 
-// A packet consists of the ID of the key (4 bytes), the life of the sender (4), a time stamp in
+// A packet consists of the ID of the key (4 bytes), the incarnation of the sender (4), a time stamp in
 // microseconds of the sender's clock (8), the message, and the code (16). Numbers are big-endian.
 const (
-	lifeAt      = 4
-	stampAt     = 8
-	headerBytes = 16
-	codeBytes   = 16
+	incarnationAt = 4
+	stampAt       = 8
+	headerBytes   = 16
+	codeBytes     = 16
 
 	// Overhead is the number of bytes that Seal adds to a message.
 	Overhead = headerBytes + codeBytes
@@ -23,7 +23,7 @@
 	// It bounds the time in which a packet can be replayed to a receiver that has restarted.
 	MaxClockDifference = 5 * time.Minute
 
-	// stepBack is the distance by which the clock must be set back before the sender takes a new life.
+	// stepBack is the distance by which the clock must be set back before the sender takes a new incarnation.
 	// Below it, stamps advance by a microsecond each until the clock has caught up.
 	stepBack = time.Second
 	// sweepInterval separates two searches for senders that can be forgotten.
@@ -65,43 +65,43 @@
 	random func() uint32
 
 	mu sync.Mutex
-	// life tells apart the runs of a sender whose clock may have been set back in between.
-	life uint32
-	last int64
-	seen replays
+	// incarnation tells apart the runs of a sender whose clock may have been set back in between.
+	incarnation uint32
+	last        int64
+	seen        replays
 }
 
 // New returns an Authenticator for the socket at local, which must be the address to which others
 // send. ring returns the keys in use, random a number that differs from run to run.
 func New(local netip.AddrPort, ring func() *Ring, random func() uint32) *Authenticator {
-	return &Authenticator{local: local, ring: ring, random: random, life: random(), seen: replays{senders: map[sender]*history{}}}
+	return &Authenticator{local: local, ring: ring, random: random, incarnation: random(), seen: replays{senders: map[sender]*history{}}}
 }
 
 // Seal returns the packet for a message that is sent to to.
 func (a *Authenticator) Seal(now time.Time, to netip.AddrPort, message []byte) []byte {
 	k := &a.ring().keys[0]
-	life, stamp := a.nextStamp(now)
+	incarnation, stamp := a.nextStamp(now)
 	packet := make([]byte, headerBytes, len(message)+Overhead)
 	binary.BigEndian.PutUint32(packet, k.id)
-	binary.BigEndian.PutUint32(packet[lifeAt:], life)
+	binary.BigEndian.PutUint32(packet[incarnationAt:], incarnation)
 	binary.BigEndian.PutUint64(packet[stampAt:], uint64(stamp))
 	packet = append(packet, message...)
 	return append(packet, k.code(a.local, to, packet)...)
 }
 
-// nextStamp returns a stamp above all former ones of the same life.
-func (a *Authenticator) nextStamp(now time.Time) (life uint32, stamp int64) {
+// nextStamp returns a stamp above all former ones of the same incarnation.
+func (a *Authenticator) nextStamp(now time.Time) (incarnation uint32, stamp int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch stamp = now.UnixMicro(); {
 	case stamp > a.last:
 	case a.last-stamp > stepBack.Microseconds():
-		a.life = a.random()
+		a.incarnation = a.random()
 	default:
 		stamp = a.last + 1
 	}
 	a.last = stamp
-	return a.life, stamp
+	return a.incarnation, stamp
 }
 
 // Open returns the message in a packet that came from from; it shares the memory of packet. The error
@@ -124,7 +124,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r, refused := a.seen.note(now, sender{from, binary.BigEndian.Uint32(packet[lifeAt:])}, stamp); refused {
+	if r, refused := a.seen.note(now, sender{from, binary.BigEndian.Uint32(packet[incarnationAt:])}, stamp); refused {
 		return nil, r
 	}
 	return signed[headerBytes:], nil
--- a/pkg/packetauth/packet_test.go
+++ b/pkg/packetauth/packet_test.go
@@ -29,10 +29,10 @@
 	return ring
 }
 
-// at returns an Authenticator whose ring may be replaced and whose lives count up.
+// at returns an Authenticator whose ring may be replaced and whose incarnations count up.
 func at(addr netip.AddrPort, ring **Ring) *Authenticator {
-	life := uint32(0)
-	return New(addr, func() *Ring { return *ring }, func() uint32 { life++; return life })
+	incarnation := uint32(0)
+	return New(addr, func() *Ring { return *ring }, func() uint32 { incarnation++; return incarnation })
 }
 
 func open(to *Authenticator, now time.Time, from netip.AddrPort, packet []byte) error {
--- a/pkg/packetauth/replay.go
+++ b/pkg/packetauth/replay.go
@@ -15,8 +15,8 @@
 
 // sender is one run of a daemon.
 type sender struct {
-	addr netip.AddrPort
-	life uint32
+	addr        netip.AddrPort
+	incarnation uint32
 }
 
 // history holds the newest stamps of a sender, in no order. Unused places are 0.
