Take turns at the probes of other failure domains

Cause: each daemon probed a random other domain every third second, so the first probe across a cut had exponential waiting time: with 19 domains of 20 members a partition was marked by all members after up to 7.4 s (two domains cut) and 17.2 s (one isolated). Hints reached too few members at a time.

Change: turns by rank and clock go round the other domains, so that each is probed every 3 s * 18 / 20 = 2.7 s by some member, at the same rate per daemon. A change of reachability is told to 8 members (4) and starts 4 checks of other domains (2).

--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -30,17 +30,19 @@
 	// record map.
 	PublishInterval = 250 * time.Millisecond
 
-	// remoteEvery is the number of probe rounds for each probe into another failure domain.
-	remoteEvery = 3
+	// remoteInterval separates two probes of a daemon into other failure domains.
+	remoteInterval = 3 * ProbeInterval
+	// remoteShift is the number of turns after which the members exchange the domains that they probe.
+	remoteShift = 20
 	// indirectProbes is the number of members asked to probe one that did not answer.
 	indirectProbes = 3
 	// unreachableAfter is the number of distinct members of a domain that must fail in a row.
 	unreachableAfter = 3
 	// spreadChecks is the number of other domains checked when one is found unreachable. If it is
 	// this domain that was cut off, all others are found within a few steps.
-	spreadChecks = 2
+	spreadChecks = 4
 	// hintFanout is the number of members told at once about a change of reachability or a leave.
-	hintFanout = 4
+	hintFanout = 8
 	// versionFanout is the number of members of the own domain told at once about a new version in
 	// force, besides one of another domain. At 0.27 versions/s it costs about 100 bytes/s. With
 	// probes alone, daemons below dead lease holders did not follow within 5 s.
--- a/pkg/membership/probing.go
+++ b/pkg/membership/probing.go
@@ -46,6 +46,9 @@
 		}
 		s.probeRound(now)
 	}
+	if !s.leaving {
+		s.probeRemote(now)
+	}
 	s.announceVersion()
 	s.publish(now)
 	return s.take()
@@ -73,22 +76,45 @@
 }
 
 func (s *State) probeRound(now time.Time) {
-	s.round++
 	own := s.domainOf(s.local.record.Domain)
 	if m := own.nextTarget(s.rng.IntN); m != nil {
 		s.startProbe(now, m)
 	}
-	if s.round%remoteEvery == 0 {
-		s.probeRemote(now, func(d *domain) bool { return !d.unreachable })
+	if list := s.remoteDomains(func(d *domain) bool { return d.unreachable }); len(list) > 0 {
+		s.startProbe(now, list[s.rng.IntN(len(list))].nextTarget(s.rng.IntN))
 	}
-	s.probeRemote(now, func(d *domain) bool { return d.unreachable })
 }
 
-// probeRemote probes the next member of a random other domain that is wanted.
-func (s *State) probeRemote(now time.Time, wanted func(*domain) bool) {
-	if list := s.remoteDomains(wanted); len(list) > 0 {
-		s.startProbe(now, list[s.rng.IntN(len(list))].nextTarget(s.rng.IntN))
+// probeRemote probes a member of another domain once in remoteInterval. The members of a domain share
+// the other domains: their turns are spread over the interval by rank and go round the domains, so that
+// n members probe each of d domains every remoteInterval*d/n. With random choices the gaps
+// have no bound. Clocks that differ only make them uneven.
+func (s *State) probeRemote(now time.Time) {
+	rank, members := s.rank()
+	phase := remoteInterval * time.Duration(rank) / time.Duration(members)
+	turn := now.Add(-phase).UnixMilli() / remoteInterval.Milliseconds()
+	if turn <= s.remoteTurn {
+		return
 	}
+	s.remoteTurn = turn
+	list := s.remoteDomains(func(*domain) bool { return true })
+	if len(list) == 0 {
+		return
+	}
+	// The slow shift lets a member go round all domains if their number divides that of the members. It is
+	// subtracted, so that a domain is probed once more and not once less.
+	at := turn*int64(members) + int64(rank) - turn/remoteShift
+	if d := list[at%int64(len(list))]; !d.unreachable { // unreachable ones are probed each round
+		s.startProbe(now, d.nextTarget(s.rng.IntN))
+	}
+}
+
+// rank returns the place of this daemon among the members of its domain in order of instance, and their
+// number.
+func (s *State) rank() (place, members int) {
+	own := s.view.Load().Own.Instances
+	place, _ = slices.BinarySearch(own, s.self)
+	return place, len(own)
 }
 
 // remoteDomains returns the other domains that have members and are wanted.
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -33,8 +33,9 @@
 	probes    []*probe
 	relays    []*relay
 	nextProbe time.Time
-	round     uint64
-	lastTick  time.Time
+	// remoteTurn is the last interval in which another domain was probed.
+	remoteTurn int64
+	lastTick   time.Time
 
 	// health counts missed acks and late ticks; timeouts are multiplied by 1+health.
 	health int
@@ -81,6 +82,7 @@
 	s.members[s.self] = s.local
 	s.lastTick = now
 	s.nextProbe = now.Add(time.Duration(s.rng.Int64N(int64(ProbeInterval))))
+	s.remoteTurn = now.UnixMilli() / remoteInterval.Milliseconds()
 	s.localChanged()
 	s.publish(now)
 	return s
