demo: say how long the fleet waited for a processor

Cause: the drain step of tools/demo failed once (3 of 1,150 requests late), and nothing told a fault of the drain from a busy machine.

Change: a failed drain step names the process that waited longest for a processor. The check itself is the same.

--- a/tools/demo/load.go
+++ b/tools/demo/load.go
@@ -105,16 +105,42 @@
 	leaving := d.fleet.Instances[1]
 	// Callers use the other daemons; the leaving one still serves its backend server.
 	entries := append(d.fleet.Instances[:1:1], d.fleet.Instances[2:]...)
+	before := d.processorWaits()
 	t, err := during(ctx, "drain", entries, leaving.Stop)
 	if err != nil {
 		return "", err
 	}
 	if t.ran == 0 || t.notRun+t.unknown+t.broke > 0 {
-		return "", errors.New(t.String())
+		return "", errors.Errorf("%s; %s", t, d.longestWait(before))
 	}
 	return t.String(), d.noRepeatedRuns(ctx, t.saves)
 }
 
+// processorWaits returns how long the threads of each running process have waited for a processor.
+func (d *demo) processorWaits() map[string]time.Duration {
+	waits := map[string]time.Duration{}
+	for _, i := range d.fleet.Instances {
+		for _, p := range []*fleet.Process{i.DaemonProcess, i.BackendProcess} {
+			if wait, err := p.ProcessorWait(); err == nil && p.Running() {
+				waits[p.Name] = wait
+			}
+		}
+	}
+	return waits
+}
+
+// longestWait names the process whose threads have waited longest since before. The total covers the whole step, so
+// that it is only a hint at a busy machine.
+func (d *demo) longestWait(before map[string]time.Duration) string {
+	longest, name := time.Duration(0), ""
+	for process, wait := range d.processorWaits() {
+		if grown := wait - before[process]; grown > longest {
+			longest, name = grown, process
+		}
+	}
+	return fmt.Sprintf("%s waited for a processor for %d ms in total", name, longest.Milliseconds())
+}
+
 func (d *demo) kill(ctx context.Context) (string, error) {
 	victim := d.fleet.Instances[0]
 	t, err := during(ctx, "kill", d.fleet.Instances[2:], func() error {
--- a/tools/fleet/measure.go
+++ b/tools/fleet/measure.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,35 @@
 	return Usage{CPU: cpu, ResidentBytes: resident}, errors.Wrapf(err, "usage of %s", p.Name)
 }
 
+// schedstatWait is the index of the time in nanoseconds that a thread waited for a processor.
+const schedstatWait = 1
+
+// ProcessorWait returns how long the threads of p that still run have been ready without getting a processor, in
+// total. It tells a slow program from a busy machine.
+func (p *Process) ProcessorWait() (time.Duration, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.PID()))
+	if err != nil {
+		return 0, errors.Wrapf(err, "processor wait of %s", p.Name)
+	}
+	var total time.Duration
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		fields := strings.Fields(string(content))
+		if len(fields) <= schedstatWait {
+			return 0, errors.Errorf("unexpected content of %s", file)
+		}
+		wait, err := strconv.ParseInt(fields[schedstatWait], 10, 64)
+		if err != nil {
+			return 0, errors.Wrapf(err, "processor wait of %s", p.Name)
+		}
+		total += time.Duration(wait)
+	}
+	return total, nil
+}
+
 // parseStat returns the processor time in the content of /proc/PID/stat.
 func parseStat(stat []byte) (time.Duration, error) {
 	// The program name stands in parentheses and may contain spaces.
