Ask a seed at a fixed rate whatever the number of daemons

Each daemon asked a seed every sixth exchange, in step with the others, so the load of a seed grows with the daemons. Change: the period grows with the members, a seed is asked once in about 25 s by all together, and daemons begin at random rounds. Small groups still ask every sixth time.

--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -30,12 +30,11 @@
 	busyChanges        = 32
 	// floorHolders is the number of lease holders asked for the head after a restart.
 	floorHolders = 2
+	// maxFirstRound is half the bound of the random number of the first anti-entropy exchange.
+	maxFirstRound = 1 << 20
 	// floorReadSpread spreads the reads of the head by restarted daemons that reach no lease holder:
 	// the whole of them reads less than 1,000 times/s.
 	floorReadSpread = time.Millisecond
-	// seedEvery is the number of anti-entropy exchanges for each one with a seed, which reunites
-	// groups of daemons that started without seeing each other.
-	seedEvery = 6
 )
 
 // join runs the full exchange with a seed, or with daemons that a busy seed names, until one
@@ -241,12 +240,25 @@
 	return addrs
 }
 
+// countReachable returns the number of members in reachable domains.
+func (f *Follower) countReachable() (n int) {
+	view := f.cfg.Members.View()
+	for _, r := range view.Records {
+		if !view.Unreachable[r.Domain] {
+			n++
+		}
+	}
+	return n
+}
+
 // repair compares the records with those of a random member at intervals, in turn inside and
 // outside the own domain. The first exchange follows soon after the start, as it also brings the
 // lease holders.
 func (f *Follower) repair(ctx context.Context) {
 	var due time.Time
-	for round := 1; pause(ctx, f.jitter(busyRepairInterval)); {
+	// Daemons that start together begin at different rounds, so that they ask the seeds in turn. The
+	// first one is odd, as it also brings the lease holders of the own domain.
+	for round := 1 + 2*int(f.random(maxFirstRound)); pause(ctx, f.jitter(busyRepairInterval)); {
 		if time.Now().Before(due) && !f.recordsBusy() {
 			continue
 		}
@@ -277,7 +289,7 @@
 	if len(addrs) == 0 {
 		addrs = f.reachable(false)
 	}
-	if seeds := f.otherSeeds(); len(addrs) == 0 || (round%seedEvery == 0 && len(seeds) > 0) {
+	if seeds := f.otherSeeds(); len(addrs) == 0 || (len(seeds) > 0 && round%distribution.SeedPeriod(f.countReachable(), len(seeds)) == 0) {
 		addrs = seeds
 	}
 	if len(addrs) == 0 {
--- a/pkg/distribution/decide.go
+++ b/pkg/distribution/decide.go
@@ -11,6 +11,21 @@
 // it. The tree delivers faster, so a pull is a sign that the tree missed this daemon.
 const PullAfter = 300 * time.Millisecond
 
+const (
+	// seedEvery is the least number of anti-entropy exchanges of a daemon for each one with a seed, which
+	// reunites groups of daemons that started without seeing each other.
+	seedEvery = 6
+	// seedRounds is the number of exchanges in the time of which a seed is asked once. An exchange is about
+	// 1 kB and follows after 12 s.
+	seedRounds = 2
+)
+
+// SeedPeriod returns the number of anti-entropy exchanges of a daemon, one of which is with a seed. It
+// grows with the number of members: asked by each daemon every 75 s, a seed spent 1 kB/s with 100 daemons.
+func SeedPeriod(members, seeds int) int {
+	return max(seedEvery, seedRounds*members/max(seeds, 1))
+}
+
 // Action is what to do with a delta that arrived.
 type Action uint8
 
--- a/pkg/distribution/distribution_test.go
+++ b/pkg/distribution/distribution_test.go
@@ -137,3 +137,17 @@
 	b.Reset()
 	is.Equal(b.Next(longest), b.Base)
 }
+
+// Guards against seeds that are asked the more the more daemons there are, and against small groups of
+// daemons that ask too seldom to be reunited.
+func TestSeedPeriod(t *testing.T) {
+	is := is.New(t)
+	is.Equal(SeedPeriod(1, 1), seedEvery)
+	is.Equal(SeedPeriod(9, 3), seedEvery)
+	for _, members := range []int{100, 1000, 16_000} {
+		for seeds := 1; seeds <= 3; seeds++ {
+			perSeed := float64(members) / float64(SeedPeriod(members, seeds)*seeds)
+			is.True(perSeed > 0.45 && perSeed < 0.55) // exchanges in the time of one of a daemon
+		}
+	}
+}
