Let the race detector see the order of unannounced transfers

Cause: make race reported a race in TestAttemptIsRunningWhileTheBackendServerWorks. In race builds lib/socket kept an order of its own between its sends and receives, but the other end of that connection was one of package net, which takes the order from package syscall. The test is right and is unchanged. Change: race builds transfer with syscall.Read and syscall.Write, which tell the race detector; other builds are unchanged.

--- a/lib/socket/order.go
+++ /dev/null
@@ -1,6 +0,0 @@
-//go:build !race
-
-package socket
-
-func beforeSend()   {}
-func afterReceive() {}
--- a/lib/socket/socket.go
+++ b/lib/socket/socket.go
@@ -45,10 +45,8 @@
 		return conn
 	}
 	c := &Conn{TCPConn: tcp, raw: raw}
-	c.in.run = func(fd uintptr) bool { return c.in.call(syscall.SYS_RECVFROM, fd, syscall.MSG_DONTWAIT) }
-	c.out.run = func(fd uintptr) bool {
-		return c.out.call(syscall.SYS_SENDTO, fd, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL)
-	}
+	c.in.run = func(fd uintptr) bool { return c.in.call(fd, receive) }
+	c.out.run = func(fd uintptr) bool { return c.out.call(fd, send) }
 	return c
 }
 
@@ -64,13 +62,13 @@
 	return Wrap(conn), nil
 }
 
-// call reports whether the transfer is over; on false the descriptor is not ready.
-func (t *transfer) call(number, fd, flags uintptr) bool {
+// call reports whether the transfer by do is over; on false the descriptor is not ready.
+func (t *transfer) call(fd uintptr, do func(fd uintptr, p []byte) (int, syscall.Errno)) bool {
 	for {
-		n, _, err := syscall.RawSyscall6(number, fd, uintptr(unsafe.Pointer(unsafe.SliceData(t.buffer))), uintptr(len(t.buffer)), flags, 0, 0)
+		n, err := do(fd, t.buffer)
 		switch err {
 		case 0:
-			t.n, t.err = int(n), 0
+			t.n, t.err = n, 0
 			return true
 		case syscall.EINTR:
 		case syscall.EAGAIN:
@@ -90,7 +88,6 @@
 	c.in.buffer = p[:min(len(p), maxTransferBytes)]
 	err := c.raw.Read(c.in.run)
 	c.in.buffer = nil
-	afterReceive()
 	if err != nil {
 		return 0, err
 	}
@@ -108,7 +105,6 @@
 	written := 0
 	for written < len(p) {
 		c.out.buffer = p[written:min(len(p), written+maxTransferBytes)]
-		beforeSend()
 		err := c.raw.Write(c.out.run)
 		c.out.buffer = nil
 		if err != nil {
@@ -137,7 +133,6 @@
 // Peek looks at the receive queue of the descriptor of a connection. It returns the number of bytes
 // found, at most 1, and 0 at the end of the connection; without data the error is syscall.EAGAIN.
 func Peek(fd uintptr) (int, error) {
-	defer afterReceive()
 	var b [1]byte
 	for {
 		n, _, err := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
