Send hints about failure domains before the waiting updates

Cause: when a member marks a failure domain unreachable it tells 8 members at once, but the hint went to the end of the updates that were never sent. Ruled out: a hint that is ignored in the pause after an ack (it had none). Change: these packets start with the hint, and those of a stop with the announcement. A test with 400 waiting records fails without it.

--- a/pkg/membership/partition_test.go
+++ b/pkg/membership/partition_test.go
@@ -118,3 +118,27 @@
 		}
 	}
 }
+
+// Guards against a hint, or the announcement of a stop, that waits behind the records of a mass restart.
+func TestHintsGoFirst(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	s := New(Config{Local: testRecord(0, "domain-0", 1)}, now, 1)
+	for i := 1; i < 400; i++ {
+		s.apply(now, update{Kind: updateRecord, Record: new(testRecord(i, fmt.Sprint("domain-", i%2), 1))})
+	}
+	s.setReachable(s.domains["domain-1"], false)
+	for what, packets := range map[updateKind][]Packet{updateCut: s.take(), updateDead: s.Leave(now)} {
+		if len(packets) != hintFanout {
+			t.Errorf("%d packets, want %d", len(packets), hintFanout)
+		}
+		for _, p := range packets {
+			m, err := decodeMessage(p.Data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if first, err := decodeUpdate(m.Updates[0]); err != nil || first.Kind != what {
+				t.Errorf("the first update has kind %v, want %v: %v", first.Kind, what, err)
+			}
+		}
+	}
+}
--- a/pkg/membership/reach.go
+++ b/pkg/membership/reach.go
@@ -68,8 +68,9 @@
 	if reachable {
 		kind = updateBack
 	}
-	s.queueUpdate("domain:"+d.name, update{Kind: kind, Domain: d.name}, true)
-	s.fanOut()
+	hint := update{Kind: kind, Domain: d.name}
+	s.queueUpdate("domain:"+d.name, hint, true)
+	s.fanOut(hint)
 }
 
 // hinted handles a hint of another member about the reachability of a domain.
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -121,8 +122,10 @@
 	s.local.record.State = endpoint.Gone
 	s.local.record.Counter++
 	s.localChanged()
-	s.queueUpdate("status:"+string(s.self), update{Kind: updateDead, Instance: s.self, Incarnation: s.local.record.Incarnation}, false)
-	s.fanOut()
+	gone := update{Kind: updateDead, Instance: s.self, Incarnation: s.local.record.Incarnation}
+	s.queueUpdate("status:"+string(s.self), gone, false)
+	local := s.local.record
+	s.fanOut(gone, update{Kind: updateRecord, Record: &local})
 	s.publish(now)
 	return s.take()
 }
@@ -213,10 +216,10 @@
 func (s *State) remote(d string) bool { return d != s.local.record.Domain }
 
 // sendTo sends m to a member. A member that others accuse is told, so that it can refute.
-func (s *State) sendTo(to *member, m message) {
-	var first []update
+// The updates first go before the waiting ones.
+func (s *State) sendTo(to *member, m message, first ...update) {
 	if u, ok := accusation(to); ok {
-		first = append(first, u)
+		first = append(slices.Clone(first), u)
 	}
 	s.send(to.addr, s.remote(to.record.Domain), m, first...)
 }
@@ -231,11 +234,13 @@
 	return update{}, false
 }
 
-// fanOut sends the newest updates to a few members of the own domain at once.
-func (s *State) fanOut() {
+// fanOut sends updates to a few members of the own domain at once. They do not wait in the queue behind
+// others that were never sent, such as those of a mass restart: a hint behind 380 records reached a member
+// only with its own next probe, up to 25 s later.
+func (s *State) fanOut(updates ...update) {
 	own := s.domainOf(s.local.record.Domain)
 	for _, m := range s.sample(own, hintFanout, nil) {
-		s.sendTo(m, message{Kind: kindPush})
+		s.sendTo(m, message{Kind: kindPush}, updates...)
 	}
 }
 
