Measure the spread of a start apart from rest in the group convergence

Cause: with 100 daemons the rows at rest and with changes were over 3 kB/s in some runs, by the probes of every daemon (4.9 kB/s). On the quiet machine it came back, so the load of the machine is ruled out. The window at rest began 15 s after the start, while the records of 100 daemons that had started at once were still spread, each sent about 10 times by each daemon. Change: that time has a window of its own, "start", with the same bounds; rest begins after it.

--- a/tools/bench/convergence/rows.go
+++ b/tools/bench/convergence/rows.go
@@ -22,6 +22,7 @@
 func (w *world) steadyRows(s steady) []row.Row {
 	rows := w.delayRows("change", s.delays, row.MedianSeconds)
 	rows = append(rows, row.Row{Name: w.name("cold-start/platform-reads-peak"), Value: s.cold, Unit: "reads/s", Bound: row.PlatformReads})
+	rows = append(rows, w.windowRows("start", s.start)...)
 	rows = append(rows, w.windowRows("idle", s.idle)...)
 	return append(rows, w.windowRows("changes", s.changing)...)
 }
--- a/tools/bench/convergence/steady.go
+++ b/tools/bench/convergence/steady.go
@@ -9,6 +9,10 @@
 	// settleTime passes between the start and the first window, so that the work of the joins is
 	// not taken for that of a daemon at rest. The first exchanges for repair fall into it.
 	settleTime = 15 * time.Second
+	// spreadPerDaemon is the time by daemon in which the records of a start are still spread with the
+	// probes, since each daemon sends each of them several times: 100 daemons took 40 to 85 s. It is
+	// a window of its own and not taken for rest.
+	spreadPerDaemon = 850 * time.Millisecond
 	// idleTime and changesTime are the lengths of the windows.
 	idleTime    = 20 * time.Second
 	changesTime = 30 * time.Second
@@ -16,8 +20,8 @@
 
 // steady is the result of a deployment without failures.
 type steady struct {
-	idle, changing Window
-	delays         delays
+	start, idle, changing Window
+	delays                delays
 	// cold is the highest rate of platform reads per second during the start.
 	cold float64
 }
@@ -26,12 +30,17 @@
 func (w *world) runSteady(ctx context.Context, rate float64) (result steady, err error) {
 	result.cold = w.coldRate
 	pause(ctx, settleTime)
-	result.idle, err = w.measure(ctx, func() (int, error) {
-		pause(ctx, idleTime)
-		return 0, ctx.Err()
-	})
-	if err != nil {
-		return result, err
+	for _, at := range []struct {
+		window *Window
+		length time.Duration
+	}{{&result.start, time.Duration(w.spec.Daemons) * spreadPerDaemon}, {&result.idle, idleTime}} {
+		*at.window, err = w.measure(ctx, func() (int, error) {
+			pause(ctx, at.length)
+			return 0, ctx.Err()
+		})
+		if err != nil {
+			return result, err
+		}
 	}
 	result.changing, err = w.measure(ctx, func() (int, error) {
 		var n int
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -20,7 +20,7 @@
 )
 
 // groupLimit bounds the time of one group.
-const groupLimit = 15 * time.Minute
+const groupLimit = 30 * time.Minute
 
 func main() {
 	binary := flag.String("binary", "bin/kingcupwood", "path of the kingcupwood program")
