--- a/tools/bench/convergence/steady.go
+++ b/tools/bench/convergence/steady.go
@@ -9,9 +9,9 @@
 	// settleTime passes between the start and the first window, so that the work of the joins is
 	// not taken for that of a daemon at rest. The first exchanges for repair fall into it.
 	settleTime = 15 * time.Second
-	// spreadPerDaemon is the time by daemon in which the records of a start are still spread with the
-	// probes, since each daemon sends each of them several times: 100 daemons took 40 to 85 s. It is
-	// a window of its own and not taken for rest.
+	// spreadPerDaemon is the length by daemon of the window in which the records of a start are still
+	// spread with the probes, since each daemon sends each of them several times. With 100 daemons the
+	// spread went on 35 s after the start and was over after 100 s.
 	spreadPerDaemon = 850 * time.Millisecond
 	// idleTime and changesTime are the lengths of the windows.
 	idleTime    = 20 * time.Second
