--- a/agent/peer/probe/probe_test.go
+++ b/agent/peer/probe/probe_test.go
@@ -117,9 +117,9 @@
 	b, _, stopB := startWith(t, 2, ring(t, "a"))
 	defer stopB()
 	for i, keys := range []*packetauth.Ring{nil, ring(t, "b")} {
-		stranger, _, stop := startWith(t, 3+i, keys)
+		unauthenticated, _, stop := startWith(t, 3+i, keys)
 		defer stop()
-		stranger.Do(func(now time.Time, s *membership.State) {
+		unauthenticated.Do(func(now time.Time, s *membership.State) {
 			s.SetVersion(1 << 40)
 			s.Merge(now, []membership.Entry{{Record: recordA}})
 		})
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -118,7 +118,7 @@
 }
 
 // Guards against a backend server whose calls count as those of outside callers while it works on a request, and
-// against an attempt that it can use for ever.
+// against an attempt that it can use after its end.
 func TestAttemptIsRunningWhileTheBackendServerWorks(t *testing.T) {
 	is := is.New(t)
 	var r *receiver
--- a/agent/security_test.go
+++ b/agent/security_test.go
@@ -129,7 +129,7 @@
 
 // Guards against a daemon without keys that joins a deployment with keys, or that gets an answer to a
 // call, a fence or a request for the configuration.
-func TestStrangerIsRefused(t *testing.T) {
+func TestUnauthenticatedDaemonIsRefused(t *testing.T) {
 	is := is.New(t)
 	files := filesIn(t.TempDir())
 	writeFiles(t, files, newKeySet())
@@ -137,13 +137,13 @@
 	c.files = credentials.Files{}
 	c.nodes["x1"] = c.newNode(host{name: "x1", domain: "a"})
 	c.start("x1")
-	stranger, member := c.nodes["x1"].daemon, c.nodes["a1"].daemon
-	c.eventually(setupWithin, "the stranger is refused", func() bool {
+	unauthenticated, member := c.nodes["x1"].daemon, c.nodes["a1"].daemon
+	c.eventually(setupWithin, "the daemon without keys is refused", func() bool {
 		return member.securityMetrics().(securityMetrics).RefusedConnections > 0
 	})
-	is.Equal(len(stranger.prober.View().Records), 1)
+	is.Equal(len(unauthenticated.prober.View().Records), 1)
 	is.Equal(len(member.prober.View().Records), len(c.nodes)-1)
-	is.True(exchange(t, files, stranger.listeners.calls.Addr()) != nil) // it has no certificate
+	is.True(exchange(t, files, unauthenticated.listeners.calls.Addr()) != nil) // it has no certificate
 }
 
 // Guards against a question about an idempotency key over a connection without authentication: the other
