--- a/agent/administration.go
+++ b/agent/administration.go
@@ -4,7 +4,7 @@
 	"net/http"
 
 	"kingcupwood.example/kingcupwood/agent/operator"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -35,7 +35,7 @@
 
 // committed puts a version in force that was accepted through this daemon. The version spreads from here
 // even if the platform fails before a lease holder has read it.
-func (d *Daemon) committed(c platform.Content) {
+func (d *Daemon) committed(c store.Content) {
 	// The follower logs and reports a refusal; the version is accepted all the same.
 	_ = d.follower.Accepted(&c.Manifest, c.Hash, c.Objects)
 }
--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -18,7 +18,7 @@
 	"kingcupwood.example/kingcupwood/agent/backend"
 	"kingcupwood.example/kingcupwood/agent/caller"
 	"kingcupwood.example/kingcupwood/agent/operator"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/credentials"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -54,7 +54,7 @@
 	"c1": "pages", "c2": "pages", "c3": "pages",
 }
 
-//go:embed platform/testdata/service.ini
+//go:embed store/testdata/service.ini
 var serviceAnswers string
 
 // answersOf is an answer file; revisions differ in their slots.
@@ -76,7 +76,7 @@
 	network  *testNetwork
 	platform *httptest.Server
 	// direct reaches the platform whatever is cut.
-	direct *platform.Client
+	direct *store.Client
 	nodes  map[string]*node
 	watch  *watcher
 	// files are those of all daemons; they are empty without authentication.
@@ -97,12 +97,12 @@
 	c.platform = httptest.NewServer(standin.NewServer(standin.Config{
 		Table: standin.DefaultTable, Bucket: standin.DefaultBucket,
 		Operators: []standin.Operator{{
-			Name: "ana", TokenSHA256: snapshot.HashOf([]byte(operatorToken)).String(), Services: []string{platform.AllServices},
+			Name: "ana", TokenSHA256: snapshot.HashOf([]byte(operatorToken)).String(), Services: []string{store.AllServices},
 		}},
 	}, event.Nop()))
 	c.network.register(c.platform.Listener.Addr().String(), host{name: platformNode})
 	var err error
-	c.direct, err = platform.NewClient(platform.Config{
+	c.direct, err = store.NewClient(store.Config{
 		TableURL: c.platform.URL, ObjectsURL: c.platform.URL, Table: standin.DefaultTable, Bucket: standin.DefaultBucket,
 		AccessKey: "k", SecretKey: "s",
 	}, event.Nop())
@@ -322,7 +322,7 @@
 func (c *cluster) accept(name, service string, slots int, seen snapshot.Version) {
 	c.t.Helper()
 	outcome, err := c.tryAccept(name, service, slots, seen)
-	if err != nil || outcome.State != platform.StateAccepted {
+	if err != nil || outcome.State != store.StateAccepted {
 		c.t.Fatalf("accept through %s: %s %v", name, outcome.State, err)
 	}
 	c.noteHead(seen + 1)
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -21,7 +21,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/keys"
 	"kingcupwood.example/kingcupwood/agent/peer/probe"
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/lib/socket"
 	"kingcupwood.example/kingcupwood/lib/traffic"
@@ -50,7 +50,7 @@
 	listeners *listeners
 	// security is nil if daemons are not authenticated to each other.
 	security *security
-	platform *platform.Client
+	platform *store.Client
 	store    *peersync.Store
 	follower *peersync.Follower
 	prober   *probe.Prober
@@ -112,7 +112,7 @@
 
 func (d *Daemon) buildPlatform() error {
 	p := d.settings.Platform
-	client, err := platform.NewClient(platform.Config{
+	client, err := store.NewClient(store.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
 		AccessKey: p.AccessKey, SecretKey: p.SecretKey,
 		Local: d.store.Load, Committed: d.committed,
--- a/agent/manifest.go
+++ b/agent/manifest.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -19,7 +19,7 @@
 
 // headSource lets the distribution read the platform.
 type headSource struct {
-	*platform.Client
+	*store.Client
 	// current returns the snapshot in force, or nil.
 	current func() *snapshot.Snapshot
 	// last is the head read last.
@@ -44,8 +44,8 @@
 }
 
 // changes reads the changes that led to the versions from first to last.
-func (s *headSource) changes(ctx context.Context, first, last snapshot.Version) ([]platform.Change, error) {
-	list := make([]platform.Change, last-first+1)
+func (s *headSource) changes(ctx context.Context, first, last snapshot.Version) ([]store.Change, error) {
+	list := make([]store.Change, last-first+1)
 	g, ctx := errgroup.WithContext(ctx)
 	for i := range list {
 		g.Go(func() (err error) {
@@ -57,7 +57,7 @@
 }
 
 // applyChanges returns the manifest of version v, to which changes lead from base.
-func applyChanges(base *snapshot.Manifest, v snapshot.Version, changes []platform.Change) *snapshot.Manifest {
+func applyChanges(base *snapshot.Manifest, v snapshot.Version, changes []store.Change) *snapshot.Manifest {
 	m := &snapshot.Manifest{Version: v, Entries: slices.Clone(base.Entries)}
 	for _, c := range changes {
 		at, found := slices.BinarySearchFunc(m.Entries, c.Service, func(e snapshot.ManifestEntry, service string) int {
--- a/agent/manifest_test.go
+++ b/agent/manifest_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -18,7 +18,7 @@
 	}
 	base := &snapshot.Manifest{Version: 4, Entries: []snapshot.ManifestEntry{entry("b", 1), entry("d", 1), entry("e", 1)}}
 	before := append([]snapshot.ManifestEntry(nil), base.Entries...)
-	m := applyChanges(base, 9, []platform.Change{
+	m := applyChanges(base, 9, []store.Change{
 		{Service: "c", Revision: 1, Hash: snapshot.Hash{1}},
 		{Service: "b", Revision: 2, Hash: snapshot.Hash{2}},
 		{Service: "d", Revision: 2, Removed: true},
--- a/agent/operator/auth.go
+++ b/agent/operator/auth.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 )
 
 const (
@@ -40,7 +40,7 @@
 }
 
 type remembered struct {
-	operator platform.Operator
+	operator store.Operator
 	until    time.Time
 }
 
@@ -54,10 +54,10 @@
 
 // authenticate returns the operator of a request. With offline, a recently used credential is
 // accepted while the platform is unavailable.
-func (a *authenticator) authenticate(r *http.Request, offline bool) (platform.Operator, error) {
+func (a *authenticator) authenticate(r *http.Request, offline bool) (store.Operator, error) {
 	token, ok := bearerToken(r)
 	if !ok {
-		return platform.Operator{}, platform.ErrUnknownCredential
+		return store.Operator{}, store.ErrUnknownCredential
 	}
 	digest := sha256.Sum256([]byte(token))
 	if offline {
@@ -66,14 +66,14 @@
 		}
 	}
 	if !a.limiter.Allow() {
-		return platform.Operator{}, &APIError{Status: http.StatusTooManyRequests, Code: CodeTooMany, Message: "too many requests; try again in a second"}
+		return store.Operator{}, &APIError{Status: http.StatusTooManyRequests, Code: CodeTooMany, Message: "too many requests; try again in a second"}
 	}
 	operator, err := a.platform.Operator(r.Context(), token)
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	switch {
 	case err == nil:
 		a.remember(digest, operator)
-	case errors.Is(err, platform.ErrUnknownCredential):
+	case errors.Is(err, store.ErrUnknownCredential):
 		a.forget(digest)
 	case offline && errors.As(err, &unavailable):
 		if known, ok := a.recall(digest, 0); ok {
@@ -89,7 +89,7 @@
 	return token, strings.EqualFold(scheme, "Bearer") && token != ""
 }
 
-func (a *authenticator) remember(digest [sha256.Size]byte, operator platform.Operator) {
+func (a *authenticator) remember(digest [sha256.Size]byte, operator store.Operator) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.remembered) >= maxRemembered {
@@ -105,7 +105,7 @@
 }
 
 // recall returns a remembered operator whose credential can be used for longer than left.
-func (a *authenticator) recall(digest [sha256.Size]byte, left time.Duration) (platform.Operator, bool) {
+func (a *authenticator) recall(digest [sha256.Size]byte, left time.Duration) (store.Operator, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known, ok := a.remembered[digest]
@@ -114,7 +114,7 @@
 
 type operatorKey struct{}
 
-func operatorOf(ctx context.Context) platform.Operator {
-	operator, _ := ctx.Value(operatorKey{}).(platform.Operator)
+func operatorOf(ctx context.Context) store.Operator {
+	operator, _ := ctx.Value(operatorKey{}).(store.Operator)
 	return operator
 }
--- a/agent/operator/changes.go
+++ b/agent/operator/changes.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -30,7 +30,7 @@
 		s.fail(w, r, badRequest("the file name is too long"))
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxAnswersBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxAnswersBytes))
 	if err != nil {
 		s.fail(w, r, badRequest("the answers cannot be read or are larger than 64 KiB"))
 		return
@@ -106,13 +106,13 @@
 }
 
 // answer reports an outcome; 202 stands for an outcome that is not known yet.
-func (s *server) answer(w http.ResponseWriter, r *http.Request, outcome platform.Outcome, err error) {
+func (s *server) answer(w http.ResponseWriter, r *http.Request, outcome store.Outcome, err error) {
 	if err != nil {
 		s.fail(w, r, err)
 		return
 	}
 	status := http.StatusOK
-	if outcome.State == platform.StateUnknown {
+	if outcome.State == store.StateUnknown {
 		status = http.StatusAccepted
 	}
 	writeJSON(w, status, outcomeMessage(outcome))
--- a/agent/operator/daemon.go
+++ b/agent/operator/daemon.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"slices"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 )
 
 // status answers with what the daemon knows even if the platform is unavailable.
@@ -39,7 +39,7 @@
 	return status
 }
 
-func platformStatus(status platform.Status) PlatformStatus {
+func platformStatus(status store.Status) PlatformStatus {
 	message := PlatformStatus{Version: status.Head.Version}
 	if status.Head.Version > 0 {
 		message.Manifest = status.Head.Manifest.String()
--- a/agent/operator/errors.go
+++ b/agent/operator/errors.go
@@ -6,10 +6,10 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 )
 
-// apiError translates an error of agent/platform. An error of an unexpected type is not shown to the
+// apiError translates an error of agent/store. An error of an unexpected type is not shown to the
 // operator, since its text may hold internal details.
 func apiError(err error) *APIError {
 	for _, translate := range []func(error) *APIError{asAPIError, asRefusal, asConflict, asFailure} {
@@ -29,11 +29,11 @@
 }
 
 func asRefusal(err error) *APIError {
-	var invalid *platform.InvalidError
-	var forbidden *platform.ForbiddenError
-	var notFound *platform.NotFoundError
+	var invalid *store.InvalidError
+	var forbidden *store.ForbiddenError
+	var notFound *store.NotFoundError
 	switch {
-	case errors.Is(err, platform.ErrUnknownCredential):
+	case errors.Is(err, store.ErrUnknownCredential):
 		return unauthorized()
 	case errors.As(err, &invalid):
 		return &APIError{Status: http.StatusUnprocessableEntity, Code: CodeInvalid, Message: "the configuration is invalid; nothing was changed", Reasons: invalid.Reasons}
@@ -46,10 +46,10 @@
 }
 
 func asConflict(err error) *APIError {
-	var conflict *platform.ConflictError
-	var draft *platform.DraftChangedError
-	var noChange *platform.NoChangeError
-	var reused *platform.TokenReusedError
+	var conflict *store.ConflictError
+	var draft *store.DraftChangedError
+	var noChange *store.NoChangeError
+	var reused *store.TokenReusedError
 	switch {
 	case errors.As(err, &conflict):
 		return &APIError{
@@ -68,7 +68,7 @@
 }
 
 func asFailure(err error) *APIError {
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	if !errors.As(err, &unavailable) {
 		return nil
 	}
--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -77,9 +77,9 @@
 	Token string           `json:"token"`
 }
 
-// OutcomeMessage tells what became of a change. State is one of the texts of platform.State.
+// OutcomeMessage tells what became of a change. State is one of the texts of store.State.
 type OutcomeMessage struct {
-	State  platform.State   `json:"state"`
+	State  store.State   `json:"state"`
 	Token  string           `json:"token"`
 	Seen   snapshot.Version `json:"seen"`
 	Change *ChangeMessage   `json:"change,omitempty"`
@@ -205,14 +205,14 @@
 	return strings.Join(lines, "\n")
 }
 
-func draftMessage(d platform.Draft) DraftMessage {
+func draftMessage(d store.Draft) DraftMessage {
 	return DraftMessage{
 		Service: d.Service, File: d.File, Hash: d.Hash.String(),
 		Operator: d.Operator, Submitted: d.Submitted.UTC(),
 	}
 }
 
-func changeMessage(c platform.Change) ChangeMessage {
+func changeMessage(c store.Change) ChangeMessage {
 	m := ChangeMessage{
 		Version: c.Version, Action: string(c.Action), Service: c.Service, Revision: c.Revision,
 		To: c.To, Removed: c.Removed, Operator: c.Operator, At: c.At.UTC(), Summary: c.Describe(),
@@ -223,7 +223,7 @@
 	return m
 }
 
-func changeMessages(changes []platform.Change) []ChangeMessage {
+func changeMessages(changes []store.Change) []ChangeMessage {
 	list := make([]ChangeMessage, len(changes))
 	for i, c := range changes {
 		list[i] = changeMessage(c)
@@ -231,9 +231,9 @@
 	return list
 }
 
-func outcomeMessage(o platform.Outcome) OutcomeMessage {
+func outcomeMessage(o store.Outcome) OutcomeMessage {
 	m := OutcomeMessage{State: o.State, Token: o.Token, Seen: o.Seen}
-	if o.State == platform.StateAccepted {
+	if o.State == store.StateAccepted {
 		change := changeMessage(o.Change)
 		m.Change = &change
 	}
--- a/agent/operator/operator_test.go
+++ b/agent/operator/operator_test.go
@@ -18,7 +18,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -32,17 +32,17 @@
 type fakePlatform struct {
 	authErr, err error
 	calls        int
-	outcome      platform.Outcome
+	outcome      store.Outcome
 }
 
-func (f *fakePlatform) Operator(_ context.Context, token string) (platform.Operator, error) {
+func (f *fakePlatform) Operator(_ context.Context, token string) (store.Operator, error) {
 	if f.authErr != nil {
-		return platform.Operator{}, f.authErr
+		return store.Operator{}, f.authErr
 	}
 	if token != secret {
-		return platform.Operator{}, platform.ErrUnknownCredential
+		return store.Operator{}, store.ErrUnknownCredential
 	}
-	return platform.Operator{Name: "ana", Services: []string{"pages"}}, nil
+	return store.Operator{Name: "ana", Services: []string{"pages"}}, nil
 }
 
 func (f *fakePlatform) call() error {
@@ -50,32 +50,32 @@
 	return f.err
 }
 
-func (f *fakePlatform) Submit(_ context.Context, op platform.Operator, file string, _ []byte) (platform.Draft, error) {
-	return platform.Draft{Service: "pages", File: file, Operator: op.Name}, f.call()
+func (f *fakePlatform) Submit(_ context.Context, op store.Operator, file string, _ []byte) (store.Draft, error) {
+	return store.Draft{Service: "pages", File: file, Operator: op.Name}, f.call()
 }
 
-func (f *fakePlatform) Accept(context.Context, platform.Operator, string, snapshot.Hash, snapshot.Version, string) (platform.Outcome, error) {
+func (f *fakePlatform) Accept(context.Context, store.Operator, string, snapshot.Hash, snapshot.Version, string) (store.Outcome, error) {
 	return f.outcome, f.call()
 }
 
-func (f *fakePlatform) Withdraw(context.Context, platform.Operator, string, uint64, snapshot.Version, string) (platform.Outcome, error) {
+func (f *fakePlatform) Withdraw(context.Context, store.Operator, string, uint64, snapshot.Version, string) (store.Outcome, error) {
 	return f.outcome, f.call()
 }
 
-func (f *fakePlatform) Outcome(context.Context, string, snapshot.Version) (platform.Outcome, error) {
+func (f *fakePlatform) Outcome(context.Context, string, snapshot.Version) (store.Outcome, error) {
 	return f.outcome, f.call()
 }
 
-func (f *fakePlatform) Service(context.Context, string) (platform.Service, error) {
-	return platform.Service{}, f.call()
+func (f *fakePlatform) Service(context.Context, string) (store.Service, error) {
+	return store.Service{}, f.call()
 }
 
-func (f *fakePlatform) Difference(context.Context, string) (platform.Difference, error) {
-	return platform.Difference{}, f.call()
+func (f *fakePlatform) Difference(context.Context, string) (store.Difference, error) {
+	return store.Difference{}, f.call()
 }
 
-func (f *fakePlatform) Status(context.Context) (platform.Status, error) {
-	return platform.Status{}, f.call()
+func (f *fakePlatform) Status(context.Context) (store.Status, error) {
+	return store.Status{}, f.call()
 }
 
 type fakeDaemon struct{ calls int }
@@ -186,19 +186,19 @@
 
 // Guards against errors that reach the operator with the wrong meaning.
 func TestErrors(t *testing.T) {
-	conflict := &platform.ConflictError{Seen: 1, Current: 2, Changes: []platform.Change{{Version: 2, Service: "finder", Operator: "bor"}}}
+	conflict := &store.ConflictError{Seen: 1, Current: 2, Changes: []store.Change{{Version: 2, Service: "finder", Operator: "bor"}}}
 	for _, c := range []struct {
 		err    error
 		status int
 		code   Code
 	}{
 		{conflict, http.StatusConflict, CodeConflict},
-		{&platform.ForbiddenError{Operator: "ana", Service: "finder"}, http.StatusForbidden, CodeForbidden},
-		{&platform.InvalidError{Reasons: []string{"x"}}, http.StatusUnprocessableEntity, CodeInvalid},
-		{&platform.DraftChangedError{Service: "pages"}, http.StatusConflict, CodeDraftChanged},
-		{&platform.NotFoundError{What: "x"}, http.StatusNotFound, CodeNotFound},
-		{&platform.UnavailableError{Err: errors.New("down")}, http.StatusServiceUnavailable, CodeUnavailable},
-		{&platform.UnavailableError{Err: errors.New("down"), MayHaveTakenEffect: true}, http.StatusServiceUnavailable, CodeUnknown},
+		{&store.ForbiddenError{Operator: "ana", Service: "finder"}, http.StatusForbidden, CodeForbidden},
+		{&store.InvalidError{Reasons: []string{"x"}}, http.StatusUnprocessableEntity, CodeInvalid},
+		{&store.DraftChangedError{Service: "pages"}, http.StatusConflict, CodeDraftChanged},
+		{&store.NotFoundError{What: "x"}, http.StatusNotFound, CodeNotFound},
+		{&store.UnavailableError{Err: errors.New("down")}, http.StatusServiceUnavailable, CodeUnavailable},
+		{&store.UnavailableError{Err: errors.New("down"), MayHaveTakenEffect: true}, http.StatusServiceUnavailable, CodeUnknown},
 		{errors.New("internal detail"), http.StatusInternalServerError, CodeInternal},
 	} {
 		is := is.New(t)
@@ -218,12 +218,12 @@
 func TestUnknownOutcome(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.platform.outcome = platform.Outcome{State: platform.StateUnknown, Token: "t", Seen: 1}
+	f.platform.outcome = store.Outcome{State: store.StateUnknown, Token: "t", Seen: 1}
 	w := f.request(http.MethodPost, routes[3].path, "Bearer "+secret, routes[3].body)
 	is.Equal(w.Code, http.StatusAccepted)
 	var reply OutcomeMessage
 	is.NoErr(json.Unmarshal(w.Body.Bytes(), &reply))
-	is.Equal(reply.State, platform.StateUnknown)
+	is.Equal(reply.State, store.StateUnknown)
 	is.Equal(reply.Change, nil)
 }
 
@@ -233,7 +233,7 @@
 	is := is.New(t)
 	f := newFixture()
 	is.Equal(f.request(http.MethodGet, PathStatus, "Bearer "+secret, "").Code, http.StatusOK)
-	down := &platform.UnavailableError{Operation: "read", Err: errors.New("down")}
+	down := &store.UnavailableError{Operation: "read", Err: errors.New("down")}
 	f.platform.authErr, f.platform.err = down, down
 	w := f.request(http.MethodGet, PathStatus, "Bearer "+secret, "")
 	is.Equal(w.Code, http.StatusOK)
@@ -262,7 +262,7 @@
 func TestClientFailover(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
-	f.platform.err = &platform.UnavailableError{Err: errors.New("down")}
+	f.platform.err = &store.UnavailableError{Err: errors.New("down")}
 	good := httptest.NewServer(f.handler)
 	defer good.Close()
 	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
--- a/agent/operator/server.go
+++ b/agent/operator/server.go
@@ -15,7 +15,7 @@
 	"github.com/go-chi/chi/v5/middleware"
 	"go.uber.org/zap"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -29,19 +29,19 @@
 	maxHeaderBytes  = 16 << 10
 )
 
-// Platform is the part of platform.Client that the API uses.
+// Platform is the part of store.Client that the API uses.
 type Platform interface {
-	Operator(ctx context.Context, token string) (platform.Operator, error)
-	Submit(ctx context.Context, op platform.Operator, file string, data []byte) (platform.Draft, error)
-	Accept(ctx context.Context, op platform.Operator, service string, draftHash snapshot.Hash, seen snapshot.Version, token string) (platform.Outcome, error)
-	Withdraw(ctx context.Context, op platform.Operator, service string, to uint64, seen snapshot.Version, token string) (platform.Outcome, error)
-	Outcome(ctx context.Context, token string, seen snapshot.Version) (platform.Outcome, error)
-	Service(ctx context.Context, name string) (platform.Service, error)
-	Difference(ctx context.Context, name string) (platform.Difference, error)
-	Status(ctx context.Context) (platform.Status, error)
+	Operator(ctx context.Context, token string) (store.Operator, error)
+	Submit(ctx context.Context, op store.Operator, file string, data []byte) (store.Draft, error)
+	Accept(ctx context.Context, op store.Operator, service string, draftHash snapshot.Hash, seen snapshot.Version, token string) (store.Outcome, error)
+	Withdraw(ctx context.Context, op store.Operator, service string, to uint64, seen snapshot.Version, token string) (store.Outcome, error)
+	Outcome(ctx context.Context, token string, seen snapshot.Version) (store.Outcome, error)
+	Service(ctx context.Context, name string) (store.Service, error)
+	Difference(ctx context.Context, name string) (store.Difference, error)
+	Status(ctx context.Context) (store.Status, error)
 }
 
-var _ Platform = (*platform.Client)(nil)
+var _ Platform = (*store.Client)(nil)
 
 // Refusal is a version that a daemon refused as a whole.
 type Refusal struct {
--- a/agent/outage_test.go
+++ b/agent/outage_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"kingcupwood.example/kingcupwood/agent/operator"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 )
 
 // onlyReaches cuts all daemons but n from the platform, so that no lease holder reads the head.
@@ -40,7 +40,7 @@
 	n := c.follower("c")
 	c.onlyReaches(n)
 	outcome, err := c.client(n.name).Withdraw(t.Context(), "pages", operator.WithdrawRequest{To: 1, Seen: 3, Token: c.token()})
-	if err != nil || outcome.State != platform.StateAccepted {
+	if err != nil || outcome.State != store.StateAccepted {
 		t.Fatalf("withdraw: %s %v", outcome.State, err)
 	}
 	c.noteHead(4)
--- a/agent/sources.go
+++ b/agent/sources.go
@@ -7,7 +7,7 @@
 	"time"
 
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -52,10 +52,10 @@
 
 // RenewLease implements peersync.Platform.
 func (s *headSource) RenewLease(ctx context.Context, l peersync.Lease, ttl time.Duration) (peersync.Lease, error) {
-	return toLease(s.Client.RenewLease(ctx, platform.Lease{Name: l.Name, Holder: l.Holder, Token: l.Token}, ttl))
+	return toLease(s.Client.RenewLease(ctx, store.Lease{Name: l.Name, Holder: l.Holder, Token: l.Token}, ttl))
 }
 
-func toLease(l platform.Lease, err error) (peersync.Lease, error) {
+func toLease(l store.Lease, err error) (peersync.Lease, error) {
 	return peersync.Lease{Name: l.Name, Holder: l.Holder, Token: l.Token}, err
 }
 
--- a/agent/platform/doc.go
+++ b/agent/store/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the users' table service (DynamoDB API) and object store (S3
+// Package store is the client of the users' table service (DynamoDB API) and object store (S3
 // API). It reads the head and the configuration objects, and carries out the changes of operators.
 //
 // Every write that is not idempotent carries a token. If the response to it is lost, the client
@@ -18,4 +18,4 @@
 //
 // The operator rows are written by whoever runs the platform; <sha256> is that of the bearer token in
 // lower-case hexadecimal. Objects are stored under objects/<sha256 of the content>.
-package platform
+package store
--- a/agent/platform/harness_test.go
+++ b/agent/store/harness_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/cli/cmd/administration.go
+++ b/cli/cmd/administration.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/operator"
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/settings"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
@@ -123,10 +123,10 @@
 
 func printOutcome(outcome operator.OutcomeMessage) error {
 	switch outcome.State {
-	case platform.StateAccepted:
+	case store.StateAccepted:
 		fmt.Println("accepted:", outcome.Change)
 		return nil
-	case platform.StateNotAccepted:
+	case store.StateNotAccepted:
 		return errors.New("not accepted")
 	}
 	return &unknownOutcomeError{token: outcome.Token, seen: outcome.Seen}
--- a/cli/cmd/answers_submit.go
+++ b/cli/cmd/answers_submit.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 )
 
 type answersSubmitCommand struct {
@@ -45,8 +45,8 @@
 		return nil, err
 	}
 	defer func() { _ = file.Close() }()
-	data, err := io.ReadAll(io.LimitReader(file, platform.MaxAnswersBytes+1))
-	if err == nil && len(data) > platform.MaxAnswersBytes {
+	data, err := io.ReadAll(io.LimitReader(file, store.MaxAnswersBytes+1))
+	if err == nil && len(data) > store.MaxAnswersBytes {
 		err = errors.Errorf("%s: the file is larger than 64 KiB", path)
 	}
 	return data, err
--- a/cli/cmd/journey_test.go
+++ b/cli/cmd/journey_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 
 	"kingcupwood.example/kingcupwood/agent/operator"
-	client "kingcupwood.example/kingcupwood/agent/platform"
+	client "kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
--- a/standin/platform/settings.go
+++ b/standin/platform/settings.go
@@ -44,7 +44,7 @@
 	Services []string
 }
 
-// row returns the table row that agent/platform reads to authenticate the operator.
+// row returns the table row that agent/store reads to authenticate the operator.
 func (o Operator) row() item {
 	return item{
 		PartitionKey: stringValue("operator#" + o.TokenSHA256),
--- a/tools/bench/convergence/change.go
+++ b/tools/bench/convergence/change.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/tools/fleet"
 )
@@ -19,11 +19,11 @@
 // changeStride spreads the changes over the services; it is prime to their numbers.
 const changeStride = 611
 
-var operator = platform.Operator{Name: "bench", Services: []string{platform.AllServices}}
+var operator = store.Operator{Name: "bench", Services: []string{store.AllServices}}
 
 // draft is a submitted change of one service.
 type draft struct {
-	platform.Draft
+	store.Draft
 	config *snapshot.Service
 	token  string
 }
@@ -47,7 +47,7 @@
 	if err != nil {
 		return 0, at, errors.Wrap(err, "accept")
 	}
-	if outcome.State != platform.StateAccepted {
+	if outcome.State != store.StateAccepted {
 		return 0, at, errors.Errorf("accept: outcome %v", outcome.State)
 	}
 	next, err := w.current.With(outcome.Change.Version, d.config, outcome.Change.Revision)
--- a/tools/bench/convergence/world.go
+++ b/tools/bench/convergence/world.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupwood.example/kingcupwood/agent/platform"
+	"kingcupwood.example/kingcupwood/agent/store"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -49,7 +49,7 @@
 	spec     Spec
 	fleet    *fleet.Fleet
 	standin  platformStandin
-	client   *platform.Client
+	client   *store.Client
 	current  *snapshot.Snapshot
 	tails    map[*fleet.Instance]*logTail
 	changes  int
@@ -120,7 +120,7 @@
 	}
 	w.current = first
 	url := "http://" + w.fleet.Platform.String()
-	w.client, err = platform.NewClient(platform.Config{
+	w.client, err = store.NewClient(store.Config{
 		TableURL: url, ObjectsURL: url, Table: "kingcupwood", Bucket: "kingcupwood",
 		AccessKey: "bench", SecretKey: "bench", Local: func() *snapshot.Snapshot { return w.current },
 	}, event.Nop())
