--- a/agent/administration.go
+++ b/agent/administration.go
@@ -11,6 +11,9 @@
 
 // administration returns the administration API of this daemon.
 func (d *Daemon) administration() http.Handler {
+	if d.adapter != nil {
+		return d.metricsHandler()
+	}
 	return operator.New(operator.Config{Platform: d.platform, Daemon: daemonState{d}, Burn: burnReport{d.burn}}, d.log)
 }
 
--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -30,6 +31,14 @@
 	// that it accepts.
 	Slots       int `json:"slots"`
 	Connections int `json:"connections"`
+	// ID names the lifetime of the backend server and may be empty. StartedMS is the Unix time of its
+	// start in milliseconds and Sequence grows with each announcement of a lifetime; with them, an
+	// announcement that arrives late is recognized. Zero means not stated.
+	ID        string `json:"id,omitempty"`
+	StartedMS int64  `json:"started_ms,omitempty"`
+	Sequence  uint64 `json:"-"`
+	// Cold is how long the backend server stays slow after its start.
+	Cold time.Duration `json:"-"`
 }
 
 // announced is a checked announcement.
@@ -39,27 +48,79 @@
 }
 
 func parseAnnouncement(body io.Reader) (announced, error) {
-	var a announced
+	var a Announcement
 	decoder := json.NewDecoder(io.LimitReader(body, maxAnnouncementBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a.Announcement); err != nil {
-		return a, errors.Wrap(err, "body is not an announcement")
+	if err := decoder.Decode(&a); err != nil {
+		return announced{}, errors.Wrap(err, "body is not an announcement")
 	}
+	return checkAnnouncement(a)
+}
+
+func checkAnnouncement(a Announcement) (announced, error) {
+	checked := announced{Announcement: a}
 	if a.Service == "" {
-		return a, errors.New("service is missing")
+		return checked, errors.New("service is missing")
 	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return a, errors.Errorf("address %q is not ip:port", a.Address)
+		return checked, errors.Errorf("address %q is not ip:port", a.Address)
 	}
 	state, ok := endpoint.ParseState(a.State)
 	if !ok || state == endpoint.Gone {
-		return a, errors.Errorf("state %q is not starting, ready or draining", a.State)
+		return checked, errors.Errorf("state %q is not starting, ready or draining", a.State)
 	}
 	if a.Slots < 1 || a.Connections < 1 {
-		return a, errors.Errorf("slots %d and connections %d must be at least 1", a.Slots, a.Connections)
+		return checked, errors.Errorf("slots %d and connections %d must be at least 1", a.Slots, a.Connections)
+	}
+	checked.state = state
+	return checked, nil
+}
+
+// Announce takes over an announcement. One that is older than what is known of the backend server, or
+// that follows its leave, changes nothing. It returns an error for an invalid one, which changes nothing
+// either.
+func (b *Backend) Announce(a Announcement) error {
+	checked, err := checkAnnouncement(a)
+	if err != nil {
+		b.log.Log(event.AnnounceRejected, zap.Error(err))
+		return err
+	}
+	b.announce(checked)
+	return nil
+}
+
+// Leave takes over that the backend server with the given ID stops. It gets no further request; those
+// in flight finish. Announcements of the same lifetime that arrive later are ignored.
+func (b *Backend) Leave(id string) {
+	b.mu.Lock()
+	if id == b.current.ID && b.current.state != 0 {
+		b.left = lifetime{id, b.current.StartedMS}
+		b.current.state = endpoint.Draining
+		b.renewed = b.cfg.Now()
+	}
+	b.mu.Unlock()
+	b.report()
+}
+
+// lifetime names one start of a backend server.
+type lifetime struct {
+	id        string
+	startedMS int64
+}
+
+// outdated reports whether a was sent before what is known; the caller holds b.mu.
+func (b *Backend) outdated(a *announced) bool {
+	if a.ID != "" && b.left == (lifetime{a.ID, a.StartedMS}) {
+		return true
+	}
+	last := &b.current
+	if last.StartedMS == 0 || a.StartedMS == 0 {
+		return false
+	}
+	if a.StartedMS != last.StartedMS {
+		return a.StartedMS < last.StartedMS
 	}
-	a.state = state
-	return a, nil
+	return a.ID == last.ID && a.Sequence <= last.Sequence
 }
 
 // Announcements returns the handler of PUT /v1/announce. It answers 204, or 400 with the reason if
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -11,12 +11,13 @@
 	"go.uber.org/zap"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
 const (
-	// announcementLifetime is the time after which an announcement that is not renewed has expired.
-	// Backend servers renew it every second.
+	// announcementLifetime is the time after which an announcement that is not renewed has expired,
+	// unless Config.Lifetime says otherwise. Backend servers renew it every second.
 	announcementLifetime = 3 * time.Second
 	// maintainInterval is the pause between two checks of the announcement and of the idle
 	// connections.
@@ -32,6 +33,10 @@
 	Changed func(Status)
 	// Now is the clock, time.Now if nil.
 	Now func() time.Time
+	// Dialect marks the requests; nil stands for dialect.Default.
+	Dialect *dialect.Dialect
+	// Lifetime is the time after which an announcement that is not renewed has expired; zero means 3 s.
+	Lifetime time.Duration
 }
 
 // Status describes the backend server as its daemon sees it.
@@ -55,6 +60,8 @@
 	mu      sync.Mutex
 	current announced
 	renewed time.Time
+	// left is the lifetime that has told that it stops.
+	left    lifetime
 	refused bool // a connection was refused since the last renewal
 	pool    pool
 	closed  bool
@@ -65,6 +72,12 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Dialect == nil {
+		cfg.Dialect = &dialect.Default
+	}
+	if cfg.Lifetime == 0 {
+		cfg.Lifetime = announcementLifetime
+	}
 	b := &Backend{
 		cfg: cfg, log: log,
 		wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
@@ -82,7 +95,7 @@
 		return
 	}
 	b.closed = true
-	b.pool.reset("")
+	b.pool.reset("", "")
 	b.mu.Unlock()
 	close(b.stop)
 	<-b.done
@@ -100,21 +113,28 @@
 func (b *Backend) Status() Status {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Status{Announcement: b.current.Announcement, State: b.state()}
+	status := Status{Announcement: b.current.Announcement, State: b.state()}
+	status.Sequence, status.Cold = 0, 0 // they change with each announcement
+	return status
 }
 
 func (b *Backend) state() endpoint.State {
-	if b.current.state == 0 || b.refused || b.cfg.Now().Sub(b.renewed) > announcementLifetime {
+	if b.current.state == 0 || b.refused || b.cfg.Now().Sub(b.renewed) > b.cfg.Lifetime {
 		return endpoint.Gone
 	}
 	return b.current.state
 }
 
-// announce takes over a checked announcement.
+// announce takes over a checked announcement unless it is outdated. Connections to an earlier lifetime of
+// the backend server are not used again.
 func (b *Backend) announce(a announced) {
 	b.mu.Lock()
-	if a.Address != b.pool.addr {
-		b.pool.reset(a.Address)
+	if b.outdated(&a) {
+		b.mu.Unlock()
+		return
+	}
+	if a.Address != b.pool.addr || a.ID != b.current.ID || a.StartedMS != b.current.StartedMS {
+		b.pool.reset(a.Address, a.ID)
 	}
 	b.pool.limit = a.Connections
 	b.pool.wakeWaiters()
--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -20,6 +20,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
@@ -349,11 +350,11 @@
 		if err != nil {
 			return
 		}
-		body, err := readBody(head)
+		body, err := readBody(head, &dialect.Default)
 		if err == nil && (len(body) > call.MaxResponseBodyBytes || head.ContentLength > int64(len(body))) {
 			t.Fatalf("accepted %d of %d bytes", len(body), head.ContentLength)
 		}
-		newResponse(request(), head, body)
+		_, _ = newResponse(request(), &dialect.Default, head, body)
 	})
 }
 
--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -23,6 +24,8 @@
 	ErrTruncated        = errors.New("response of the backend server is truncated")
 	ErrResponseTooLarge = errors.New("response of the backend server exceeds the limit")
 	ErrBadResponse      = errors.New("backend server sent no valid HTTP response")
+	ErrForeignAnswer    = errors.New("backend server answered another request")
+	ErrNoStamp          = errors.New("answer of the backend server has no stamp")
 )
 
 // maxResponseBytes bounds what is read for one response, header and chunk framing included.
@@ -52,7 +55,7 @@
 		b.release(c)
 		return nil, verdict.Wrap(verdict.NotRun, ErrNotStarted)
 	}
-	resp, reusable, err := c.exchange(ctx, r)
+	resp, reusable, err := c.exchange(ctx, r, b.cfg.Dialect)
 	if reusable {
 		b.release(c)
 	} else {
@@ -61,12 +64,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if resp.Status == http.StatusMisdirectedRequest && resp.Verdict == verdict.NotRun {
+		b.refuse(c.ticket.addr) // another server has taken the address over
+	}
 	resp.Draining = b.State() == endpoint.Draining
 	return resp, nil
 }
 
 // exchange writes r and reads the response. reusable is false if the connection must be closed.
-func (c *conn) exchange(ctx context.Context, r *call.Request) (resp *call.Response, reusable bool, err error) {
+func (c *conn) exchange(ctx context.Context, r *call.Request, d *dialect.Dialect) (resp *call.Response, reusable bool, err error) {
 	if ctx.Done() != nil {
 		stop := context.AfterFunc(ctx, c.abort)
 		defer func() {
@@ -75,7 +81,7 @@
 			}
 		}()
 	}
-	c.out = appendRequest(c.out[:0], r, timeLeft(ctx, r))
+	c.out = appendRequest(c.out[:0], r, d, c.ticket.server, timeLeft(ctx, r))
 	c.limit.N = maxResponseBytes
 	if n, err := c.write(r.Body); err != nil {
 		v := verdict.MayHaveRun
@@ -84,15 +90,43 @@
 		}
 		return nil, false, verdict.Wrap(v, errors.Wrap(call.ContextError(ctx, err), "send to backend server"))
 	}
-	head, err := c.readHead(r.Method)
-	if err != nil {
-		return nil, false, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(call.ContextError(ctx, err), "receive from backend server"))
+	return c.readAnswer(ctx, r, d)
+}
+
+// maxForeignAnswers bounds the answers to other requests that are skipped on a connection.
+const maxForeignAnswers = 4
+
+// readAnswer reads the answer to r. Answers to other requests, which a faulty server sends twice, are
+// skipped.
+func (c *conn) readAnswer(ctx context.Context, r *call.Request, d *dialect.Dialect) (*call.Response, bool, error) {
+	for range maxForeignAnswers {
+		head, err := c.readHead(r.Method)
+		if err != nil {
+			return nil, false, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(call.ContextError(ctx, err), "receive from backend server"))
+		}
+		body, err := readBody(head, d)
+		if !belongsTo(head, r, d) {
+			if err != nil || head.Close {
+				break
+			}
+			continue
+		}
+		if err != nil {
+			return nil, false, verdict.Wrap(verdict.Ran, call.ContextError(ctx, err))
+		}
+		resp, err := newResponse(r, d, head, body)
+		return resp, err == nil && !head.Close, err
 	}
-	body, err := readBody(head)
-	if err != nil {
-		return nil, false, verdict.Wrap(verdict.Ran, call.ContextError(ctx, err))
+	return nil, false, verdict.Wrap(verdict.MayHaveRun, ErrForeignAnswer)
+}
+
+// belongsTo reports whether an answer repeats the ID of r. Where the dialect has no stamps, backend servers
+// do not promise to repeat it.
+func belongsTo(head *http.Response, r *call.Request, d *dialect.Dialect) bool {
+	if d.Stamp == "" || d.RequestID == "" {
+		return true
 	}
-	return newResponse(r, head, body), !head.Close, nil
+	return head.Header.Get(d.RequestID) == r.Header.Get(d.RequestID)
 }
 
 // readHead reads the status line and header of the final response.
@@ -112,7 +146,7 @@
 }
 
 // readBody reads the whole body within the limit.
-func readBody(head *http.Response) ([]byte, error) {
+func readBody(head *http.Response, d *dialect.Dialect) ([]byte, error) {
 	defer func() { _ = head.Body.Close() }()
 	if head.ContentLength > call.MaxResponseBodyBytes && head.Request.Method != http.MethodHead {
 		return nil, ErrResponseTooLarge
@@ -120,7 +154,7 @@
 	if head.ContentLength >= 0 {
 		return readSized(head)
 	}
-	if !slices.Contains(head.TransferEncoding, "chunked") {
+	if !slices.Contains(head.TransferEncoding, "chunked") && !d.UnsizedAnswers {
 		// The end of the connection would be the end of the body, so that a cut could not be noticed.
 		return nil, errors.Wrap(ErrTruncated, "length is not declared")
 	}
@@ -153,8 +187,15 @@
 	return errors.Wrap(ErrTruncated, err.Error())
 }
 
-func newResponse(r *call.Request, head *http.Response, body []byte) *call.Response {
+// newResponse returns the response for a complete answer. Where the dialect has stamps, an answer without
+// one is an error with verdict may have run, unless it says that the request was not run.
+func newResponse(r *call.Request, d *dialect.Dialect, head *http.Response, body []byte) (*call.Response, error) {
 	resp := &call.Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: head.StatusCode, Body: body}
+	if d.NotRun != "" && (head.Header.Get(d.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest) {
+		resp.Verdict, resp.Reason = verdict.NotRun, "not run by the backend server"
+	} else if d.Stamp != "" && head.Header.Get(d.Stamp) == "" {
+		return nil, verdict.Wrap(verdict.MayHaveRun, ErrNoStamp)
+	}
 	if head.StatusCode == http.StatusServiceUnavailable && head.Header.Get(verdict.Header) == verdict.NotRun.String() {
 		resp.Verdict = verdict.NotRun
 		resp.Reason = "shed by the backend server"
@@ -165,7 +206,7 @@
 	call.RemoveHopHeaders(head.Header)
 	head.Header.Del(verdict.Header)
 	resp.Header = head.Header
-	return resp
+	return resp, nil
 }
 
 // timeLeft returns the time left for the exchange.
--- a/agent/backend/pool.go
+++ b/agent/backend/pool.go
@@ -30,10 +30,12 @@
 
 // pool holds the connections to one address; Backend.mu guards it.
 type pool struct {
-	addr  string
-	limit int
-	open  int
-	idle  []*conn // the most recently used is last
+	addr string
+	// server is the ID of the lifetime to which the connections lead, empty if it is not known.
+	server string
+	limit  int
+	open   int
+	idle   []*conn // the most recently used is last
 	// generation changes with addr; connections of an older one are closed after use.
 	generation uint64
 	// freed is closed and replaced when a connection or a place becomes free; nil without waiters.
@@ -59,6 +61,8 @@
 type ticket struct {
 	addr       string
 	generation uint64
+	// server is the ID of the backend server at the time of the reservation.
+	server string
 }
 
 // conn is a connection to the backend server. One request at a time uses it.
@@ -74,6 +78,7 @@
 }
 
 func newConn(raw net.Conn, t ticket) *conn {
+	socket.DetectSilence(raw)
 	raw = socket.Wrap(raw)
 	limit := &io.LimitedReader{R: raw}
 	return &conn{
@@ -88,9 +93,9 @@
 	return c.SetDeadline(deadline) == nil && c.in.Buffered() == 0 && c.check.OK()
 }
 
-func (p *pool) reset(addr string) {
+func (p *pool) reset(addr, server string) {
 	p.closeIdle()
-	p.addr, p.open = addr, 0
+	p.addr, p.server, p.open = addr, server, 0
 	p.generation++
 }
 
@@ -105,7 +110,7 @@
 
 func (p *pool) reserve() ticket {
 	p.open++
-	return ticket{addr: p.addr, generation: p.generation}
+	return ticket{addr: p.addr, generation: p.generation, server: p.server}
 }
 
 func (p *pool) takeIdle() *conn {
--- a/agent/backend/request.go
+++ b/agent/backend/request.go
@@ -11,6 +11,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/socket"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 )
 
 // copyBodyBytes is the size up to which a body is copied behind the header for a single write.
@@ -62,8 +63,9 @@
 	return s != ""
 }
 
-// appendRequest appends the head of r in HTTP/1.1. left becomes the timeout header, at least 1 ms.
-func appendRequest(b []byte, r *call.Request, left time.Duration) []byte {
+// appendRequest appends the head of r in HTTP/1.1 with the marks of d. left becomes the time left, at least
+// 1 ms; server is the lifetime of the backend server that is to run r, empty if it is not known.
+func appendRequest(b []byte, r *call.Request, d *dialect.Dialect, server string, left time.Duration) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -79,9 +81,10 @@
 			b = appendHeader(b, name, value)
 		}
 	}
-	b = appendNumber(b, call.TimeoutHeader, max(left.Milliseconds(), 1))
-	b = appendNumber(b, call.DepthHeader, int64(r.Depth))
-	b = appendHeader(b, call.AttemptHeader, r.Attempt.String())
+	b = appendMark(b, d.TimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	b = appendMark(b, d.Depth, strconv.Itoa(r.Depth))
+	b = appendMark(b, d.Attempt, r.Attempt.String())
+	b = appendMark(b, d.Expect, server)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b = appendNumber(b, "Content-Length", int64(len(r.Body)))
 	}
@@ -95,6 +98,14 @@
 	return append(b, "\r\n"...)
 }
 
+// appendMark appends a mark of a dialect, unless the dialect has no name for it or the value is empty.
+func appendMark(b []byte, name, value string) []byte {
+	if name == "" || value == "" {
+		return b
+	}
+	return appendHeader(b, name, value)
+}
+
 func appendNumber(b []byte, name string, value int64) []byte {
 	b = append(b, name...)
 	b = append(b, ": "...)
--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -16,15 +16,22 @@
 )
 
 const (
-	// maxAttempts bounds the sends of one request, so that a service whose servers all refuse is
-	// not asked by every caller on every server.
-	maxAttempts = 4
+	// defaultMaxAttempts bounds the sends of one request, so that a service whose servers all refuse is
+	// not asked by every caller on every server. A route has a bound of its own for the sends that
+	// reach a backend server.
+	defaultMaxAttempts = 4
+	// maxTransmissions bounds the sends of one request to daemons, whether they reach a server or not.
+	maxTransmissions = 6
 	// A fence may take what is left of the deadline within these bounds. The lower one gives a fence
 	// a chance at a daemon that is one round trip away although the deadline has passed.
 	minFenceTimeout = 5 * time.Millisecond
 	maxFenceTimeout = 250 * time.Millisecond
 )
 
+// patienceShares are the longest waits for a slot that a request of a route accepts at its first
+// transmissions, as shares of its target.
+var patienceShares = [...]float64{0.1, 0.3}
+
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	response *call.Response
@@ -36,7 +43,6 @@
 // sends a non-idempotent request again unless the earlier attempt is proved not to have run.
 func (h *Handler) run(ctx context.Context, e *exchange) *result {
 	res := newResult()
-	var tried []endpoint.InstanceID
 	e.budget = h.config.Budgets.Of(e.service.Name, e.kind.Name)
 	e.budget.Deposit()
 	for {
@@ -44,23 +50,43 @@
 		if left <= 0 {
 			return res.end(timeoutRefusal())
 		}
-		pick, err := h.config.Selector.Pick(e.service.Name, tried)
+		pick, err := h.pick(e, res)
 		if err != nil {
 			if res.attempts > 0 {
 				return res.end(res.refusal) // tells more than that no further server is left
 			}
 			return res.end(h.noEndpoint(e, err))
 		}
-		a := h.attempt(ctx, e, pick, left)
+		a := h.attempt(ctx, e, res, pick, left)
 		res.add(&a)
-		if a.err == nil && !h.retryResponse(e, a.response, res.attempts) {
+		if a.err == nil && !h.retryResponse(e, a.response, res) {
 			return res
 		}
-		if !h.mayRetry(ctx, e, &a, res.attempts) {
+		if !h.mayRetry(ctx, e, &a, res) {
 			return res.end(res.refusal)
 		}
-		tried = append(tried, pick.Record().Instance)
+		if !a.busy() {
+			res.tried = append(res.tried, pick.Record().Instance)
+		}
+	}
+}
+
+func (h *Handler) pick(e *exchange, res *result) (*selection.Pick, error) {
+	if !e.routed() {
+		return h.config.Selector.Pick(e.service.Name, res.tried)
 	}
+	return h.config.Selector.PickFor(selection.Demand{
+		Service: e.service.Name, Kind: e.kind.Name, Target: e.target, Tried: res.tried,
+	})
+}
+
+// patience returns the longest wait for a slot that a daemon may accept e for. Another daemon may have a free
+// slot while what is known here is out of date; after some refusals the request waits where it is sent.
+func (e *exchange) patience(bounces int) time.Duration {
+	if !e.routed() || bounces >= len(patienceShares) {
+		return 0
+	}
+	return time.Duration(patienceShares[bounces] * float64(e.target))
 }
 
 func timeoutRefusal() *refusal {
@@ -94,44 +120,54 @@
 }
 
 // retryResponse reports whether another server may give a better answer than resp: the request is
-// idempotent and the backend server answered that it is unavailable.
-func (h *Handler) retryResponse(e *exchange, resp *call.Response, attempts int) bool {
-	return e.kind.Idempotent && resp.Status == http.StatusServiceUnavailable &&
-		attempts < maxAttempts && e.budget.Withdraw()
+// idempotent and the backend server failed or is unavailable.
+func (h *Handler) retryResponse(e *exchange, resp *call.Response, res *result) bool {
+	failed := resp.Status == http.StatusServiceUnavailable
+	if e.routed() {
+		failed = failed || resp.Status == http.StatusInternalServerError || resp.Status == http.StatusBadGateway
+	}
+	return e.kind.Idempotent && failed && res.spent(e) < e.maxAttempts && e.budget.Withdraw()
 }
 
 // mayRetry reports whether e may be sent again after a. A refusal by a draining daemon is free of
-// charge, since it is no sign of overload.
-func (h *Handler) mayRetry(ctx context.Context, e *exchange, a *attemptResult, attempts int) bool {
+// charge, since it is no sign of overload, and for routes one before the request reached a backend server.
+func (h *Handler) mayRetry(ctx context.Context, e *exchange, a *attemptResult, res *result) bool {
 	if a.err == nil {
 		return true // paid for in retryResponse
 	}
-	if attempts >= maxAttempts || ctx.Err() != nil || errors.Is(a.err, call.ErrRequestTooLarge) {
+	if res.spent(e) >= e.maxAttempts || ctx.Err() != nil || errors.Is(a.err, call.ErrRequestTooLarge) {
 		return false
 	}
 	if a.verdict != verdict.NotRun && !e.kind.Idempotent {
 		return false
 	}
 	if a.response != nil && a.response.Draining {
-		return true
+		return res.attempts < maxTransmissions
+	}
+	if e.routed() && res.offered == 0 {
+		return res.attempts < maxTransmissions
 	}
 	return e.budget.Withdraw()
 }
 
 // attempt sends e once to the picked endpoint.
-func (h *Handler) attempt(ctx context.Context, e *exchange, pick *selection.Pick, left time.Duration) attemptResult {
+func (h *Handler) attempt(ctx context.Context, e *exchange, res *result, pick *selection.Pick, left time.Duration) attemptResult {
 	record := pick.Record()
 	req := e.request
 	req.Attempt = h.nextAttempt()
 	req.Timeout = left
 	started := h.config.Now()
+	req.Patience = e.patience(res.bounces)
+	if e.routed() {
+		req.Aim = e.aim.Sub(started)
+	}
 	sendCtx, cancel := context.WithTimeout(ctx, left)
 	a := classify(h.send(sendCtx, record, &req))
 	cancel()
 	if a.verdict == verdict.MayHaveRun && a.response == nil && !e.kind.Idempotent {
 		a.verdict = h.fence(ctx, e, record, req.Attempt)
 	}
-	result := pickResult(&a, h.config.Now().Sub(started))
+	result := pickResult(e, &a, h.config.Now().Sub(started))
 	if errors.Is(ctx.Err(), context.Canceled) || isFaultOfCaller(e, &a, left) {
 		result = selection.Result{Verdict: verdict.MayHaveRun, Load: unknownLoad}
 	}
@@ -146,6 +182,20 @@
 	return h.config.Remote.Do(ctx, record.CallAddr, req)
 }
 
+// offered reports whether the request has or may have reached the backend server.
+func (a *attemptResult) offered() bool {
+	if a.response != nil {
+		return a.response.Offered
+	}
+	return a.verdict != verdict.NotRun
+}
+
+// busy reports whether a daemon refused the request because its backend server has no free slot, which may
+// have changed the next time.
+func (a *attemptResult) busy() bool {
+	return a.err != nil && a.response != nil && a.verdict == verdict.NotRun && !a.response.Offered && !a.response.Draining && a.response.RetryAfter > 0
+}
+
 // classify reads the outcome of one send. A response with a reason was made by the receiving daemon:
 // a refusal, or the report of a failure behind it.
 func classify(resp *call.Response, err error) attemptResult {
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/burn"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/retry"
@@ -33,7 +35,12 @@
 	Record(s *snapshot.Service, k *snapshot.Kind, o burn.Outcome)
 }
 
-// Config holds what a Handler works with. All fields are required.
+// Budgets limits the retries of each kind of request or of each service.
+type Budgets interface {
+	Of(service, kind string) retry.Allowance
+}
+
+// Config holds what a Handler works with. All fields are required, unless they say otherwise.
 type Config struct {
 	Instance    endpoint.InstanceID
 	Incarnation uint64
@@ -51,10 +58,17 @@
 	// Local is the receiving side of this daemon.
 	Local    call.Handler
 	Remote   Remote
-	Budgets  *retry.Budgets
+	Budgets  Budgets
 	Recorder Recorder
-	Log      *event.Logger
-	Now      func() time.Time
+	// Dialect marks requests and answers; nil stands for dialect.Default.
+	Dialect *dialect.Dialect
+	// Origin is the service of this instance, stated to backend servers where the dialect asks for it.
+	Origin string
+	// Random returns a uniform random number; it is called concurrently. nil
+	// stands for that of math/rand.
+	Random func() uint64
+	Log    *event.Logger
+	Now    func() time.Time
 }
 
 // Handler serves the requests of callers.
@@ -71,6 +85,12 @@
 
 // NewHandler returns a Handler for config.
 func NewHandler(config Config) *Handler {
+	if config.Dialect == nil {
+		config.Dialect = &dialect.Default
+	}
+	if config.Random == nil {
+		config.Random = rand.Uint64
+	}
 	h := &Handler{config: config}
 	h.keys = newKeyOwner(h)
 	return h
@@ -98,10 +118,10 @@
 		h.refuse(w, f)
 		return
 	}
-	e, err := newExchange(snap, r, h.config.Now(), h.config.Running)
+	e, err := h.newExchange(snap, r)
 	if err != nil {
 		f := asRefusal(err)
-		setCommon(w.Header(), snap, &result{refusal: f})
+		h.setCommon(w.Header(), snap, &result{refusal: f})
 		h.refuse(w, f)
 		return
 	}
@@ -112,7 +132,7 @@
 		h.writeResponse(w, e, res)
 		return
 	}
-	setCommon(w.Header(), snap, res)
+	h.setCommon(w.Header(), snap, res)
 	h.refuse(w, res.refusal)
 }
 
@@ -125,7 +145,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, f *refusal) {
 	h.metrics.refusals.Add(1)
-	f.write(w)
+	f.write(w, h.config.Dialect)
 }
 
 func (h *Handler) outcome(e *exchange, res *result) burn.Outcome {
--- a/agent/caller/harness_test.go
+++ b/agent/caller/harness_test.go
@@ -15,6 +15,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/burn"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/retry"
@@ -156,6 +157,7 @@
 			}
 			return resp
 		}),
+		Dialect: &dialect.Default, Random: rng,
 		Log: event.Nop(), Now: func() time.Time { return b.now() },
 	})
 	return b
--- a/agent/caller/history_test.go
+++ b/agent/caller/history_test.go
@@ -47,7 +47,7 @@
 func genHistory() *rapid.Generator[[]step] {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		return step{fault(rapid.IntRange(0, int(faults)-1).Draw(t, "fault")), rapid.IntRange(0, 3).Draw(t, "fence") == 0}
-	}), maxAttempts, maxAttempts)
+	}), defaultMaxAttempts, defaultMaxAttempts)
 }
 
 // world plays a history against the attempt tables of the receiving daemons.
@@ -204,7 +204,7 @@
 // naive is a retry loop as it is often written: it sends again after every failure.
 func naive(history []step) *world {
 	w := newWorld(history)
-	for seq := range uint64(maxAttempts) {
+	for seq := range uint64(defaultMaxAttempts) {
 		r := &call.Request{Attempt: fence.AttemptID{Sender: 7, Seq: seq + 1}, Method: "POST", Target: "/pages/1"}
 		resp, err := w.do(context.Background(), string(rune('a'+seq)), r)
 		if err == nil && resp != nil && resp.Verdict == verdict.Ran && resp.Reason == "" {
--- a/agent/caller/refusal.go
+++ b/agent/caller/refusal.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -37,14 +38,23 @@
 }
 
 // write sends r to the caller.
-func (r *refusal) write(w http.ResponseWriter) {
+func (r *refusal) write(w http.ResponseWriter, marks *dialect.Dialect) {
 	h := w.Header()
-	h.Set(verdict.Header, r.verdict.String())
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if r.retryAfter > 0 {
-		seconds := (r.retryAfter + time.Second - 1) / time.Second
-		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+		h.Set("Retry-After", retryAfterText(r.retryAfter, marks))
+	}
+	if marks.Annotated {
+		h.Set(verdict.Header, r.verdict.String())
 	}
 	w.WriteHeader(r.status)
 	fmt.Fprintln(w, r.reason)
 }
+
+// retryAfterText returns d in seconds, rounded up to whole ones unless the callers read fractions.
+func retryAfterText(d time.Duration, marks *dialect.Dialect) string {
+	if marks.FractionalSeconds {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+}
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -49,24 +49,34 @@
 	deadline time.Time
 	key      string
 	// budget is that of the kind; run sets it.
-	budget *retry.Budget
+	budget retry.Allowance
 	// request is the template of the attempts; each one gets its own ID and timeout.
 	request call.Request
+	// aim is the time until which the answer has its full worth. It is set for requests of a route
+	// only, which learn what a kind would declare.
+	aim time.Time
+	// target is the time from the start to aim.
+	target time.Duration
+	// maxAttempts bounds the servers to which the request may be sent.
+	maxAttempts int
 }
 
-// newExchange routes r on snap and reads its body. running reports whether the backend server of this
-// daemon works on an attempt. Errors are *refusal.
-func newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time, running func(fence.AttemptID) bool) (*exchange, error) {
-	name := serviceName(r)
-	service, kind, ok := snap.Match(name, r.Method, r.URL.Path)
-	if !ok {
-		return nil, refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path)
+// routed reports whether e came by a route.
+func (e *exchange) routed() bool { return !e.aim.IsZero() }
+
+// newExchange routes r on snap and reads its body. Errors are *refusal.
+func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request) (*exchange, error) {
+	now, marks := h.config.Now(), h.config.Dialect
+	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts}
+	if err := h.route(e, r, now); err != nil {
+		return nil, err
 	}
+	service, kind := e.service, e.kind
 	depth, err := readDepth(r)
 	if err != nil {
 		return nil, err
 	}
-	timeout, err := readTimeout(r, kind.Deadline)
+	timeout, err := readTimeout(r, marks.TimeLeft, kind.Deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -78,19 +88,61 @@
 	if err != nil {
 		return nil, err
 	}
-	nested := depth > 1 && isNested(r, running)
-	e := &exchange{snap: snap, service: service, kind: kind, deadline: now.Add(timeout), key: key}
+	nested := depth > 1 && isNested(r, h.config.Running)
+	e.deadline, e.key = now.Add(timeout), key
 	e.request = call.Request{
 		Service: service.Name, Kind: kind.Name, Version: uint64(snap.Version), Depth: depth, Nested: nested,
-		Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: forwardHeader(r.Header), Body: body,
+		Method: r.Method, Target: targetOf(r), Host: r.Host, Header: h.forwardHeader(r.Header), Body: body,
+		Idempotent: kind.Idempotent,
+	}
+	if e.routed() {
+		e.request.Rank = kind.Rank
 	}
 	return e, nil
 }
 
+// route finds the service and the kind of r: by host and path if the configuration has routes, else by the
+// name of the service.
+func (h *Handler) route(e *exchange, r *http.Request, now time.Time) error {
+	if !e.snap.Routed() {
+		name := serviceName(r)
+		service, kind, ok := e.snap.Match(name, r.Method, r.URL.Path)
+		if !ok {
+			return refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path)
+		}
+		e.service, e.kind = service, kind
+		return nil
+	}
+	found := e.snap.RouteOf(hostOf(r), pathOf(targetOf(r)))
+	if found == nil {
+		return refuse(http.StatusNotFound, "no route for host %q and path %s", r.Host, r.URL.Path)
+	}
+	e.service, e.kind = e.snap.Services[found.Destination(h.config.Random())], &found.Route.Kind
+	e.target = found.Route.Target
+	if e.target <= 0 || e.target > e.kind.Deadline {
+		e.target = e.kind.Deadline
+	}
+	e.aim, e.maxAttempts = now.Add(e.target), found.Route.MaxAttempts
+	return nil
+}
+
+// targetOf returns the target of the request line as it was sent.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 func serviceName(r *http.Request) string {
 	if name := r.Header.Get(HeaderService); name != "" {
 		return name
 	}
+	return hostOf(r)
+}
+
+// hostOf returns the host of r without its port.
+func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
 		return host
 	}
@@ -120,14 +172,14 @@
 }
 
 // readTimeout returns the smaller of the deadline of the kind and the time that the caller allows.
-func readTimeout(r *http.Request, deadline time.Duration) (time.Duration, error) {
-	value := r.Header.Get(call.TimeoutHeader)
+func readTimeout(r *http.Request, name string, deadline time.Duration) (time.Duration, error) {
+	value := r.Header.Get(name)
 	if value == "" {
 		return deadline, nil
 	}
 	ms, err := strconv.ParseInt(value, 10, 32)
 	if err != nil || ms < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", call.TimeoutHeader, value)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", name, value)
 	}
 	return min(deadline, time.Duration(ms)*time.Millisecond), nil
 }
@@ -160,11 +212,20 @@
 
 // forwardHeader removes from h what must not reach the backend server, and returns h. The length of the
 // body is known, and only daemons name the owner of a key.
-func forwardHeader(h http.Header) http.Header {
-	call.RemoveHopHeaders(h)
-	delete(h, "Content-Length")
-	delete(h, headerOwner)
-	return h
+func (h *Handler) forwardHeader(header http.Header) http.Header {
+	call.RemoveHopHeaders(header)
+	delete(header, "Content-Length")
+	delete(header, headerOwner)
+	marks := h.config.Dialect
+	for _, name := range []string{marks.TimeLeft, marks.Expect} {
+		if name != "" {
+			header.Del(name)
+		}
+	}
+	if marks.Origin != "" {
+		header.Set(marks.Origin, h.config.Origin)
+	}
+	return header
 }
 
 // pathOf returns the path of a request target.
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/selection"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
@@ -25,6 +26,10 @@
 	// known is the strongest verdict of all attempts: one that has run makes the request ran, one
 	// that may have run rules out not run.
 	known verdict.Verdict
+	// tried lists the instances that are not to be tried again, offered counts the attempts that have
+	// or may have reached a backend server, and bounces those refused because no slot was free.
+	tried            []endpoint.InstanceID
+	offered, bounces int
 }
 
 func newResult() *result { return &result{known: verdict.NotRun} }
@@ -33,6 +38,12 @@
 // because it is a better answer than the failure of a retry.
 func (r *result) add(a *attemptResult) {
 	r.attempts++
+	if a.offered() {
+		r.offered++
+	}
+	if a.busy() {
+		r.bounces++
+	}
 	if r.known == verdict.NotRun || a.verdict == verdict.Ran {
 		r.known = a.verdict
 	}
@@ -43,6 +54,14 @@
 	r.refusal = attemptRefusal(a)
 }
 
+// spent returns the attempts that count against the bound of e.
+func (r *result) spent(e *exchange) int {
+	if e.routed() {
+		return r.offered
+	}
+	return r.attempts
+}
+
 // end makes f the answer of r unless there is a response. The verdict of f accounts for all attempts;
 // its status is not that of a refusal if one of them may have run.
 func (r *result) end(f *refusal) *result {
@@ -67,15 +86,19 @@
 
 // pickResult tells selection what came of an attempt. A refusal by admission control is no failure
 // of the endpoint; a broken connection or an unusable response is.
-func pickResult(a *attemptResult, latency time.Duration) selection.Result {
+func pickResult(e *exchange, a *attemptResult, latency time.Duration) selection.Result {
 	r := selection.Result{Verdict: a.verdict, Load: unknownLoad, Latency: latency}
 	if a.response == nil {
 		r.Failed = true
 		return r
 	}
+	r.Work, r.Refused = a.response.Work, !a.response.Offered
 	r.Load = a.response.Load
 	r.Draining = a.response.Draining
-	r.Failed = a.err != nil && a.verdict != verdict.NotRun
+	r.Failed = a.err != nil && (a.verdict != verdict.NotRun || e.routed() && a.response.Offered)
+	if e.routed() && a.err == nil && a.response.Status >= http.StatusInternalServerError && a.response.Status != http.StatusGatewayTimeout {
+		r.Failed = true // a gray failure shows in the answers only
+	}
 	return r
 }
 
@@ -103,7 +126,7 @@
 	for name, values := range res.response.Header {
 		header[name] = values
 	}
-	setCommon(header, e.snap, res)
+	h.setCommon(header, e.snap, res)
 	if mayHaveBody(e.request.Method, res.response.Status) {
 		header.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
 	}
@@ -117,8 +140,11 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// setCommon sets what every response of this daemon carries.
-func setCommon(header http.Header, snap *snapshot.Snapshot, res *result) {
+// setCommon sets what every response of this daemon carries where the dialect asks for it.
+func (h *Handler) setCommon(header http.Header, snap *snapshot.Snapshot, res *result) {
+	if !h.config.Dialect.Annotated {
+		return
+	}
 	header.Set(verdict.Header, res.verdict().String())
 	header.Set(HeaderVersion, strconv.FormatUint(uint64(snap.Version), 10))
 	header.Set(HeaderAttempts, strconv.Itoa(res.attempts))
--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -173,7 +173,7 @@
 func (c *cluster) start(name string) {
 	c.t.Helper()
 	n := c.nodes[name]
-	d, err := NewWithNetwork(c.settings(n), c.network.at(n.host), event.Nop())
+	d, err := NewWithNetwork(c.settings(n), c.network.at(n.host), nil, event.Nop())
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -50,7 +50,9 @@
 	listeners *listeners
 	// security is nil if daemons are not authenticated to each other.
 	security *security
+	// platform is nil with an adapter, which is nil without one.
 	platform *store.Client
+	adapter  Adapter
 	store    *peersync.Store
 	follower *peersync.Follower
 	prober   *probe.Prober
@@ -70,14 +72,18 @@
 	peerTraffic, platformTraffic traffic.Counter
 }
 
-// New builds a daemon and opens its listeners. Errors: a listener or the platform client cannot be
-// made from the settings.
-func New(s *Settings, log *event.Logger) (*Daemon, error) {
-	return NewWithNetwork(s, &systemNetwork{}, log)
+// New builds a daemon and opens its listeners. adapters holds the adapters that the settings may name.
+// Errors: a listener, the platform client or the adapter cannot be made from the settings.
+func New(s *Settings, adapters map[string]NewAdapter, log *event.Logger) (*Daemon, error) {
+	if name := s.Platform.Adapter; name != "" && adapters[name] == nil {
+		return nil, errors.Errorf("section [platform]: key \"adapter\": there is no adapter %q", name)
+	}
+	return NewWithNetwork(s, &systemNetwork{}, adapters[s.Platform.Adapter], log)
 }
 
-// NewWithNetwork is New with the network through which the daemon reaches others.
-func NewWithNetwork(s *Settings, network Network, log *event.Logger) (*Daemon, error) {
+// NewWithNetwork is New with the network through which the daemon reaches others, and with the adapter that
+// newAdapter makes unless it is nil.
+func NewWithNetwork(s *Settings, network Network, newAdapter NewAdapter, log *event.Logger) (*Daemon, error) {
 	security, err := openSecurity(s, log)
 	if err != nil {
 		return nil, err
@@ -87,6 +93,9 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, network: network, log: log, started: time.Now(), listeners: l, security: security}
+	if newAdapter != nil {
+		d.adapter = newAdapter(s.Platform.Address.String(), d.platformTraffic.Dial(network.DialContext))
+	}
 	l.rpc = d.peerTraffic.Listener(l.rpc)
 	if security != nil {
 		l.calls, l.rpc = security.listen(l.calls), security.listen(l.rpc)
@@ -111,6 +120,9 @@
 }
 
 func (d *Daemon) buildPlatform() error {
+	if d.adapter != nil {
+		return nil
+	}
 	p := d.settings.Platform
 	client, err := store.NewClient(store.Config{
 		TableURL: p.TableURL, ObjectsURL: p.ObjectURL, Region: p.Region, Table: p.Table, Bucket: p.Bucket,
@@ -144,17 +156,24 @@
 	for _, addr := range d.settings.Peers.Seeds {
 		seeds = append(seeds, addr.String())
 	}
-	d.follower = peersync.NewFollower(peersync.Config{
+	config := peersync.Config{
 		Self: local, Seeds: seeds, Members: d.prober, Store: d.store,
-		Platform: &headSource{Client: d.platform, current: d.store.Load},
-		Dial:     d.dialPeer, Log: d.log, Seed: rand.Uint64(),
-	})
+		Dial: d.dialPeer, Log: d.log, Seed: rand.Uint64(),
+	}
+	if d.adapter != nil {
+		config.Source, config.Directory = d.adapter.Source(), d.adapter.Directory()
+	} else {
+		config.Platform = &headSource{Client: d.platform, current: d.store.Load}
+	}
+	d.follower = peersync.NewFollower(config)
 }
 
 func (d *Daemon) buildRequestPath(local endpoint.Record) {
 	incarnation := rand.Uint64()
 	d.record = recordKeeper{prober: d.prober}
-	d.backend = backend.New(backend.Config{Changed: d.record.backendChanged}, d.log)
+	d.backend = backend.New(backend.Config{
+		Changed: d.record.backendChanged, Dialect: d.dialect(), Lifetime: d.settings.Backend.AnnouncementLifetime,
+	}, d.log)
 	d.receiver = &receiver{
 		admission: admission.New(admission.Config{Slots: 1}, time.Now),
 		backend:   d.backend,
@@ -169,8 +188,8 @@
 		Instance: local.Instance, Incarnation: incarnation, StartedMS: local.Incarnation,
 		AskKey: d.askKey, Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
-		Budgets:  retry.NewBudgets(retryRatio, retryMinPerSecond, time.Now),
-		Recorder: d.burn, Log: d.log, Now: time.Now,
+		Budgets: d.budgets(), Recorder: d.burn, Log: d.log, Now: time.Now,
+		Dialect: d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
 	})
 	d.gate = &gate{next: d.callers}
 }
@@ -201,8 +220,9 @@
 	group, parts := errgroup.WithContext(parts)
 	admin := operator.NewHTTPServer(d.administration())
 	callers := d.callerServer()
-	announcements := &http.Server{Handler: d.backend.Announcements(), ReadHeaderTimeout: headerTimeout}
-	d.serve(parts, group, admin, callers, announcements)
+	announcements := &http.Server{Handler: d.announcements(), ReadHeaderTimeout: headerTimeout}
+	readiness := d.readinessServer()
+	d.serve(parts, group, admin, callers, announcements, readiness)
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -212,18 +232,40 @@
 		endParts()
 		_ = admin.Close()
 		_ = announcements.Close()
+		_ = readiness.Close()
 		d.backend.Close()
 		d.client.Close()
 		return nil
 	})
 	err := group.Wait()
-	d.platform.Close()
+	d.closePlatform()
 	d.log.Log(event.DaemonStopped)
 	return err
 }
 
+func (d *Daemon) closePlatform() {
+	if d.adapter != nil {
+		d.adapter.Close()
+		return
+	}
+	d.platform.Close()
+}
+
+// budgets returns the budgets of retries: one for each kind of request, or with an adapter the part of this
+// daemon in the budgets that all daemons share.
+func (d *Daemon) budgets() caller.Budgets {
+	if d.adapter == nil {
+		return retry.NewBudgets(retryRatio, retryMinPerSecond, time.Now)
+	}
+	r := d.settings.Retries
+	return retry.NewShared(retry.SharedLimit{
+		Ratio: r.Ratio, Slack: float64(r.Slack), Window: r.Window, Now: time.Now,
+		Members: func() int { return len(d.prober.View().Records) },
+	})
+}
+
 // serve starts all parts in group.
-func (d *Daemon) serve(ctx context.Context, group *errgroup.Group, admin, callers, announcements *http.Server) {
+func (d *Daemon) serve(ctx context.Context, group *errgroup.Group, admin, callers, announcements, readiness *http.Server) {
 	group.Go(func() error { return d.prober.Run(ctx) })
 	group.Go(func() error {
 		return peersync.Serve(ctx, d.listeners.rpc, d.rpcWithSync(ctx))
@@ -238,7 +280,11 @@
 	})
 	for server, listener := range map[*http.Server]net.Listener{
 		admin: d.listeners.admin, callers: socket.Listener{Listener: d.listeners.callers}, announcements: d.listeners.announcements,
+		readiness: d.listeners.readiness,
 	} {
+		if listener == nil {
+			continue
+		}
 		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	}
 }
--- a/agent/listeners.go
+++ b/agent/listeners.go
@@ -14,7 +14,9 @@
 // listeners holds the sockets of a daemon.
 type listeners struct {
 	callers, announcements, admin, calls, rpc net.Listener
-	probes                                    ProbeConn
+	// readiness is nil without an adapter.
+	readiness net.Listener
+	probes    ProbeConn
 }
 
 // openListeners opens all sockets, or none.
@@ -30,7 +32,11 @@
 		{&l.admin, "administration", s.Listen.Administration},
 		{&l.calls, "calls", s.Listen.Calls},
 		{&l.rpc, "rpc", s.Listen.RPC},
+		{&l.readiness, "readiness", s.Listen.Readiness},
 	} {
+		if !item.addr.IsValid() {
+			continue // only readiness may be left out
+		}
 		listener, err := net.Listen("tcp", item.addr.String())
 		if err != nil {
 			l.close()
@@ -48,7 +54,7 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.announcements, l.admin, l.calls, l.rpc} {
+	for _, listener := range []net.Listener{l.callers, l.announcements, l.admin, l.calls, l.rpc, l.readiness} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -2,11 +2,20 @@
 
 import (
 	"expvar"
+	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
+// Paths of a daemon with an adapter, which has no administration API.
+const (
+	metricsPath = "/metrics"
+	reportPath  = "/report"
+)
+
 // Metrics returns the metrics of the daemon for publication with expvar.
 func (d *Daemon) Metrics() expvar.Var {
 	m := new(expvar.Map).Init()
@@ -21,6 +30,14 @@
 	return m
 }
 
+// metricsHandler serves metrics and the service-level report, which change nothing.
+func (d *Daemon) metricsHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Get(metricsPath, expvar.Handler().ServeHTTP)
+	router.Get(reportPath, burnReport{d.burn}.ServeHTTP)
+	return router
+}
+
 type backendMetrics struct {
 	Service string  `json:"service"`
 	State   string  `json:"state"`
--- a/agent/operator/messages.go
+++ b/agent/operator/messages.go
@@ -79,7 +79,7 @@
 
 // OutcomeMessage tells what became of a change. State is one of the texts of store.State.
 type OutcomeMessage struct {
-	State  store.State   `json:"state"`
+	State  store.State      `json:"state"`
 	Token  string           `json:"token"`
 	Seen   snapshot.Version `json:"seen"`
 	Change *ChangeMessage   `json:"change,omitempty"`
--- a/agent/peer/call/clientconn.go
+++ b/agent/peer/call/clientconn.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/lib/socket"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -35,6 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
+	socket.DetectSilence(conn)
 	c, err := greet(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
--- a/agent/peer/call/header.go
+++ b/agent/peer/call/header.go
@@ -27,6 +27,10 @@
 	Host          string
 	Header        []string
 	Nested        bool
+	Rank          int
+	AimMicros     int64
+	Patience      int64 // microseconds
+	Idempotent    bool
 }
 
 type responseHeader struct {
@@ -39,6 +43,8 @@
 	Load             float64
 	Status           int
 	Header           []string
+	WorkMicros       int64
+	Offered          bool
 }
 
 var encMode, decMode = newModes()
@@ -69,6 +75,7 @@
 		TimeoutMicros: r.Timeout.Microseconds(), Depth: r.Depth,
 		Method: r.Method, Target: r.Target, Host: r.Host,
 		Header: flatten(s.request.Header[:0], r.Header), Nested: r.Nested,
+		Rank: r.Rank, AimMicros: r.Aim.Microseconds(), Patience: r.Patience.Microseconds(), Idempotent: r.Idempotent,
 	}
 	return encMode.MarshalToBuffer(&s.request, buf)
 }
@@ -91,6 +98,8 @@
 		Service: h.Service, Kind: h.Kind, Version: h.Version,
 		Timeout: timeout, Depth: h.Depth,
 		Method: h.Method, Target: h.Target, Host: h.Host, Header: header, Nested: h.Nested,
+		Rank: h.Rank, Aim: time.Duration(h.AimMicros) * time.Microsecond,
+		Patience: time.Duration(h.Patience) * time.Microsecond, Idempotent: h.Idempotent,
 	}, nil
 }
 
@@ -100,6 +109,7 @@
 		Verdict: uint8(r.Verdict), Draining: r.Draining, Reason: r.Reason,
 		RetryAfterMicros: r.RetryAfter.Microseconds(), Load: r.Load,
 		Status: r.Status, Header: flatten(s.response.Header[:0], r.Header),
+		WorkMicros: r.Work.Microseconds(), Offered: r.Offered,
 	}
 	return encMode.MarshalToBuffer(&s.response, buf)
 }
@@ -121,6 +131,7 @@
 		Verdict: verdict.Verdict(h.Verdict), Draining: h.Draining, Reason: h.Reason,
 		RetryAfter: time.Duration(h.RetryAfterMicros) * time.Microsecond, Load: h.Load,
 		Status: h.Status, Header: header,
+		Work: time.Duration(max(h.WorkMicros, 0)) * time.Microsecond, Offered: h.Offered,
 	}, nil
 }
 
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -48,11 +48,19 @@
 	// Nested says that the sender has seen the request come from a backend server that works on a request
 	// of this chain. Without it the depth is only what the caller claims.
 	Nested bool
-	Method string
-	Target string
-	Host   string
-	Header http.Header
-	Body   []byte
+	// Rank and Aim describe a request of a route: its urgency, 1 is the most urgent, and the time
+	// left until the answer loses worth. Rank 0 stands for a declared kind.
+	Rank int
+	Aim  time.Duration
+	// Patience is the longest wait for a slot that the sender accepts; zero means any.
+	Patience time.Duration
+	// Idempotent requests are cancelled when their sender has gone.
+	Idempotent bool
+	Method     string
+	Target     string
+	Host       string
+	Header     http.Header
+	Body       []byte
 
 	table *fence.Table
 }
@@ -72,10 +80,14 @@
 	// RetryAfter is the time after which a refused request has a chance; zero if not known.
 	RetryAfter time.Duration
 	// Load is 0 when idle, 1 when all slots are busy and above 1 when requests are queued.
-	Load   float64
-	Status int
-	Header http.Header
-	Body   []byte
+	Load float64
+	// Work is the time in a slot of the backend server; zero if it was not used.
+	Work time.Duration
+	// Offered tells that the request was sent to the backend server.
+	Offered bool
+	Status  int
+	Header  http.Header
+	Body    []byte
 }
 
 // Handler runs the requests that arrive from other daemons.
--- a/agent/peer/call/server.go
+++ b/agent/peer/call/server.go
@@ -37,6 +37,7 @@
 	listeners map[net.Listener]struct{}
 	conns     map[*serverConn]struct{}
 	running   sync.WaitGroup
+	watching  bool
 }
 
 // NewServer returns a Server for the daemon with the given incarnation.
@@ -96,6 +97,7 @@
 		return
 	}
 	s.conns[c] = struct{}{}
+	s.startWatch()
 	s.running.Add(1)
 	go s.serveConn(c)
 }
@@ -118,7 +120,7 @@
 			return
 		}
 		r.table = s.table
-		if err := c.writeResponse(s.serve(r)); err != nil {
+		if err := c.writeResponse(s.serve(c, r)); err != nil {
 			s.log.Log(event.CallResponseLost, zap.Stringer("attempt", r.Attempt), zap.Error(err))
 			return
 		}
@@ -135,13 +137,15 @@
 }
 
 // serve runs one attempt through the handler.
-func (s *Server) serve(r *Request) *Response {
+func (s *Server) serve(c *serverConn, r *Request) *Response {
 	ctx, cancel := context.WithTimeout(s.base, r.Timeout)
 	defer cancel()
 	if !s.table.Arrive(r.Attempt, cancel) {
 		return s.refuse(r.Attempt)
 	}
 	defer s.table.Finish(r.Attempt)
+	c.beginRun(func() { s.abandon(r, cancel) })
+	defer c.endRun()
 	resp := s.handler.ServeCall(ctx, r)
 	if resp == nil {
 		resp = ErrorResponse(r.Attempt, errors.New("handler gave no response"))
--- a/agent/peer/call/serverconn.go
+++ b/agent/peer/call/serverconn.go
@@ -4,9 +4,12 @@
 	"encoding/binary"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/lib/socket"
 )
 
 const (
@@ -34,6 +37,10 @@
 	active   bool // the greeting or a call is in progress
 	draining bool
 	goneAway bool // the go-away frame has been sent
+	// stop ends the request in progress, which began at runSince; nil without one.
+	stop     func()
+	runSince time.Time
+	raw      syscall.RawConn
 }
 
 // errAbandoned means that the sender has closed the connection, or has sent more than one request on
@@ -42,7 +49,8 @@
 var errAbandoned = errors.New("request abandoned by its sender")
 
 func newServerConn(conn net.Conn) *serverConn {
-	return &serverConn{codec: newCodec(conn), check: NewIdleCheck(conn), active: true}
+	socket.DetectSilence(conn)
+	return &serverConn{codec: newCodec(conn), check: NewIdleCheck(conn), active: true, raw: rawOf(conn)}
 }
 
 func (c *serverConn) greet(incarnation uint64) error {
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -60,8 +60,12 @@
 	Store   *Store
 	// Platform may be nil if there is none.
 	Platform Platform
-	Dial     Dialer
-	Log      *event.Logger
+	// Source replaces Platform where configurations are written as a whole; it may be nil.
+	Source Source
+	// Directory replaces Seeds where daemons find one another through the platform; it may be nil.
+	Directory Directory
+	Dial      Dialer
+	Log       *event.Logger
 	// OnApply is called after each version put in force, in order of version; it may be nil.
 	OnApply func(*snapshot.Snapshot)
 	// Seed seeds the jitter of the timers.
@@ -83,6 +87,8 @@
 	dial   Dialer
 	floor  distribution.Floor
 	joined chan struct{}
+	// joinOnce closes joined where a Directory is used.
+	joinOnce sync.Once
 	// leading tells that this daemon holds a lease and reads the head itself.
 	leading atomic.Bool
 
@@ -116,7 +122,7 @@
 // ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){f.join, f.determineFloor, f.lead, f.follow, f.pull, f.repair} {
+	for _, loop := range f.loops() {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
@@ -125,6 +131,18 @@
 	return g.Wait()
 }
 
+// loops returns the activities of a running Follower.
+func (f *Follower) loops() []func(context.Context) {
+	join, floor, lead := f.join, f.determineFloor, f.lead
+	if f.cfg.Directory != nil {
+		join = f.useDirectory
+	}
+	if f.cfg.Source != nil {
+		floor, lead = f.startFromSource, f.readSource
+	}
+	return []func(context.Context){join, floor, lead, f.follow, f.pull, f.repair}
+}
+
 // Ready reports whether this daemon may serve: it holds a snapshot at or above the version floor.
 func (f *Follower) Ready() bool { return f.floor.MayServe(f.cfg.Store.Version()) }
 
--- a/agent/peer/sync/position.go
+++ b/agent/peer/sync/position.go
@@ -20,9 +20,14 @@
 // position returns the present position. It is derived again only after a member of the own domain
 // joined or died or a lease changed hands: a sort of 842 members for each poll took 1.4 ms.
 func (f *Follower) position() *position {
-	members := f.cfg.Members.View().Own
+	view := f.cfg.Members.View()
+	members := view.Own
 	var holders [membership.MaxHolders]endpoint.InstanceID
-	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { holders = s.HolderInstances() })
+	if f.cfg.Source != nil {
+		holders = f.readers(members, view)
+	} else {
+		f.cfg.Members.Do(func(_ time.Time, s *membership.State) { holders = s.HolderInstances() })
+	}
 	if p := f.place.Load(); p != nil && p.members == members && p.holders == holders {
 		return p
 	}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -45,20 +46,30 @@
 		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
 	}
 	// This hop keeps time to report a failure of the backend server, before the sender gives up.
-	deadline := time.Now().Add(retry.HopTimeout(req.Timeout))
+	now := time.Now()
+	deadline := now.Add(retry.HopTimeout(req.Timeout))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	ticket, err := r.admission.Acquire(ctx, admissionKind(req), deadline)
+	ticket, err := r.admission.AcquireFor(ctx, admissionRequest(req, now, deadline))
 	if err != nil {
 		return r.finish(req, refusalResponse(req, err))
 	}
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
+// admissionRequest describes req for admission control.
+func admissionRequest(req *call.Request, now, deadline time.Time) admission.Request {
+	a := admission.Request{Kind: admissionKind(req), Deadline: deadline, Rank: req.Rank, Patience: req.Patience}
+	if req.Rank > 0 {
+		a.Aim = now.Add(req.Aim)
+	}
+	return a
+}
+
 // admissionKind returns the kind of req for admission control, which tells requests of callers from
 // the calls that backend servers make on their behalf.
 func admissionKind(req *call.Request) string {
-	if req.Nested {
+	if req.Nested && req.Rank == 0 {
 		return admission.CalledName(req.Kind)
 	}
 	return req.Kind
@@ -78,9 +89,12 @@
 		resp = call.ErrorResponse(req.Attempt, err)
 	case resp.Verdict == verdict.NotRun:
 		outcome.Shed = true
-	default:
+	case resp.Status < http.StatusInternalServerError:
+		// A failure is often faster or slower than the work that it replaces.
 		outcome.ServiceTime = time.Since(started)
+		resp.Work = outcome.ServiceTime
 	}
+	resp.Offered = err == nil || verdict.Of(err) != verdict.NotRun
 	ticket.Done(outcome)
 	return resp
 }
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -39,6 +39,9 @@
 		Calls  netip.AddrPort `key:"calls"`
 		RPC    netip.AddrPort `key:"rpc"`
 		Probes netip.AddrPort `key:"probes"`
+		// Readiness takes questions of the platform whether this daemon may get requests; it needs an
+		// adapter.
+		Readiness netip.AddrPort `key:"readiness" optional:"true"`
 	} `section:"listen"`
 	Peers struct {
 		// Seeds are the net/rpc addresses of some daemons, of which at least one should be running.
@@ -51,14 +54,33 @@
 		Authority   string `key:"authority" optional:"true"`
 		ProbeKeys   string `key:"probe-keys" optional:"true"`
 	} `section:"security"`
+	// Backend describes the backend server on this instance before it has announced itself.
+	Backend struct {
+		Service string         `key:"service" optional:"true"`
+		Address netip.AddrPort `key:"address" optional:"true"`
+		// AnnouncementLifetime is the time after which an announcement that is not renewed has expired.
+		AnnouncementLifetime time.Duration `key:"announcement-lifetime" default:"3s"`
+	} `section:"backend"`
+	// Retries bounds the retries of each service over all daemons; it needs an adapter.
+	Retries struct {
+		// Ratio is the share of the requests in a window that may be retries, Slack the number of
+		// retries in a window that is allowed in any case.
+		Ratio  float64       `key:"ratio" default:"0.1"`
+		Slack  int           `key:"slack" default:"30"`
+		Window time.Duration `key:"window" default:"10s"`
+	} `section:"retries"`
 	Platform struct {
-		TableURL  string `key:"table-url"`
-		ObjectURL string `key:"object-url"`
-		Region    string `key:"region" default:"local"`
-		Table     string `key:"table" default:"kingcupwood"`
-		Bucket    string `key:"bucket" default:"kingcupwood"`
-		AccessKey string `key:"access-key"`
-		SecretKey string `key:"secret-key"`
+		// Adapter names the adapter for a platform with protocols of its own, and Address its store. The
+		// other keys are those of a platform with a table service and an object store.
+		Adapter   string         `key:"adapter" optional:"true"`
+		Address   netip.AddrPort `key:"address" optional:"true"`
+		TableURL  string         `key:"table-url" optional:"true"`
+		ObjectURL string         `key:"object-url" optional:"true"`
+		Region    string         `key:"region" default:"local"`
+		Table     string         `key:"table" default:"kingcupwood"`
+		Bucket    string         `key:"bucket" default:"kingcupwood"`
+		AccessKey string         `key:"access-key" optional:"true"`
+		SecretKey string         `key:"secret-key" optional:"true"`
 	} `section:"platform"`
 }
 
@@ -66,6 +88,9 @@
 // smaller limit would keep the garbage collector busy.
 const minMemoryLimitMB = 50
 
+// minRetryWindow keeps the parts of the window of the retry budget above the resolution of timers.
+const minRetryWindow = 100 * time.Millisecond
+
 // LoadSettings reads the settings of a daemon. It returns settings.Errors with every fault found.
 func LoadSettings(path string) (*Settings, error) {
 	var s Settings
@@ -99,18 +124,55 @@
 		fail("daemon", "log-level", err.Error())
 	}
 	s.checkSecurity(fail)
-	if !isHTTP(s.Platform.TableURL) {
-		fail("platform", "table-url", "must start with http:// or https://")
-	}
-	if !isHTTP(s.Platform.ObjectURL) {
-		fail("platform", "object-url", "must start with http:// or https://")
-	}
+	s.checkPlatform(fail)
+	s.checkRetries(fail)
 	if len(faults) > 0 {
 		return faults
 	}
 	return nil
 }
 
+// checkPlatform checks the keys of the platform: those of an adapter, or those of the table service and the
+// object store.
+func (s *Settings) checkPlatform(fail func(section, key, reason string)) {
+	p := &s.Platform
+	if p.Adapter != "" {
+		if !p.Address.IsValid() {
+			fail("platform", "address", "is required with an adapter")
+		}
+		if !s.Listen.Readiness.IsValid() {
+			fail("listen", "readiness", "is required with an adapter")
+		}
+		return
+	}
+	for _, item := range []struct{ key, url string }{{"table-url", p.TableURL}, {"object-url", p.ObjectURL}} {
+		if !isHTTP(item.url) {
+			fail("platform", item.key, "must start with http:// or https://")
+		}
+	}
+	for _, item := range []struct{ key, value string }{{"access-key", p.AccessKey}, {"secret-key", p.SecretKey}} {
+		if item.value == "" {
+			fail("platform", item.key, "a value is required")
+		}
+	}
+}
+
+func (s *Settings) checkRetries(fail func(section, key, reason string)) {
+	r := &s.Retries
+	if !(r.Ratio >= 0 && r.Ratio <= 1) {
+		fail("retries", "ratio", "must be between 0 and 1")
+	}
+	if r.Slack < 0 {
+		fail("retries", "slack", "must not be negative")
+	}
+	if r.Window < minRetryWindow {
+		fail("retries", "window", "must be at least "+minRetryWindow.String())
+	}
+	if s.Backend.AnnouncementLifetime <= 0 {
+		fail("backend", "announcement-lifetime", "must be above 0s")
+	}
+}
+
 func isHTTP(url string) bool {
 	return strings.HasPrefix(url, "http://") || strings.HasPrefix(url, "https://")
 }
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -37,6 +37,14 @@
 	return &http.Server{Handler: d.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAliveIdle}
 }
 
+func (d *Daemon) readinessServer() *http.Server {
+	server := &http.Server{ReadHeaderTimeout: headerTimeout}
+	if d.adapter != nil {
+		server.Handler = d.adapter.Readiness(d.ready)
+	}
+	return server
+}
+
 // drain announces that this instance is leaving, refuses new work for its backend server at once,
 // keeps routing requests of callers to other instances for the drain time, and waits for everything
 // in flight.
@@ -57,6 +65,7 @@
 		d.log.Log(event.DrainIncomplete, zap.String("part", "calls"), zap.Error(err))
 	}
 	d.handOverKeys(ctx)
+	d.follower.LeaveDirectory(ctx)
 }
 
 // handOverKeys gives the outcomes of the idempotency keys of this daemon to their next owners. The other
--- a/cli/cmd/administration_test.go
+++ b/cli/cmd/administration_test.go
@@ -48,7 +48,7 @@
 			fmt.Fprint(w, c.body)
 		}))
 		path := settingsFile(t, "[administration]\naddresses = "+server.Listener.Addr().String()+"\ntoken = secret\n")
-		is.Equal(Main([]string{"config", "accept", "--settings", path, "--seen", "1", "--draft", "00", "pages"}), c.want)
+		is.Equal(Main([]string{"config", "accept", "--settings", path, "--seen", "1", "--draft", "00", "pages"}, nil), c.want)
 		server.Close()
 	}
 }
@@ -56,16 +56,16 @@
 // Guards against commands that run with a faulty settings file or without required options.
 func TestUsage(t *testing.T) {
 	is := is.New(t)
-	is.Equal(Main([]string{"config", "accept", "pages"}), exitUsage)
-	is.Equal(Main([]string{"config", "status", "--settings", settingsFile(t, "[administration]\ntokn = x\n")}), exitFailed)
-	is.Equal(Main([]string{"platform", "--settings", settingsFile(t, "[platform]\n")}), exitFailed)
+	is.Equal(Main([]string{"config", "accept", "pages"}, nil), exitUsage)
+	is.Equal(Main([]string{"config", "status", "--settings", settingsFile(t, "[administration]\ntokn = x\n")}, nil), exitFailed)
+	is.Equal(Main([]string{"platform", "--settings", settingsFile(t, "[platform]\n")}, nil), exitFailed)
 	// A missing version could make an open change look refused.
-	is.Equal(Main([]string{"config", "status", "--settings", settingsFile(t, ""), "--change", "token"}), exitUsage)
+	is.Equal(Main([]string{"config", "status", "--settings", settingsFile(t, ""), "--change", "token"}, nil), exitUsage)
 	for _, c := range []string{"show", "diff", "accept", "withdraw", "status"} {
-		is.Equal(Main([]string{"config", c, "--help"}), exitOK)
+		is.Equal(Main([]string{"config", c, "--help"}, nil), exitOK)
 	}
 	for _, c := range []string{"new", "check", "submit"} {
-		is.Equal(Main([]string{"answers", c, "--help"}), exitOK)
+		is.Equal(Main([]string{"answers", c, "--help"}, nil), exitOK)
 	}
 }
 
--- a/cli/cmd/daemon.go
+++ b/cli/cmd/daemon.go
@@ -13,7 +13,10 @@
 	"kingcupwood.example/kingcupwood/lib/event"
 )
 
-type daemonCommand struct{ settingsOption }
+type daemonCommand struct {
+	settingsOption
+	adapters map[string]agent.NewAdapter
+}
 
 // Execute runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
 func (c *daemonCommand) Execute([]string) error {
@@ -28,7 +31,7 @@
 	runtime.GOMAXPROCS(settings.Daemon.Threads)
 	debug.SetMemoryLimit(int64(settings.Daemon.MemoryLimitMB) * 1e6)
 	return untilSignal(level, func(ctx context.Context, log *event.Logger) error {
-		daemon, err := agent.New(settings, log)
+		daemon, err := agent.New(settings, c.adapters, log)
 		if err != nil {
 			return err
 		}
--- a/cli/cmd/journey_test.go
+++ b/cli/cmd/journey_test.go
@@ -51,7 +51,7 @@
 func TestCommandsAgainstStandin(t *testing.T) {
 	is := is.New(t)
 	c, settings := startAdministration(t, "finder")
-	run := func(args ...string) int { return Main(append(args, "--settings", settings)) }
+	run := func(args ...string) int { return Main(append(args, "--settings", settings), nil) }
 	accept := func(file string, seen int) int {
 		data, err := os.ReadFile(file)
 		is.NoErr(err)
--- a/cli/cmd/keys_test.go
+++ b/cli/cmd/keys_test.go
@@ -20,13 +20,13 @@
 	path := func(name string) string { return filepath.Join(dir, name) }
 	issue := func(address, name string) int {
 		return Main([]string{"keys", "issue", "--authority", path("ca.crt"), "--authority-key", path("ca.key"),
-			"--address", address, "--certificate", path(name + ".crt"), "--private-key", path(name + ".key")})
+			"--address", address, "--certificate", path(name + ".crt"), "--private-key", path(name + ".key")}, nil)
 	}
 	authority := []string{"keys", "new-authority", "--certificate", path("ca.crt"), "--private-key", path("ca.key")}
-	is.Equal(Main(authority), exitOK)
+	is.Equal(Main(authority, nil), exitOK)
 	is.Equal(issue("127.0.0.1", "a"), exitOK)
 	is.Equal(issue("host.example", "b"), exitFailed)
-	is.Equal(Main([]string{"keys", "new-probe-key", "--output", path("probe.keys")}), exitOK)
+	is.Equal(Main([]string{"keys", "new-probe-key", "--output", path("probe.keys")}, nil), exitOK)
 	read := func(file string) string {
 		data, err := os.ReadFile(file)
 		is.NoErr(err)
@@ -34,7 +34,7 @@
 	}
 	before := read(path("ca.key"))
 	is.NoErr(os.Remove(path("a.key")))
-	for _, again := range []int{Main(authority), issue("127.0.0.1", "a"), Main([]string{"keys", "new-probe-key", "--output", path("probe.keys")})} {
+	for _, again := range []int{Main(authority, nil), issue("127.0.0.1", "a"), Main([]string{"keys", "new-probe-key", "--output", path("probe.keys")}, nil)} {
 		is.Equal(again, exitFailed)
 	}
 	is.Equal(read(path("ca.key")), before)
--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -7,6 +7,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent"
 )
 
 // Exit codes of the program.
@@ -27,9 +29,9 @@
 	sub   []command
 }
 
-func commands() []command {
+func commands(adapters map[string]agent.NewAdapter) []command {
 	return []command{
-		{name: "daemon", short: "Run the daemon of an instance", long: "Runs the daemon of an instance until SIGTERM, then stops it without cutting a request.", data: &daemonCommand{}},
+		{name: "daemon", short: "Run the daemon of an instance", long: "Runs the daemon of an instance until SIGTERM, then stops it without cutting a request.", data: &daemonCommand{adapters: adapters}},
 		{name: "backend", short: "Run a stand-in backend server", long: "Runs a stand-in for a backend server and announces it to its daemon.", data: &backendCommand{}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
@@ -58,11 +60,12 @@
 	}
 }
 
-// Main runs the subcommand named in args and returns the exit code of the process.
-func Main(args []string) int {
+// Main runs the subcommand named in args and returns the exit code of the process. adapters holds the
+// adapters that the settings of a daemon may name.
+func Main(args []string, adapters map[string]agent.NewAdapter) int {
 	parser := flags.NewNamedParser("kingcupwood", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "configuration distribution system for a service mesh"
-	if err := addCommands(parser.Command, commands()); err != nil {
+	if err := addCommands(parser.Command, commands(adapters)); err != nil {
 		fmt.Fprintln(os.Stderr, "kingcupwood:", err)
 		return exitFailed
 	}
--- a/cmd/kingcupwood/main.go
+++ b/cmd/kingcupwood/main.go
@@ -4,9 +4,11 @@
 import (
 	"os"
 
+	"kingcupwood.example/kingcupwood/agent"
 	"kingcupwood.example/kingcupwood/cli/cmd"
+	"kingcupwood.example/kingcupwood/platform"
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args[1:]))
+	os.Exit(cmd.Main(os.Args[1:], map[string]agent.NewAdapter{platform.Name: platform.New}))
 }
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -18,5 +18,8 @@
 	DomainLeaseAcquired = Event{5105, zapcore.InfoLevel, "lease of the failure domain acquired"}
 	DomainLeaseLost     = Event{5106, zapcore.WarnLevel, "lease of the failure domain lost"}
 	ParentFailed        = Event{5107, zapcore.DebugLevel, "long poll at the parent failed, trying the next one"}
+	SourceLost          = Event{5109, zapcore.WarnLevel, "source of the configuration does not answer"}
+	SourceRegained      = Event{5110, zapcore.InfoLevel, "source of the configuration answers again"}
+	DirectoryFailed     = Event{4204, zapcore.WarnLevel, "directory of the daemons does not answer, will be retried"}
 	HeadReadFailed      = Event{5108, zapcore.WarnLevel, "reading the head from the platform failed"}
 )
--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -48,7 +48,8 @@
 
 func (c *Controller) observe(kind *kindState, o Outcome) {
 	if o.Shed {
-		c.limiter.shed = true
+		// Where the servers announce their slots, a refusal below that number is no sign of overload.
+		c.limiter.shed = c.limiter.shed || !kind.undeclared
 		return
 	}
 	if o.ServiceTime > 0 {
@@ -127,11 +128,19 @@
 	c.limiter.adjust(now)
 	// Requests that waited for a raised limit or behind expired ones come first.
 	out := c.dispatch(now, nil)
-	w.kind = c.kind(kind)
+	if w.rank > 0 {
+		w.kind = c.learnedKind(kind, w.rank)
+	} else {
+		w.kind = c.kind(kind)
+	}
 	if w.tooLate(now) {
 		return nil, &Refusal{ReasonDeadline, c.retryAfter()}, out
 	}
-	w.classify(now)
+	if w.kind.undeclared {
+		c.classifyByAim(w, now)
+	} else {
+		w.classify(now)
+	}
 	if c.hasSlot(w.class) {
 		ticket := c.start(w)
 		c.publish()
@@ -158,7 +167,11 @@
 // full of requests that come first. Otherwise a full queue evicts its last request.
 func (c *Controller) enqueue(w *Waiter, now time.Time, out deliveries) (*Refusal, deliveries) {
 	w.seq = c.queue.seq + 1
-	if now.Add(c.wait(w) + w.kind.shortest()).After(w.deadline) {
+	wait := c.wait(w)
+	if w.patience > 0 && wait > w.patience {
+		return &Refusal{ReasonBusy, c.retryAfter()}, out
+	}
+	if now.Add(wait + w.kind.shortest()).After(w.deadline) {
 		return &Refusal{ReasonDeadline, c.retryAfter()}, out
 	}
 	if c.queue.size >= c.queueLimit {
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -28,6 +28,8 @@
 	Kind
 	bucket   *rate.Limiter
 	observed time.Duration // smoothed service time, starts at the declared one
+	// undeclared kinds have neither a rate nor a service time; bucket is nil.
+	undeclared bool
 }
 
 func newKindState(cfg Config, k Kind) *kindState {
@@ -51,9 +53,11 @@
 	now  func() time.Time
 	load atomic.Uint64 // bits of a float64
 
-	mu         sync.Mutex
-	kinds      map[string]*kindState
-	unknown    *kindState // for kinds of a configuration that is newer than ours
+	mu      sync.Mutex
+	kinds   map[string]*kindState
+	unknown *kindState // for kinds of a configuration that is newer than ours
+	// learned holds the kinds that declare nothing.
+	learned    map[string]*kindState
 	limiter    limiter
 	queue      queue
 	queueLimit int
@@ -70,6 +74,7 @@
 	c := &Controller{
 		now:     now,
 		kinds:   map[string]*kindState{},
+		learned: map[string]*kindState{},
 		unknown: newKindState(cfg, Kind{Rank: lowestRank}),
 		limiter: newLimiter(cfg.slots(), now()),
 	}
@@ -155,6 +160,9 @@
 			break
 		}
 		c.queue.remove(w)
+		if c.demoted(w, now) {
+			continue
+		}
 		if w.tooLate(now) {
 			out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 			continue
@@ -211,7 +219,12 @@
 // shortest is the service time that a deadline must leave. The smaller of declared and observed is
 // used: a phase of slow responses must not lead to the refusal of all requests, because then
 // nothing would be observed that ends it.
-func (s *kindState) shortest() time.Duration { return min(s.ServiceTime, s.observed) }
+func (s *kindState) shortest() time.Duration {
+	if s.undeclared {
+		return time.Duration(fastShare * float64(s.observed))
+	}
+	return min(s.ServiceTime, s.observed)
+}
 
 // expected returns the service time used in estimates.
 func (s *kindState) expected() time.Duration {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -25,6 +25,10 @@
 	kind     *kindState
 	class    int
 	deadline time.Time
+	// aim, rank and patience are those of the Request.
+	aim      time.Time
+	rank     int
+	patience time.Duration
 	seq      uint64
 	// work is the expected service time when the request entered the queue. It is kept so that the
 	// sums of the queue stay exact while the estimate of the kind changes.
--- a/pkg/admission/refusal.go
+++ b/pkg/admission/refusal.go
@@ -22,6 +22,8 @@
 	ReasonDraining
 	// ReasonCancelled means that the context ended while the request was waiting.
 	ReasonCancelled
+	// ReasonBusy means that the wait for a slot is longer than the sender accepts here.
+	ReasonBusy
 )
 
 var reasonNames = [...]string{
@@ -30,6 +32,7 @@
 	ReasonDeadline:  "deadline cannot be met",
 	ReasonDraining:  "draining",
 	ReasonCancelled: "cancelled while waiting",
+	ReasonBusy:      "no slot is free soon",
 }
 
 // String returns the text of r.
--- a/pkg/distribution/decide.go
+++ b/pkg/distribution/decide.go
@@ -69,7 +69,7 @@
 // FromManifest returns the delta that leads from current to the manifest m, without its objects,
 // which are those of Changed. A nil current gives a complete delta.
 func FromManifest(current *snapshot.Snapshot, m *snapshot.Manifest, hash snapshot.Hash) *snapshot.Delta {
-	d := &snapshot.Delta{Version: m.Version, ManifestHash: hash}
+	d := &snapshot.Delta{Version: m.Version, ManifestHash: hash, Limits: m.Limits}
 	held := map[string]snapshot.ManifestEntry{}
 	if current != nil {
 		d.Base = current.Version
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -57,6 +57,8 @@
 	Slots int `cbor:"11,keyasint,omitempty"`
 	// ReadySinceMS is the Unix time in milliseconds of the change to Ready; it drives slow start.
 	ReadySinceMS int64 `cbor:"12,keyasint,omitempty"`
+	// SourceAway tells that the daemon does not reach the source of the configuration.
+	SourceAway bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Newer reports whether r replaces other: a later incarnation, or a later change in the same one.
--- a/pkg/selection/config.go
+++ b/pkg/selection/config.go
@@ -92,4 +92,9 @@
 	Load float64
 	// Latency is the time of the attempt; zero means unknown.
 	Latency time.Duration
+	// Work is the time in a slot of the backend server; zero means unknown.
+	Work time.Duration
+	// Refused means that the request did not reach the backend server, so that the result says nothing
+	// about it.
+	Refused bool
 }
--- /dev/null
+++ b/pkg/selection/demand.go
@@ -0,0 +1,194 @@
+package selection
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+)
+
+const (
+	// remoteCost is what an endpoint of another failure domain costs beside one of the own domain, as a
+	// share of the target of the request. It stands for the bytes between domains and keeps requests
+	// near while near is in time.
+	remoteCost = 0.25
+	// workSmoothing is the weight of a new sample in the work time of a kind and in the pace of an
+	// endpoint.
+	workSmoothing = 0.1
+	// minPace and maxPace bound the pace of an endpoint, since a few samples may be outliers.
+	minPace, maxPace = 0.2, 12.0
+	// paceMemory is the time after which the pace of an endpoint without samples counts half, so that
+	// an endpoint that was slow is tried again.
+	paceMemory = 4 * time.Second
+	// noise is the relative width of the random part of a cost. Without it, all daemons send to the
+	// same endpoint until its next report.
+	noise = 0.15
+	// maxCompared bounds the endpoints that one choice compares.
+	maxCompared = 32
+	// defaultWork is the work time of a kind without samples, as a share of the target.
+	defaultWork = 0.3
+	// maxKinds bounds the kinds whose work time is remembered for a service.
+	maxKinds = 256
+	// failureCost is what a recent failure of an endpoint costs, as a share of the target.
+	failureCost = 0.5
+	// failureSmoothing is the weight of a new result in the failure rate of an endpoint.
+	failureSmoothing = 0.15
+	// failureMemory is the time in which the failure rate of an endpoint without results halves.
+	failureMemory = 2 * time.Second
+)
+
+// Demand is a request for which an endpoint is chosen.
+type Demand struct {
+	Service string
+	// Kind is the name under which the work time is learned.
+	Kind string
+	// Target is the time within which the answer has its full worth, at least 1 ms.
+	Target time.Duration
+	// Tried lists the instances that the request has been sent to.
+	Tried []endpoint.InstanceID
+}
+
+// works holds the learned work times of the kinds of a service, in nanoseconds.
+type works struct {
+	byKind sync.Map // string to *atomic.Int64
+	size   atomic.Int64
+}
+
+func (w *works) of(kind string) *atomic.Int64 {
+	if found, ok := w.byKind.Load(kind); ok {
+		return found.(*atomic.Int64)
+	}
+	if w.size.Load() >= maxKinds {
+		kind = ""
+	}
+	found, loaded := w.byKind.LoadOrStore(kind, new(atomic.Int64))
+	if !loaded {
+		w.size.Add(1)
+	}
+	return found.(*atomic.Int64)
+}
+
+// observe adds a work time and returns its ratio to the one expected before. Concurrent calls may lose
+// one of them, which a smoothed value tolerates.
+func (w *works) observe(kind string, work time.Duration) float64 {
+	value := w.of(kind)
+	old := value.Load()
+	if old == 0 {
+		value.Store(int64(work))
+		return 1
+	}
+	value.Store(old + int64(workSmoothing*float64(int64(work)-old)))
+	return float64(work) / float64(old)
+}
+
+// smoothed is a value that approaches its neutral one while nothing is observed.
+type smoothed struct {
+	bits atomic.Uint64
+	at   atomic.Int64 // Unix nanoseconds of the last sample
+}
+
+func (s *smoothed) add(sample, weight float64, now int64) {
+	old := math.Float64frombits(s.bits.Load())
+	if s.at.Load() == 0 {
+		weight = max(weight, 0.5)
+	}
+	s.bits.Store(math.Float64bits(old + weight*(sample-old)))
+	s.at.Store(now)
+}
+
+// get returns the value, halved for each halfLife since the last sample.
+func (s *smoothed) get(now int64, halfLife time.Duration) float64 {
+	value := math.Float64frombits(s.bits.Load())
+	if value == 0 {
+		return 0
+	}
+	age := float64(max(now-s.at.Load(), 0)) / float64(halfLife)
+	return value * math.Exp2(-age)
+}
+
+// learn takes over what a result tells about the speed and the reliability of the endpoint.
+func (m *member) learn(r Result, kind string, now int64) {
+	failed := 0.0
+	if r.Failed {
+		failed = 1
+	}
+	if !r.Refused {
+		m.stats.failing.add(failed, failureSmoothing, now)
+	}
+	if r.Work > 0 {
+		ratio := m.works.observe(kind, r.Work)
+		m.stats.pace.add(math.Log(min(max(ratio, minPace), maxPace)), workSmoothing, now)
+	}
+}
+
+// expected returns the cost of sending one more request of d to m: the time until its answer as a share
+// of the target.
+func (m *member) expected(d *Demand, now int64) float64 {
+	target := float64(max(d.Target, time.Millisecond))
+	work := float64(m.works.of(d.Kind).Load())
+	if work == 0 {
+		work = defaultWork * target
+	}
+	pace := math.Exp(m.stats.pace.get(now, paceMemory))
+	occupied := m.cost(now)
+	cost := work * pace * (max(1, occupied) + 0.1*min(occupied, 1)) / target
+	return cost + failureCost*m.stats.failing.get(now, failureMemory)
+}
+
+// PickFor chooses the endpoint that is expected to answer d first, where one in another failure domain
+// costs remoteCost more. The caller calls Done on the result once the attempt is over. The error is a
+// *NoEndpoint.
+func (s *Selector) PickFor(d Demand) (*Pick, error) {
+	set := s.current.Load().sets[d.Service]
+	if set == nil {
+		return nil, &NoEndpoint{Service: d.Service}
+	}
+	c := chooser{now: s.now().UnixNano(), rng: s.rng, tried: d.Tried}
+	m := c.cheapest(set, &d)
+	if m == nil {
+		return nil, &NoEndpoint{Service: d.Service, Known: len(set.all), Tried: len(d.Tried)}
+	}
+	m.stats.inflight.Add(1)
+	return &Pick{selector: s, member: m, kind: d.Kind}, nil
+}
+
+// cheapest prefers reachable endpoints, then ejected ones, then unreachable domains.
+func (c *chooser) cheapest(s *set, d *Demand) *member {
+	for _, c.useEjected = range []bool{false, true} {
+		if m := c.leastCost(s, d); m != nil {
+			return m
+		}
+	}
+	return c.better(s.unreachable, nil)
+}
+
+func (c *chooser) leastCost(s *set, d *Demand) *member {
+	var best *member
+	lowest := math.Inf(1)
+	n := len(s.local) + len(s.remote)
+	start := 0
+	if n > maxCompared {
+		start = int(c.rng() % uint64(n))
+	}
+	for i := range min(n, maxCompared) {
+		at := (start + i) % n
+		m := atIndex(s.local, s.remote, at)
+		if !c.usable(m) {
+			continue
+		}
+		cost := m.expected(d, c.now) * (1 + noise*c.fraction())
+		if at >= len(s.local) {
+			cost += remoteCost
+		}
+		// In slow start an endpoint stands aside with the share that it lacks.
+		if cost < lowest && (best == nil || c.warm(m)) {
+			best, lowest = m, cost
+		}
+	}
+	return best
+}
+
+// fraction returns a random number in [0, 1).
+func (c *chooser) fraction() float64 { return float64(c.rng()>>11) / (1 << 53) }
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -50,6 +50,7 @@
 type Pick struct {
 	selector *Selector
 	member   *member
+	kind     string
 	done     atomic.Bool
 }
 
@@ -64,6 +65,7 @@
 	st := p.member.stats
 	st.inflight.Add(-1)
 	now := p.selector.now().UnixNano()
+	p.member.learn(r, p.kind, now)
 	if st.record(r, p.member.level, now) {
 		p.selector.eject(p.member, now)
 	}
@@ -166,13 +168,13 @@
 		return nil
 	}
 	for range draws {
-		if m := at(a, b, int(c.rng()%uint64(n))); m != not && c.usable(m) {
+		if m := atIndex(a, b, int(c.rng()%uint64(n))); m != not && c.usable(m) {
 			return m
 		}
 	}
 	start := int(c.rng() % uint64(n))
 	for i := range n {
-		if m := at(a, b, (start+i)%n); m != not && c.usable(m) {
+		if m := atIndex(a, b, (start+i)%n); m != not && c.usable(m) {
 			return m
 		}
 	}
@@ -186,7 +188,7 @@
 	return share >= 1 || float64(c.rng()>>11) < share*(1<<53)
 }
 
-func at(a, b []*member, i int) *member {
+func atIndex(a, b []*member, i int) *member {
 	if i < len(a) {
 		return a[i]
 	}
--- a/pkg/selection/stats.go
+++ b/pkg/selection/stats.go
@@ -35,6 +35,9 @@
 	firstSeen     atomic.Int64
 	// distrustUntil is set by a refusal that contradicts the returned load.
 	distrustUntil atomic.Int64
+	// pace is the logarithm of the work time in relation to that of the set, failing the share of
+	// results that are failures.
+	pace, failing smoothed
 }
 
 // level is a smoothed load of a service, from the reports that are trusted.
@@ -55,11 +58,13 @@
 	readyN int64 // Unix nanoseconds
 	stats  *stats
 	level  *level // of the service
+	works  *works // of the service
 }
 
-func newMember(r endpoint.Record, s *stats, l *level) *member {
+func newMember(r endpoint.Record, s *stats, l *level, w *works) *member {
 	return &member{
 		level:  l,
+		works:  w,
 		record: r,
 		slots:  float64(max(r.Slots, 1)),
 		// The clock of another instance may be ahead; slow start must not last longer for that.
--- a/pkg/selection/table.go
+++ b/pkg/selection/table.go
@@ -33,6 +33,7 @@
 type known struct {
 	stats  map[statsKey]*stats
 	levels map[string]*level
+	works  map[string]*works
 }
 
 func keep[K comparable, V any](from, to map[K]*V, key K) *V {
@@ -52,7 +53,7 @@
 // the second result is the part of it that the new table uses.
 func buildTable(cfg Config, v *endpoint.View, old known, now int64) (*table, known) {
 	t := &table{sets: make(map[string]*set, len(v.ByService))}
-	kept := known{stats: map[statsKey]*stats{}, levels: map[string]*level{}}
+	kept := known{stats: map[statsKey]*stats{}, levels: map[string]*level{}, works: map[string]*works{}}
 	for service := range v.ByService {
 		if s := buildSet(cfg, v, service, old, kept, now); len(s.all) > 0 {
 			t.sets[service] = s
@@ -64,13 +65,13 @@
 func buildSet(cfg Config, v *endpoint.View, service string, old, kept known, now int64) *set {
 	s := &set{}
 	groups := readyByDomain(v.ByService[service])
-	l := keep(old.levels, kept.levels, service)
+	l, w := keep(old.levels, kept.levels, service), keep(old.works, kept.works, service)
 	// Sorted domains make a seeded run repeatable.
 	for _, domain := range slices.Sorted(maps.Keys(groups)) {
 		for _, r := range subset(cfg, groups[domain]) {
 			st := keep(old.stats, kept.stats, keyOf(r.Record))
 			st.firstSeen.CompareAndSwap(0, now)
-			s.add(newMember(r.Record, st, l), domain == cfg.Domain, v.Unreachable[domain])
+			s.add(newMember(r.Record, st, l, w), domain == cfg.Domain, v.Unreachable[domain])
 		}
 	}
 	s.all = slices.Concat(s.local, s.remote, s.unreachable)
--- a/pkg/snapshot/build.go
+++ b/pkg/snapshot/build.go
@@ -12,6 +12,7 @@
 	entries  map[string]ManifestEntry
 	services map[string]*Service
 	routes   map[string]*routing
+	limits   *Limits
 }
 
 func newAssembly(size int) *assembly {
@@ -28,6 +29,7 @@
 		return newAssembly(0)
 	}
 	a := newAssembly(len(s.Manifest.Entries) + 1)
+	a.limits = s.Manifest.Limits
 	for _, e := range s.Manifest.Entries {
 		a.share(s, e)
 	}
@@ -72,8 +74,8 @@
 
 // finish returns the validated snapshot.
 func (a *assembly) finish(version Version) (*Snapshot, error) {
-	s := &Snapshot{Version: version, Services: a.services, routes: a.routes}
-	s.Manifest = Manifest{Version: version, Entries: make([]ManifestEntry, 0, len(a.entries))}
+	s := &Snapshot{Version: version, Services: a.services, routes: a.routes, hosts: newHostTable(a.services)}
+	s.Manifest = Manifest{Version: version, Entries: make([]ManifestEntry, 0, len(a.entries)), Limits: a.limits}
 	for _, e := range a.entries {
 		s.Manifest.Entries = append(s.Manifest.Entries, e)
 	}
@@ -99,6 +101,7 @@
 		return nil, err
 	}
 	a := newAssembly(len(m.Entries))
+	a.limits = m.Limits
 	for _, e := range m.Entries {
 		object, ok := objects[e.Hash]
 		if !ok {
@@ -150,6 +153,26 @@
 	return s.Version
 }
 
+// Assemble returns the snapshot of a configuration that is written as a whole. Revisions count from 1 in
+// each version, because such a configuration has none. It fails with Problems or ErrFormat.
+func Assemble(version Version, services []*Service, limits *Limits) (*Snapshot, error) {
+	a := newAssembly(len(services))
+	a.limits = limits
+	for _, svc := range services {
+		object, hash, err := Encode(svc)
+		if err != nil {
+			return nil, err
+		}
+		if _, twice := a.entries[svc.Name]; twice {
+			return nil, errors.Wrapf(ErrFormat, "service %q is declared twice", svc.Name)
+		}
+		if err := a.add(ManifestEntry{Service: svc.Name, Revision: 1, Hash: hash}, object); err != nil {
+			return nil, err
+		}
+	}
+	return a.finish(version)
+}
+
 func (s *Snapshot) checkNewer(version Version) error {
 	if current := s.current(); version <= current {
 		return errors.Wrapf(ErrOldVersion, "version %d, current is %d", version, current)
--- a/pkg/snapshot/codec.go
+++ b/pkg/snapshot/codec.go
@@ -11,8 +11,9 @@
 
 // Limits of what the decoders accept, so that a peer cannot make a daemon allocate without bound.
 const (
-	// MaxObjectBytes bounds an encoded service. An ordinary service takes less than 1 KB.
-	MaxObjectBytes = 64 << 10
+	// MaxObjectBytes bounds an encoded service. An ordinary service takes less than 1 KB, one with
+	// MaxRoutes routes some 800 KB.
+	MaxObjectBytes = 1 << 20
 	// MaxManifestBytes bounds an encoded manifest. 1,400 services take about 80 KB.
 	MaxManifestBytes = 4 << 20
 	// MaxDeltaBytes bounds an encoded delta. A complete one of 1,400 services takes about 530 KB.
--- a/pkg/snapshot/delta.go
+++ b/pkg/snapshot/delta.go
@@ -13,7 +13,7 @@
 	if err := old.checkNewer(s.Version); err != nil {
 		return nil, err
 	}
-	d := &Delta{Base: old.current(), Version: s.Version, ManifestHash: s.ManifestHash}
+	d := &Delta{Base: old.current(), Version: s.Version, ManifestHash: s.ManifestHash, Limits: s.Manifest.Limits}
 	before := old.entries()
 	for _, e := range s.Manifest.Entries {
 		for len(before) > 0 && before[0].Service < e.Service {
@@ -70,6 +70,7 @@
 	if d.Base != 0 {
 		a = copyOf(s)
 	}
+	a.limits = d.Limits
 	for _, service := range d.Removed {
 		if err := a.remove(service); err != nil {
 			return nil, err
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -40,6 +40,11 @@
 	Servers     int      `cbor:"5,keyasint"`
 	DependsOn   []string `cbor:"6,keyasint,omitempty"`
 	Kinds       []Kind   `cbor:"7,keyasint"`
+	// Routes lead requests for hosts and paths to this service. A service that has them, or is the
+	// destination of one, need not declare kinds and capacity.
+	Routes []Route `cbor:"8,keyasint,omitempty"`
+	// HealthPath is the path at which its servers tell their state and ID; it may be empty.
+	HealthPath string `cbor:"9,keyasint,omitempty"`
 }
 
 // ManifestEntry names the configuration of one service in a version.
@@ -54,6 +59,8 @@
 type Manifest struct {
 	Version Version         `cbor:"1,keyasint"`
 	Entries []ManifestEntry `cbor:"2,keyasint"`
+	// Limits bounds what callers may send; nil stands for the defaults of the daemon.
+	Limits *Limits `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot is one complete version of the configuration. It is immutable once built.
@@ -65,6 +72,8 @@
 
 	// routes holds the routing table of each service.
 	routes map[string]*routing
+	// hosts holds the routes by host; nil if the configuration has none.
+	hosts hostTable
 }
 
 // Delta carries what changed between two versions of the configuration.
@@ -78,4 +87,6 @@
 	// order.
 	Changed []ManifestEntry `cbor:"5,keyasint,omitempty"`
 	Objects [][]byte        `cbor:"6,keyasint,omitempty"`
+	// Limits are those of the new version.
+	Limits *Limits `cbor:"7,keyasint,omitempty"`
 }
--- a/pkg/snapshot/validate.go
+++ b/pkg/snapshot/validate.go
@@ -71,6 +71,7 @@
 		c.checkService(name)
 		c.checkReferences()
 	}
+	c.checkHosts()
 	c.checkCycles()
 	c.checkChains()
 	slices.SortStableFunc(c.problems, func(a, b Problem) int { return strings.Compare(a.Service, b.Service) })
@@ -106,6 +107,11 @@
 	if !ValidName(s.Name) || s.Name != name {
 		c.fail(KeyName, expectedName, "%q is not a service name", s.Name)
 	}
+	c.checkRoutes()
+	if s.announced() {
+		c.checkRange(KeyConnections, s.Connections, 1, MaxConnections)
+		return
+	}
 	if !ValidName(s.Team) {
 		c.fail(KeyTeam, expectedName, "%q is not a team name", s.Team)
 	}
