Stop without leaving a request unanswered; reload settings; say 503 for what has not run

A stopping daemon now accepts no long waits and answers what is left before it closes. SIGHUP ended the process (exit 129); it now reloads the settings, as does a changed file. A request that was proved not to have run got 502 or 504, so that callers could not submit it again.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -81,9 +81,15 @@
 }
 
 // patience returns the longest wait for a slot that a daemon may accept e for. Another daemon may have a free
-// slot while what is known here is out of date; after some refusals the request waits where it is sent.
-func (e *exchange) patience(bounces int) time.Duration {
-	if !e.routed() || bounces >= len(patienceShares) {
+// slot while what is known here is out of date; after some refusals the request waits where it is sent, unless
+// this daemon may stop meanwhile.
+func (h *Handler) patience(e *exchange, bounces int) time.Duration {
+	switch {
+	case !e.routed():
+		return 0
+	case h.config.Stopping():
+		bounces = min(bounces, len(patienceShares)-1)
+	case bounces >= len(patienceShares):
 		return 0
 	}
 	return time.Duration(patienceShares[bounces] * float64(e.target))
@@ -119,6 +125,21 @@
 	return f
 }
 
+// promise makes the status of a refusal say what its verdict proves: callers that do not read verdicts may
+// submit a request again after 503 only.
+func (h *Handler) promise(res *result) {
+	f := res.refusal
+	if h.config.Dialect.Annotated || res.response != nil || f == nil {
+		return
+	}
+	switch {
+	case f.verdict == verdict.NotRun && f.status >= http.StatusInternalServerError:
+		f.status = http.StatusServiceUnavailable
+	case f.verdict != verdict.NotRun && f.status == http.StatusServiceUnavailable:
+		f.status = http.StatusBadGateway
+	}
+}
+
 // retryResponse reports whether another server may give a better answer than resp: the request is
 // idempotent and the backend server failed or is unavailable.
 func (h *Handler) retryResponse(e *exchange, resp *call.Response, res *result) bool {
@@ -157,7 +178,7 @@
 	req.Attempt = h.nextAttempt()
 	req.Timeout = left
 	started := h.config.Now()
-	req.Patience = e.patience(res.bounces)
+	req.Patience = h.patience(e, res.bounces)
 	if e.routed() {
 		req.Aim = e.aim.Sub(started)
 	}
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -64,6 +64,8 @@
 	Dialect *dialect.Dialect
 	// Origin is the service of this instance, stated to backend servers where the dialect asks for it.
 	Origin string
+	// Stopping reports whether this daemon is about to stop; nil stands for a daemon that never does.
+	Stopping func() bool
 	// Random returns a uniform random number; it is called concurrently. nil
 	// stands for that of math/rand.
 	Random func() uint64
@@ -91,6 +93,9 @@
 	if config.Random == nil {
 		config.Random = rand.Uint64
 	}
+	if config.Stopping == nil {
+		config.Stopping = func() bool { return false }
+	}
 	h := &Handler{config: config}
 	h.keys = newKeyOwner(h)
 	return h
@@ -126,6 +131,7 @@
 		return
 	}
 	res := h.serve(r.Context(), e)
+	h.promise(res)
 	h.config.Recorder.Record(e.service, e.kind, h.outcome(e, res))
 	h.metrics.retries.Add(int64(max(res.attempts-1, 0)))
 	if res.response != nil {
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -63,10 +63,13 @@
 	client   *call.Client
 	callers  *caller.Handler
 	askKey   caller.AskKey
+	retries  caller.Budgets
 	rpc      *rpc.Server
 	burn     *burn.Tracker
 	gate     *gate
-	record   recordKeeper
+	// endRequests ends the requests of callers that are in progress.
+	endRequests context.CancelFunc
+	record      recordKeeper
 	// peerTraffic counts the net/rpc connections between daemons, platformTraffic those to the
 	// platform.
 	peerTraffic, platformTraffic traffic.Counter
@@ -184,12 +187,14 @@
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
 	d.burn = burn.New(burn.Config{}, time.Now)
 	d.askKey = keys.Asker(d.dialDaemon)
+	d.retries = d.budgets()
 	d.callers = caller.NewHandler(caller.Config{
 		Instance: local.Instance, Incarnation: incarnation, StartedMS: local.Incarnation,
 		AskKey: d.askKey, Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
-		Budgets: d.budgets(), Recorder: d.burn, Log: d.log, Now: time.Now,
-		Dialect: d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
+		Budgets: d.retries, Recorder: d.burn, Log: d.log, Now: time.Now,
+		Stopping: func() bool { return d.gate.draining.Load() },
+		Dialect:  d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
 	})
 	d.gate = &gate{next: d.callers}
 }
--- a/agent/peer/sync/packed_test.go
+++ b/agent/peer/sync/packed_test.go
@@ -63,7 +63,7 @@
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestCompression)
 	is.NoErr(err)
-	_, err = w.Write(make([]byte, 1<<20))
+	_, err = w.Write(make([]byte, snapshot.MaxObjectBytes+1))
 	is.NoErr(err)
 	is.NoErr(w.Close())
 	d.Objects[0] = b.Bytes()
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strings"
 	"time"
 
@@ -22,6 +23,9 @@
 		// that it is draining; StopTime bounds the wait for requests in flight after that.
 		DrainTime time.Duration `key:"drain-time" default:"2s"`
 		StopTime  time.Duration `key:"stop-time" default:"30s"`
+		// ServeTime is the part of DrainTime in which a stopping daemon still takes requests of other
+		// daemons for its backend server.
+		ServeTime time.Duration `key:"serve-time" default:"0s"`
 		// Threads bounds the threads that run Go code at a time.
 		Threads int `key:"threads" default:"2"`
 		// MemoryLimitMB is the size in units of 1e6 bytes above which the garbage collector works
@@ -114,6 +118,9 @@
 	if strings.TrimSpace(s.Daemon.FailureDomain) == "" {
 		fail("daemon", "failure-domain", "must not be empty")
 	}
+	if s.Daemon.ServeTime > s.Daemon.DrainTime {
+		fail("daemon", "serve-time", "must not be above drain-time")
+	}
 	if s.Daemon.Threads < 1 {
 		fail("daemon", "threads", "must be at least 1")
 	}
@@ -173,6 +180,9 @@
 	}
 }
 
+// sameSettings reports whether a and b have the same values.
+func sameSettings(a, b *Settings) bool { return reflect.DeepEqual(a, b) }
+
 func isHTTP(url string) bool {
 	return strings.HasPrefix(url, "http://") || strings.HasPrefix(url, "https://")
 }
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,9 @@
 // keepAliveIdle closes the connection of a caller that sends nothing for this time.
 const keepAliveIdle = 2 * time.Minute
 
+// answerTime is what a stopping daemon leaves for the answers to requests that it ends.
+const answerTime = 300 * time.Millisecond
+
 // handoverTimeout bounds the transfer of idempotency keys to the other owners.
 const handoverTimeout = 5 * time.Second
 
@@ -33,8 +37,14 @@
 	g.next.ServeHTTP(w, r)
 }
 
+// callerServer returns the server for callers. Its requests end early when d.endRequests is called.
 func (d *Daemon) callerServer() *http.Server {
-	return &http.Server{Handler: d.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAliveIdle}
+	requests, end := context.WithCancel(context.Background())
+	d.endRequests = end
+	return &http.Server{
+		Handler: d.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAliveIdle,
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}
 }
 
 func (d *Daemon) readinessServer() *http.Server {
@@ -45,19 +55,23 @@
 	return server
 }
 
-// drain announces that this instance is leaving, refuses new work for its backend server at once,
-// keeps routing requests of callers to other instances for the drain time, and waits for everything
+// drain announces that this instance is leaving, refuses new work for its backend server after the serve
+// time, keeps routing requests of callers to other instances for the drain time, and waits for everything
 // in flight.
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.log.Log(event.DaemonStopping)
+	d.gate.draining.Store(true)
+	wait(ctx, d.settings.Daemon.ServeTime)
 	d.receiver.draining.Store(true)
 	d.receiver.admission.Drain()
 	d.record.drain()
-	d.gate.draining.Store(true)
-	wait(ctx, d.settings.Daemon.DrainTime)
+	wait(ctx, d.settings.Daemon.DrainTime-d.settings.Daemon.ServeTime)
 
 	limit, cancel := context.WithTimeout(ctx, d.settings.Daemon.StopTime)
 	defer cancel()
+	// Requests that have not ended by then get an answer before their connection is closed.
+	answer := time.AfterFunc(d.settings.Daemon.StopTime-answerTime, d.endRequests)
+	defer answer.Stop()
 	if err := callers.Shutdown(limit); err != nil {
 		d.log.Log(event.DrainIncomplete, zap.String("part", "callers"), zap.Error(err))
 	}
--- a/cli/cmd/daemon.go
+++ b/cli/cmd/daemon.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"expvar"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -36,6 +39,9 @@
 			return err
 		}
 		expvar.Publish("kingcupwood", daemon.Metrics())
+		reload := make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP)
+		go daemon.WatchSettings(ctx, c.Settings, reload)
 		if err := daemon.Run(ctx); err != nil {
 			log.Log(event.ProcessFailed, zap.Error(err))
 			return err
--- a/lib/event/daemon.go
+++ b/lib/event/daemon.go
@@ -14,6 +14,8 @@
 	Unauthenticated     = Event{1008, zapcore.WarnLevel, "daemons are not authenticated to each other"}
 	CredentialsReloaded = Event{1009, zapcore.InfoLevel, "changed key files are in use"}
 	CredentialsRefused  = Event{1010, zapcore.ErrorLevel, "changed key files refused; the former ones stay in use"}
+	SettingsReloaded    = Event{1012, zapcore.InfoLevel, "changed settings are in use"}
+	SettingsRefused     = Event{1013, zapcore.ErrorLevel, "changed settings refused; the former ones stay in use"}
 	CertificateExpires  = Event{1011, zapcore.WarnLevel, "certificate expires within 14 days"}
 	PeerRefused         = Event{4306, zapcore.WarnLevel, "connection refused by its authentication"}
 )
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,28 +34,40 @@
 
 // Shared holds the part of this daemon in the shared budget of each service.
 type Shared struct {
-	limit     SharedLimit
+	limit     atomic.Pointer[SharedLimit]
 	byService sync.Map // string to *sharedBudget
 }
 
 // NewShared returns the part of one daemon in a shared budget.
-func NewShared(limit SharedLimit) *Shared { return &Shared{limit: limit} }
+func NewShared(limit SharedLimit) *Shared {
+	s := &Shared{}
+	s.limit.Store(&limit)
+	return s
+}
+
+// SetLimit changes the limit for the retries that follow.
+func (s *Shared) SetLimit(ratio, slack float64, window time.Duration) {
+	next := *s.limit.Load()
+	next.Ratio, next.Slack, next.Window = ratio, slack, window
+	s.limit.Store(&next)
+}
 
 // Of returns the budget of service. It may be called concurrently.
 func (s *Shared) Of(service, _ string) Allowance {
 	if found, ok := s.byService.Load(service); ok {
 		return found.(*sharedBudget)
 	}
-	found, _ := s.byService.LoadOrStore(service, &sharedBudget{limit: &s.limit})
+	found, _ := s.byService.LoadOrStore(service, &sharedBudget{shared: s})
 	return found.(*sharedBudget)
 }
 
 // sharedBudget counts the requests and the retries of one service in a sliding window.
 type sharedBudget struct {
-	limit *SharedLimit
+	shared *Shared
 
 	mu       sync.Mutex
-	slot     int64 // number of the latest slot
+	window   time.Duration // for which the slots were counted
+	slot     int64         // number of the latest slot
 	requests [windowSlots]int
 	retries  [windowSlots]int
 }
@@ -63,21 +76,22 @@
 func (b *sharedBudget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests[b.advance()]++
+	b.requests[b.advance(b.shared.limit.Load())]++
 }
 
 // Withdraw implements Allowance.
 func (b *sharedBudget) Withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := b.advance()
+	limit := b.shared.limit.Load()
+	at := b.advance(limit)
 	requests, retries := 0, 0
 	for i := range windowSlots {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	slack := b.limit.Slack / float64(max(b.limit.Members(), 1))
-	if float64(retries+1) > sharedMargin*(b.limit.Ratio*float64(requests)+slack) {
+	slack := limit.Slack / float64(max(limit.Members(), 1))
+	if float64(retries+1) > sharedMargin*(limit.Ratio*float64(requests)+slack) {
 		return false
 	}
 	b.retries[at]++
@@ -85,9 +99,12 @@
 }
 
 // advance empties the slots that have left the window and returns the index of the present one.
-func (b *sharedBudget) advance() int {
-	width := int64(b.limit.Window) / windowSlots
-	now := b.limit.Now().UnixNano() / max(width, 1)
+func (b *sharedBudget) advance(limit *SharedLimit) int {
+	width := int64(limit.Window) / windowSlots
+	now := limit.Now().UnixNano() / max(width, 1)
+	if b.window != limit.Window {
+		b.window, b.slot = limit.Window, now-1 // slots of another width cannot be compared
+	}
 	for n := max(b.slot+1, now-windowSlots+1); n <= now; n++ {
 		b.requests[n%windowSlots], b.retries[n%windowSlots] = 0, 0
 	}
