--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -28,9 +28,13 @@
 	maxFenceTimeout = 250 * time.Millisecond
 )
 
-// patienceShares are the longest waits for a slot that a request of a route accepts at its first
-// transmissions, as shares of its target.
-var patienceShares = [...]float64{0.1, 0.3}
+const (
+	// maxBounces bounds the refusals after which a request of a route looks for a free slot elsewhere. In
+	// an overload there is none, and each transmission costs bytes.
+	maxBounces = 1
+	// stoppingPatience is the longest wait that a stopping daemon accepts, as a share of the target.
+	stoppingPatience = 0.2
+)
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
@@ -80,19 +84,19 @@
 	})
 }
 
-// patience returns the longest wait for a slot that a daemon may accept e for. Another daemon may have a free
-// slot while what is known here is out of date; after some refusals the request waits where it is sent, unless
-// this daemon may stop meanwhile.
-func (h *Handler) patience(e *exchange, bounces int) time.Duration {
+// patience returns the longest wait for a slot that a daemon may accept e for, 0 for any. Another daemon may
+// have a free slot while what is known here is out of date; after maxBounces refusals the request waits where
+// it is sent, unless this daemon may stop meanwhile.
+func (h *Handler) patience(e *exchange, pick *selection.Pick, bounces int) time.Duration {
 	switch {
 	case !e.routed():
 		return 0
 	case h.config.Stopping():
-		bounces = min(bounces, len(patienceShares)-1)
-	case bounces >= len(patienceShares):
+		return time.Duration(stoppingPatience * float64(e.target))
+	case bounces >= maxBounces:
 		return 0
 	}
-	return time.Duration(patienceShares[bounces] * float64(e.target))
+	return pick.Patience(e.target)
 }
 
 func timeoutRefusal() *refusal {
@@ -166,7 +170,7 @@
 		return res.attempts < maxTransmissions
 	}
 	if e.routed() && res.offered == 0 {
-		return res.attempts < maxTransmissions
+		return res.bounces <= maxBounces && res.attempts < maxTransmissions
 	}
 	return e.budget.Withdraw()
 }
@@ -178,7 +182,7 @@
 	req.Attempt = h.nextAttempt()
 	req.Timeout = left
 	started := h.config.Now()
-	req.Patience = h.patience(e, res.bounces)
+	req.Patience = h.patience(e, pick, res.bounces)
 	if e.routed() {
 		req.Aim = e.aim.Sub(started)
 	}
@@ -188,6 +192,7 @@
 	if a.verdict == verdict.MayHaveRun && a.response == nil && !e.kind.Idempotent {
 		a.verdict = h.fence(ctx, e, record, req.Attempt)
 	}
+	h.countTransmission(record, &req, &a)
 	result := pickResult(e, &a, h.config.Now().Sub(started))
 	if errors.Is(ctx.Err(), context.Canceled) || isFaultOfCaller(e, &a, left) {
 		result = selection.Result{Verdict: verdict.MayHaveRun, Load: unknownLoad}
@@ -246,6 +251,24 @@
 	return verdict.MayHaveRun
 }
 
+func (h *Handler) countTransmission(to endpoint.Record, r *call.Request, a *attemptResult) {
+	switch {
+	case to.Instance == h.config.Instance:
+		h.metrics.sentOwn.Add(1)
+	case to.Domain == h.config.Domain:
+		h.metrics.sentNear.Add(1)
+	default:
+		h.metrics.sentFar.Add(1)
+		h.metrics.farBytes.Add(int64(len(r.Body)))
+		if a.response != nil {
+			h.metrics.farBytes.Add(int64(len(a.response.Body)))
+		}
+	}
+	if a.busy() {
+		h.metrics.bounced.Add(1)
+	}
+}
+
 func (h *Handler) nextAttempt() fence.AttemptID {
 	return fence.AttemptID{Sender: h.config.Incarnation, Seq: h.sequence.Add(1)}
 }
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -42,7 +42,9 @@
 
 // Config holds what a Handler works with. All fields are required, unless they say otherwise.
 type Config struct {
-	Instance    endpoint.InstanceID
+	Instance endpoint.InstanceID
+	// Domain is the failure domain of this daemon.
+	Domain      string
 	Incarnation uint64
 	// StartedMS is the Unix time of the start in milliseconds. It is the first Incarnation of the record.
 	StartedMS uint64
@@ -83,6 +85,10 @@
 
 type metrics struct {
 	requests, retries, refusals, fences, questions expvar.Int
+	// sentOwn, sentNear and sentFar count the transmissions to the backend server of this instance, to
+	// the own failure domain and to others; farBytes those of their bodies, bounced the ones for which
+	// no slot was free.
+	sentOwn, sentNear, sentFar, farBytes, bounced expvar.Int
 }
 
 // NewHandler returns a Handler for config.
@@ -105,6 +111,11 @@
 func (h *Handler) Metrics() expvar.Var {
 	m := new(expvar.Map).Init()
 	m.Set("requests", &h.metrics.requests)
+	m.Set("sent_own_instance", &h.metrics.sentOwn)
+	m.Set("sent_own_domain", &h.metrics.sentNear)
+	m.Set("sent_other_domains", &h.metrics.sentFar)
+	m.Set("body_bytes_other_domains", &h.metrics.farBytes)
+	m.Set("no_free_slot", &h.metrics.bounced)
 	m.Set("retries", &h.metrics.retries)
 	m.Set("refusals", &h.metrics.refusals)
 	m.Set("fences", &h.metrics.fences)
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -189,7 +189,7 @@
 	d.askKey = keys.Asker(d.dialDaemon)
 	d.retries = d.budgets()
 	d.callers = caller.NewHandler(caller.Config{
-		Instance: local.Instance, Incarnation: incarnation, StartedMS: local.Incarnation,
+		Instance: local.Instance, Domain: local.Domain, Incarnation: incarnation, StartedMS: local.Incarnation,
 		AskKey: d.askKey, Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
 		Budgets: d.retries, Recorder: d.burn, Log: d.log, Now: time.Now,
--- a/pkg/selection/demand.go
+++ b/pkg/selection/demand.go
@@ -31,6 +31,9 @@
 	defaultWork = 0.3
 	// maxKinds bounds the kinds whose work time is remembered for a service.
 	maxKinds = 256
+	// patienceMargin is the share of the target that a request may wait longer than expected before it
+	// is worth the way to another endpoint.
+	patienceMargin = 0.15
 	// failureCost is what a recent failure of an endpoint costs, as a share of the target.
 	failureCost = 0.5
 	// failureSmoothing is the weight of a new result in the failure rate of an endpoint.
@@ -146,27 +149,38 @@
 		return nil, &NoEndpoint{Service: d.Service}
 	}
 	c := chooser{now: s.now().UnixNano(), rng: s.rng, tried: d.Tried}
-	m := c.cheapest(set, &d)
+	m, margin := c.cheapest(set, &d)
 	if m == nil {
 		return nil, &NoEndpoint{Service: d.Service, Known: len(set.all), Tried: len(d.Tried)}
 	}
 	m.stats.inflight.Add(1)
-	return &Pick{selector: s, member: m, kind: d.Kind}, nil
+	return &Pick{selector: s, member: m, kind: d.Kind, margin: margin}, nil
+}
+
+// Patience returns how much longer than expected the request may wait at the chosen endpoint before the
+// next best one would have been better, 0 if there is no other. target is that of the Demand.
+func (p *Pick) Patience(target time.Duration) time.Duration {
+	if math.IsInf(p.margin, 1) {
+		return 0
+	}
+	wait := max(p.member.cost(p.selector.now().UnixNano())-1, 0) * float64(p.member.works.of(p.kind).Load())
+	return time.Duration(wait + (p.margin+patienceMargin)*float64(target))
 }
 
 // cheapest prefers reachable endpoints, then ejected ones, then unreachable domains.
-func (c *chooser) cheapest(s *set, d *Demand) *member {
+func (c *chooser) cheapest(s *set, d *Demand) (*member, float64) {
 	for _, c.useEjected = range []bool{false, true} {
-		if m := c.leastCost(s, d); m != nil {
-			return m
+		if m, margin := c.leastCost(s, d); m != nil {
+			return m, margin
 		}
 	}
-	return c.better(s.unreachable, nil)
+	return c.better(s.unreachable, nil), math.Inf(1)
 }
 
-func (c *chooser) leastCost(s *set, d *Demand) *member {
+// leastCost returns the member with the lowest cost, and by how much the next one costs more.
+func (c *chooser) leastCost(s *set, d *Demand) (*member, float64) {
 	var best *member
-	lowest := math.Inf(1)
+	lowest, second := math.Inf(1), math.Inf(1)
 	n := len(s.local) + len(s.remote)
 	start := 0
 	if n > maxCompared {
@@ -184,10 +198,12 @@
 		}
 		// In slow start an endpoint stands aside with the share that it lacks.
 		if cost < lowest && (best == nil || c.warm(m)) {
-			best, lowest = m, cost
+			best, lowest, second = m, cost, lowest
+		} else {
+			second = min(second, cost)
 		}
 	}
-	return best
+	return best, second - lowest
 }
 
 // fraction returns a random number in [0, 1).
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -51,7 +51,9 @@
 	selector *Selector
 	member   *member
 	kind     string
-	done     atomic.Bool
+	// margin is by how much the next endpoint costs more, as a share of the target.
+	margin float64
+	done   atomic.Bool
 }
 
 // Record returns the record of the endpoint.
