--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -32,6 +32,10 @@
 	// maxBounces bounds the refusals after which a request of a route looks for a free slot elsewhere. In
 	// an overload there is none, and each transmission costs bytes.
 	maxBounces = 1
+	// comeBackShare and minComeBack give the time after which a refused request may come back, as a share
+	// of its target and at least.
+	comeBackShare = 0.08
+	minComeBack   = 10 * time.Millisecond
 	// stoppingPatience is the longest wait that a stopping daemon accepts, as a share of the target.
 	stoppingPatience = 0.2
 )
@@ -129,6 +133,14 @@
 	return f
 }
 
+// comeBack sets when the caller of a refused request may come back. A slot becomes free many times within the
+// target; the sooner the request is back, the more of its time is left.
+func (e *exchange) comeBack(f *refusal) {
+	if e.routed() && f.verdict == verdict.NotRun {
+		f.retryAfter = max(time.Duration(comeBackShare*float64(e.target)), minComeBack)
+	}
+}
+
 // promise makes the status of a refusal say what its verdict proves: callers that do not read verdicts may
 // submit a request again after 503 only.
 func (h *Handler) promise(res *result) {
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -80,7 +80,9 @@
 	config   Config
 	sequence atomic.Uint64
 	keys     *keyOwner
-	metrics  metrics
+	// allowances holds the time that callers usually allow for the requests of each route.
+	allowances allowances
+	metrics    metrics
 }
 
 type metrics struct {
@@ -150,6 +152,7 @@
 		return
 	}
 	h.setCommon(w.Header(), snap, res)
+	e.comeBack(res.refusal)
 	h.refuse(w, res.refusal)
 }
 
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -90,6 +90,9 @@
 	}
 	nested := depth > 1 && isNested(r, h.config.Running)
 	e.deadline, e.key = now.Add(timeout), key
+	if allowed, ok := allowedTime(r, marks.TimeLeft); ok && e.routed() {
+		e.aim = e.aim.Add(-h.allowances.waited(kind.Name, allowed, now))
+	}
 	e.request = call.Request{
 		Service: service.Name, Kind: kind.Name, Version: uint64(snap.Version), Depth: depth, Nested: nested,
 		Method: r.Method, Target: targetOf(r), Host: r.Host, Header: h.forwardHeader(r.Header), Body: body,
@@ -171,6 +174,12 @@
 	return ok && running(id)
 }
 
+// allowedTime returns the time that the caller of r allows, and whether it says so.
+func allowedTime(r *http.Request, name string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(r.Header.Get(name), 10, 32)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
+}
+
 // readTimeout returns the smaller of the deadline of the kind and the time that the caller allows.
 func readTimeout(r *http.Request, name string, deadline time.Duration) (time.Duration, error) {
 	value := r.Header.Get(name)
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -59,7 +59,7 @@
 
 // admissionRequest describes req for admission control.
 func admissionRequest(req *call.Request, now, deadline time.Time) admission.Request {
-	a := admission.Request{Kind: admissionKind(req), Deadline: deadline, Rank: req.Rank, Patience: req.Patience}
+	a := admission.Request{Kind: admissionKind(req), Deadline: deadline, Rank: req.Rank, Patience: req.Patience, Idempotent: req.Idempotent}
 	if req.Rank > 0 {
 		a.Aim = now.Add(req.Aim)
 	}
--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -142,7 +142,10 @@
 		w.classify(now)
 	}
 	if c.hasSlot(w.class) {
-		ticket := c.start(w)
+		if w.kind.undeclared {
+			c.shares.offer(w, now)
+		}
+		ticket := c.start(w, now)
 		c.publish()
 		return ticket, nil, out
 	}
@@ -171,6 +174,9 @@
 	if w.patience > 0 && wait > w.patience {
 		return &Refusal{ReasonBusy, c.retryAfter()}, out
 	}
+	if w.kind.undeclared {
+		c.shares.offer(w, now)
+	}
 	if now.Add(wait + w.kind.shortest()).After(w.deadline) {
 		return &Refusal{ReasonDeadline, c.retryAfter()}, out
 	}
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -12,6 +12,9 @@
 const (
 	// reserveFrom is the number of slots from which one is reserved from excess work.
 	reserveFrom = 4
+	// lateReserve is the share of the slots that requests which miss their aim leave free for those that
+	// can still meet it.
+	lateReserve = 0.17
 	// smoothing is the weight of a new sample in the observed service time of a kind.
 	smoothing = 0.1
 	// defaultServiceTime is the estimate for kinds that declare none and have not been observed yet.
@@ -58,6 +61,7 @@
 	unknown *kindState // for kinds of a configuration that is newer than ours
 	// learned holds the kinds that declare nothing.
 	learned    map[string]*kindState
+	shares     shares
 	limiter    limiter
 	queue      queue
 	queueLimit int
@@ -137,11 +141,17 @@
 	if c.limiter.limit >= reserveFrom {
 		reserved = 1
 	}
+	if len(c.learned) > 0 {
+		reserved = max(reserved, int(lateReserve*float64(c.limiter.limit)))
+	}
 	return c.running+reserved < c.limiter.limit
 }
 
 // start takes a slot for w.
-func (c *Controller) start(w *Waiter) *Ticket {
+func (c *Controller) start(w *Waiter, now time.Time) *Ticket {
+	if w.kind.undeclared {
+		c.shares.start(w, now)
+	}
 	c.running++
 	c.finishRate += rateOf(w.work)
 	w.ticket = Ticket{ctl: c, kind: w.kind, class: w.class, work: w.work}
@@ -155,19 +165,20 @@
 		out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 	}
 	for c.queue.size > 0 && c.running < c.limiter.limit {
-		w := c.queue.first(c.excessMayStart())
+		w := c.next()
 		if w == nil {
 			break
 		}
 		c.queue.remove(w)
-		if c.demoted(w, now) {
+		missed := w.kind.undeclared && !isExcess(w.class) && w.missesAim(now)
+		if missed && c.demote(w, now) {
 			continue
 		}
-		if w.tooLate(now) {
+		if missed || w.tooLate(now) {
 			out = append(out, delivery{w: w, refusal: &Refusal{ReasonDeadline, c.retryAfter()}})
 			continue
 		}
-		out = append(out, delivery{w: w, ticket: c.start(w)})
+		out = append(out, delivery{w: w, ticket: c.start(w, now)})
 	}
 	c.publish()
 	return out
@@ -185,6 +196,9 @@
 // wait estimates the time until w gets a slot. Excess work is overtaken by the protected work that
 // arrives in the meantime, so only the remaining part of the slots serves it.
 func (c *Controller) wait(w *Waiter) time.Duration {
+	if w.kind.undeclared {
+		return c.waitByShare(w)
+	}
 	d := c.queue.workBefore(w)/time.Duration(c.limiter.limit) + c.nextFree()
 	if isExcess(w.class) {
 		d = time.Duration(float64(d) / (1 - c.protectedShare()))
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -26,10 +26,13 @@
 	class    int
 	deadline time.Time
 	// aim, rank and patience are those of the Request.
-	aim      time.Time
-	rank     int
-	patience time.Duration
-	seq      uint64
+	aim time.Time
+	// latest is the latest time to start that leaves a good chance to meet the aim.
+	latest     time.Time
+	rank       int
+	idempotent bool
+	patience   time.Duration
+	seq        uint64
 	// work is the expected service time when the request entered the queue. It is kept so that the
 	// sums of the queue stay exact while the estimate of the kind changes.
 	work time.Duration
@@ -139,13 +142,22 @@
 	return nil
 }
 
-// popExpired removes one request whose deadline has passed, or returns nil.
+// expired reports whether w has no time left to run. One of an undeclared kind leaves as soon as hardly any
+// request of its kind would end in time.
+func (w *Waiter) expired(now time.Time) bool {
+	if w.kind.undeclared {
+		return w.tooLate(now)
+	}
+	return !w.deadline.After(now)
+}
+
+// popExpired removes one expired request, or returns nil.
 func (q *queue) popExpired(now time.Time) *Waiter {
 	if q.size == 0 {
 		return nil
 	}
 	for class := range classes {
-		if lane := q.lanes[class]; len(lane) > 0 && !lane[0].deadline.After(now) {
+		if lane := q.lanes[class]; len(lane) > 0 && lane[0].expired(now) {
 			return q.removeAt(class, 0)
 		}
 	}
@@ -159,10 +171,15 @@
 	for class := range w.class {
 		sum += q.work[class]
 	}
+	return sum + q.workInLaneBefore(w)
+}
+
+// workInLaneBefore returns the part of workBefore that is in the lane of w.
+func (q *queue) workInLaneBefore(w *Waiter) time.Duration {
 	if n := len(q.lanes[w.class]); n > 0 {
-		sum += q.work[w.class] * time.Duration(q.position(w)) / time.Duration(n)
+		return q.work[w.class] * time.Duration(q.position(w)) / time.Duration(n)
 	}
-	return sum
+	return 0
 }
 
 func (q *queue) totalWork() time.Duration {
--- a/pkg/admission/request.go
+++ b/pkg/admission/request.go
@@ -8,11 +8,15 @@
 const (
 	// maxLearned bounds the kinds whose service times are learned; further ones share one estimate.
 	maxLearned = 256
-	// likelyShare is the share of the mean service time within which about half of the requests end.
-	likelyShare = 0.7
+	// safeShare is the time, in relation to the mean service time, that a request must have until its
+	// aim when it starts. Service times spread widely; with less, half of the answers come late.
+	safeShare = 1.5
+	// shortWait is the wait that any request may have before it counts as late, as a share of its
+	// target. It evens out random arrivals.
+	shortWait = 0.15
 	// fastShare is the share of the mean service time that a deadline must leave; with less, hardly any
 	// request ends in time.
-	fastShare = 0.4
+	fastShare = 0.6
 )
 
 // Request describes a request that needs a slot.
@@ -26,6 +30,8 @@
 	// Aim is the time until which the answer has its full worth; zero means none. A request that cannot
 	// meet it yields to all those that can.
 	Aim time.Time
+	// Idempotent requests count less than others in an overload, because their callers may repeat them.
+	Idempotent bool
 	// Patience is the longest wait for a slot that the sender accepts; zero means any.
 	Patience time.Duration
 }
@@ -35,7 +41,7 @@
 	if ctx.Err() != nil {
 		return nil, &Refusal{Reason: ReasonCancelled}
 	}
-	w := &Waiter{ctl: c, deadline: r.Deadline, aim: r.Aim, rank: r.Rank, patience: r.Patience}
+	w := &Waiter{ctl: c, deadline: r.Deadline, aim: r.Aim, rank: r.Rank, idempotent: r.Idempotent, patience: r.Patience}
 	ticket, refusal, out := c.offer(w, r.Kind)
 	out.deliver()
 	switch {
@@ -66,11 +72,17 @@
 
 // missesAim reports whether w is unlikely to be answered by its aim if it starts at the time start.
 func (w *Waiter) missesAim(start time.Time) bool {
-	if w.aim.IsZero() {
-		return false
+	return !w.aim.IsZero() && start.After(w.latest)
+}
+
+// latestStart returns the latest time at which w, which has arrived now, is likely to be in time.
+func (w *Waiter) latestStart(now time.Time) time.Time {
+	safe := w.aim.Add(-time.Duration(safeShare * float64(w.kind.observed)))
+	short := now.Add(time.Duration(shortWait * float64(w.aim.Sub(now))))
+	if short.After(safe) {
+		return short
 	}
-	likely := time.Duration(likelyShare * float64(w.kind.observed))
-	return start.Add(likely).After(w.aim)
+	return safe
 }
 
 // classifyByAim sets the class of a request of an undeclared kind: by rank, behind all others if it
@@ -79,6 +91,8 @@
 	w.work = w.kind.expected()
 	w.seq = c.queue.seq + 1
 	w.class = classOf(w.kind.Rank, true)
+	w.latest = w.latestStart(now)
+	c.shares.decay(now)
 	if w.missesAim(now.Add(c.waitUnlessFree(w))) {
 		w.class = classOf(w.kind.Rank, false)
 	}
@@ -92,13 +106,13 @@
 	return c.wait(w)
 }
 
-// demoted reports whether w has waited past the point at which it could meet its aim, and moves it
-// behind the requests that still can.
-func (c *Controller) demoted(w *Waiter, now time.Time) bool {
-	if isExcess(w.class) || !w.kind.undeclared || !w.missesAim(now) {
+// demote moves w, which has waited past the point at which it could meet its aim, behind the requests that
+// still can. It reports whether w may wait there; otherwise it has no chance before its deadline.
+func (c *Controller) demote(w *Waiter, now time.Time) bool {
+	w.class = classOf(w.kind.Rank, false)
+	if !c.excessMayStart() && now.Add(c.wait(w)+w.kind.shortest()).After(w.deadline) {
 		return false
 	}
-	w.class = classOf(w.kind.Rank, false)
 	c.queue.push(w)
 	return true
 }
