--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -84,7 +84,7 @@
 		return h.config.Selector.Pick(e.service.Name, res.tried)
 	}
 	return h.config.Selector.PickFor(selection.Demand{
-		Service: e.service.Name, Kind: e.kind.Name, Target: e.target, Tried: res.tried,
+		Service: e.service.Name, Kind: e.kind.Name, Target: e.target, Bytes: len(e.request.Body), Tried: res.tried,
 	})
 }
 
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -92,7 +92,7 @@
 		r.Failed = true
 		return r
 	}
-	r.Work, r.Refused = a.response.Work, !a.response.Offered
+	r.Work, r.Bytes, r.Refused = a.response.Work, len(a.response.Body), !a.response.Offered
 	r.Load = a.response.Load
 	r.Draining = a.response.Draining
 	r.Failed = a.err != nil && (a.verdict != verdict.NotRun || e.routed() && a.response.Offered)
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -16,7 +16,7 @@
 
 // sharedMargin is the part of a shared budget that the daemons use. The rest covers the calls that repeated
 // requests make and the differences between the windows of the daemons.
-const sharedMargin = 0.6
+const sharedMargin = 0.45
 
 // windowSlots is the number of parts into which the window of a shared budget is divided.
 const windowSlots = 10
--- a/pkg/selection/config.go
+++ b/pkg/selection/config.go
@@ -94,6 +94,8 @@
 	Latency time.Duration
 	// Work is the time in a slot of the backend server; zero means unknown.
 	Work time.Duration
+	// Bytes is the size of the body of the answer; it counts with Work only.
+	Bytes int
 	// Refused means that the request did not reach the backend server, so that the result says nothing
 	// about it.
 	Refused bool
--- a/pkg/selection/demand.go
+++ b/pkg/selection/demand.go
@@ -11,9 +11,11 @@
 
 const (
 	// remoteCost is what an endpoint of another failure domain costs beside one of the own domain, as a
-	// share of the target of the request. It stands for the bytes between domains and keeps requests
-	// near while near is in time.
-	remoteCost = 0.25
+	// share of the target of the request, and remoteCostPerKB what each kilobyte of request and answer
+	// adds. They keep requests near while near is in time, the large ones for longer, as bytes between
+	// failure domains are paid for.
+	remoteCost      = 0.12
+	remoteCostPerKB = 0.09
 	// workSmoothing is the weight of a new sample in the work time of a kind and in the pace of an
 	// endpoint.
 	workSmoothing = 0.1
@@ -49,41 +51,59 @@
 	Kind string
 	// Target is the time within which the answer has its full worth, at least 1 ms.
 	Target time.Duration
+	// Bytes is the size of the body of the request.
+	Bytes int
 	// Tried lists the instances that the request has been sent to.
 	Tried []endpoint.InstanceID
 }
 
-// works holds the learned work times of the kinds of a service, in nanoseconds.
+// works holds what was learned of the kinds of a service.
 type works struct {
-	byKind sync.Map // string to *atomic.Int64
+	byKind sync.Map // string to *kindWork
 	size   atomic.Int64
 }
 
-func (w *works) of(kind string) *atomic.Int64 {
+// kindWork holds the smoothed work time of a kind in nanoseconds and the size of its answers in bytes.
+type kindWork struct{ work, bytes atomic.Int64 }
+
+func (w *works) of(kind string) *kindWork {
 	if found, ok := w.byKind.Load(kind); ok {
-		return found.(*atomic.Int64)
+		return found.(*kindWork)
 	}
 	if w.size.Load() >= maxKinds {
 		kind = ""
 	}
-	found, loaded := w.byKind.LoadOrStore(kind, new(atomic.Int64))
+	found, loaded := w.byKind.LoadOrStore(kind, new(kindWork))
 	if !loaded {
 		w.size.Add(1)
 	}
-	return found.(*atomic.Int64)
+	return found.(*kindWork)
 }
 
-// observe adds a work time and returns its ratio to the one expected before. Concurrent calls may lose
-// one of them, which a smoothed value tolerates.
-func (w *works) observe(kind string, work time.Duration) float64 {
-	value := w.of(kind)
+// smooth adds a sample to value and returns what it was before, the sample if it was empty. Concurrent calls
+// may lose one of the samples, which a smoothed value tolerates.
+func smooth(value *atomic.Int64, sample int64) int64 {
 	old := value.Load()
 	if old == 0 {
-		value.Store(int64(work))
-		return 1
+		value.Store(sample)
+		return sample
 	}
-	value.Store(old + int64(workSmoothing*float64(int64(work)-old)))
-	return float64(work) / float64(old)
+	value.Store(old + int64(workSmoothing*float64(sample-old)))
+	return old
+}
+
+// observe adds a work time and the size of an answer, and returns the ratio of the work time to the one
+// expected before.
+func (w *works) observe(kind string, work time.Duration, bytes int) float64 {
+	known := w.of(kind)
+	smooth(&known.bytes, int64(bytes))
+	return float64(work) / float64(max(smooth(&known.work, int64(work)), 1))
+}
+
+// remote returns what an endpoint of another failure domain costs d more.
+func (w *works) remote(d *Demand) float64 {
+	const kilobyte = 1000
+	return remoteCost + remoteCostPerKB*float64(int64(d.Bytes)+w.of(d.Kind).bytes.Load())/kilobyte
 }
 
 // smoothed is a value that approaches its neutral one while nothing is observed.
@@ -121,7 +141,7 @@
 		m.stats.failing.add(failed, failureSmoothing, now)
 	}
 	if r.Work > 0 {
-		ratio := m.works.observe(kind, r.Work)
+		ratio := m.works.observe(kind, r.Work, r.Bytes)
 		m.stats.pace.add(math.Log(min(max(ratio, minPace), maxPace)), workSmoothing, now)
 	}
 }
@@ -130,7 +150,7 @@
 // of the target.
 func (m *member) expected(d *Demand, now int64) float64 {
 	target := float64(max(d.Target, time.Millisecond))
-	work := float64(m.works.of(d.Kind).Load())
+	work := float64(m.works.of(d.Kind).work.Load())
 	if work == 0 {
 		work = defaultWork * target
 	}
@@ -163,7 +183,7 @@
 	if math.IsInf(p.margin, 1) {
 		return 0
 	}
-	wait := max(p.member.cost(p.selector.now().UnixNano())-1, 0) * float64(p.member.works.of(p.kind).Load())
+	wait := max(p.member.cost(p.selector.now().UnixNano())-1, 0) * float64(p.member.works.of(p.kind).work.Load())
 	return time.Duration(wait + (p.margin+patienceMargin)*float64(target))
 }
 
@@ -194,7 +214,7 @@
 		}
 		cost := m.expected(d, c.now) * (1 + noise*c.fraction())
 		if at >= len(s.local) {
-			cost += remoteCost
+			cost += m.works.remote(d)
 		}
 		// In slow start an endpoint stands aside with the share that it lacks.
 		if cost < lowest && (best == nil || c.warm(m)) {
