--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -61,7 +61,7 @@
 	b.Cleanup(func() { cancel(); <-renewed })
 
 	svc := benchService()
-	receive := &receiver{admission: admission.New(admission.ForService(svc, 64, 1), time.Now), backend: beside}
+	receive := &receiver{log: event.Nop(), admission: admission.New(admission.ForService(svc, 64, 1), time.Now), backend: beside}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -205,6 +205,7 @@
 		a.verdict = h.fence(ctx, e, record, req.Attempt)
 	}
 	h.countTransmission(record, &req, &a)
+	res.traces = append(res.traces, newAttemptTrace(string(record.Instance), started.Sub(e.arrived), h.config.Now().Sub(started), req.Patience, &a))
 	result := pickResult(e, &a, h.config.Now().Sub(started))
 	if errors.Is(ctx.Err(), context.Canceled) || isFaultOfCaller(e, &a, left) {
 		result = selection.Result{Verdict: verdict.MayHaveRun, Load: unknownLoad}
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -133,18 +133,21 @@
 	if snap == nil {
 		f := refuse(http.StatusServiceUnavailable, "this daemon has no configuration yet")
 		f.retryAfter = time.Second
+		h.logStray(r, f)
 		h.refuse(w, f)
 		return
 	}
 	e, err := h.newExchange(snap, r)
 	if err != nil {
 		f := asRefusal(err)
+		h.logStray(r, f)
 		h.setCommon(w.Header(), snap, &result{refusal: f})
 		h.refuse(w, f)
 		return
 	}
 	res := h.serve(r.Context(), e)
 	h.promise(res)
+	h.logEnd(e, res)
 	h.config.Recorder.Record(e.service, e.kind, h.outcome(e, res))
 	h.metrics.retries.Add(int64(max(res.attempts-1, 0)))
 	if res.response != nil {
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -52,6 +52,9 @@
 	budget retry.Allowance
 	// request is the template of the attempts; each one gets its own ID and timeout.
 	request call.Request
+	// id is the caller's ID of the request, arrived when it came in.
+	id      string
+	arrived time.Time
 	// aim is the time until which the answer has its full worth. It is set for requests of a route
 	// only, which learn what a kind would declare.
 	aim time.Time
@@ -67,7 +70,7 @@
 // newExchange routes r on snap and reads its body. Errors are *refusal.
 func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request) (*exchange, error) {
 	now, marks := h.config.Now(), h.config.Dialect
-	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts}
+	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now}
 	if err := h.route(e, r, now); err != nil {
 		return nil, err
 	}
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -30,6 +30,8 @@
 	// or may have reached a backend server, and bounces those refused because no slot was free.
 	tried            []endpoint.InstanceID
 	offered, bounces int
+	// traces tells of the attempts for the log.
+	traces []attemptTrace
 }
 
 func newResult() *result { return &result{known: verdict.NotRun} }
--- /dev/null
+++ b/agent/caller/trace.go
@@ -0,0 +1,99 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// attemptTrace is what the log tells of one attempt: the endpoint and why it was chosen, and the outcome.
+type attemptTrace struct {
+	instance string
+	// after is the time from the arrival of the request to the attempt, took its duration.
+	after, took time.Duration
+	// patience is the longest wait that the receiving daemon was asked to accept.
+	patience time.Duration
+	verdict  verdict.Verdict
+	offered  bool
+	status   int
+	load     float64
+	reason   string
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (t *attemptTrace) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("instance", t.instance)
+	enc.AddInt64("after_ms", t.after.Milliseconds())
+	enc.AddInt64("took_ms", t.took.Milliseconds())
+	if t.patience > 0 {
+		enc.AddInt64("patience_ms", t.patience.Milliseconds())
+	}
+	enc.AddString("verdict", t.verdict.String())
+	enc.AddBool("reached_server", t.offered)
+	enc.AddInt("status", t.status)
+	enc.AddFloat64("load", t.load)
+	if t.reason != "" {
+		enc.AddString("reason", t.reason)
+	}
+	return nil
+}
+
+type attemptTraces []attemptTrace
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (t attemptTraces) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for i := range t {
+		if err := enc.AppendObject(&t[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newAttemptTrace returns the trace of an attempt that has ended.
+func newAttemptTrace(instance string, after, took, patience time.Duration, a *attemptResult) attemptTrace {
+	t := attemptTrace{instance: instance, after: after, took: took, patience: patience, verdict: a.verdict, offered: a.offered()}
+	if a.response != nil {
+		t.status, t.load = a.response.Status, a.response.Load
+	}
+	if a.err != nil {
+		t.reason = a.err.Error()
+	}
+	return t
+}
+
+// logEnd logs how a request ended, with what decided it.
+func (h *Handler) logEnd(e *exchange, res *result) {
+	status, reason := 0, ""
+	if res.response != nil {
+		status = res.response.Status
+	} else {
+		status, reason = res.refusal.status, res.refusal.reason
+	}
+	now := h.config.Now()
+	endedWell := status < http.StatusInternalServerError && (e.aim.IsZero() || !now.After(e.aim))
+	h.config.Log.LogRequest(event.RequestEnded, endedWell, func() []zap.Field {
+		return []zap.Field{
+			zap.String("request", e.id), zap.String("route", e.kind.Name), zap.String("service", e.service.Name),
+			zap.Uint64("version", uint64(e.snap.Version)), zap.Int("rank", e.kind.Rank),
+			zap.Int64("allowed_ms", e.deadline.Sub(e.arrived).Milliseconds()), zap.Int64("took_ms", now.Sub(e.arrived).Milliseconds()),
+			zap.Int("status", status), zap.Stringer("verdict", res.verdict()), zap.String("reason", reason),
+			zap.Array("attempts", attemptTraces(res.traces)),
+		}
+	})
+}
+
+// logStray logs a request that was answered before it had a route.
+func (h *Handler) logStray(r *http.Request, f *refusal) {
+	h.config.Log.LogRequest(event.RequestStray, false, func() []zap.Field {
+		return []zap.Field{
+			zap.String("request", r.Header.Get(h.config.Dialect.RequestID)), zap.String("host", r.Host),
+			zap.Int("status", f.status), zap.String("reason", f.reason),
+		}
+	})
+}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -178,6 +178,7 @@
 		Changed: d.record.backendChanged, Dialect: d.dialect(), Lifetime: d.settings.Backend.AnnouncementLifetime,
 	}, d.log)
 	d.receiver = &receiver{
+		log: d.log, requestID: d.dialect().RequestID,
 		admission: admission.New(admission.Config{Slots: 1}, time.Now),
 		backend:   d.backend,
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -21,6 +21,10 @@
 	m := new(expvar.Map).Init()
 	m.Set("callers", d.callers.Metrics())
 	m.Set("uptime_seconds", expvar.Func(func() any { return int64(time.Since(d.started).Seconds()) }))
+	m.Set("log_lines", expvar.Func(func() any {
+		limited, blocked := d.log.Dropped()
+		return map[string]uint64{"left_out_by_limit": limited, "dropped_by_output": blocked}
+	}))
 	m.Set("backend", expvar.Func(d.backendMetrics))
 	m.Set("configuration", expvar.Func(d.configurationMetrics))
 	m.Set("membership", expvar.Func(d.membershipMetrics))
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -15,6 +15,9 @@
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"kingcupwood.example/kingcupwood/lib/event"
 )
 
 var (
@@ -30,7 +33,10 @@
 	// owned runs requests whose idempotency key this daemon owns.
 	owned    func(ctx context.Context, r *call.Request) *call.Response
 	draining atomic.Bool
-	running  runningAttempts
+	log      *event.Logger
+	// requestID is the header with the caller's ID of a request.
+	requestID string
+	running   runningAttempts
 }
 
 // ServeCall implements call.Handler.
@@ -52,11 +58,27 @@
 	defer cancel()
 	ticket, err := r.admission.AcquireFor(ctx, admissionRequest(req, now, deadline))
 	if err != nil {
+		r.logRefusal(req, err, deadline.Sub(now))
 		return r.finish(req, refusalResponse(req, err))
 	}
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
+// logRefusal logs why admission control refused req. A busy backend server is an ordinary answer to a sender
+// that looks for a free slot, and shows in the log of the sender.
+func (r *receiver) logRefusal(req *call.Request, err error, left time.Duration) {
+	var refusal *admission.Refusal
+	endedWell := errors.As(err, &refusal) && refusal.Reason == admission.ReasonBusy
+	r.log.LogRequest(event.RequestRefused, endedWell, func() []zap.Field {
+		return []zap.Field{
+			zap.String("request", req.Header.Get(r.requestID)), zap.String("route", req.Kind), zap.Int("rank", req.Rank),
+			zap.String("service", req.Service), zap.Uint64("version", req.Version), zap.Int64("left_ms", left.Milliseconds()),
+			zap.Int64("patience_ms", req.Patience.Milliseconds()),
+			zap.Float64("load", r.admission.Load()), zap.Int("slots", r.admission.Slots()), zap.Error(err),
+		}
+	})
+}
+
 // admissionRequest describes req for admission control.
 func admissionRequest(req *call.Request, now, deadline time.Time) admission.Request {
 	a := admission.Request{Kind: admissionKind(req), Deadline: deadline, Rank: req.Rank, Patience: req.Patience, Idempotent: req.Idempotent}
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -37,7 +37,7 @@
 	if w.Code != http.StatusNoContent {
 		t.Fatalf("announcement: %d %s", w.Code, w.Body)
 	}
-	return &receiver{admission: admission.New(admission.Config{Slots: 4}, time.Now), backend: b}
+	return &receiver{log: event.Nop(), admission: admission.New(admission.Config{Slots: 4}, time.Now), backend: b}
 }
 
 func testRequest() *call.Request {
--- a/cli/cmd/serve.go
+++ b/cli/cmd/serve.go
@@ -17,10 +17,7 @@
 
 // untilSignal runs serve with a logger and a context that ends with SIGINT or SIGTERM.
 func untilSignal(level zapcore.Level, serve func(ctx context.Context, log *event.Logger) error) error {
-	log, err := event.NewLogger(level)
-	if err != nil {
-		return err
-	}
+	log := event.NewLogger(level)
 	defer log.Sync()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/pkg/selection/demand.go
+++ b/pkg/selection/demand.go
@@ -14,8 +14,8 @@
 	// share of the target of the request, and remoteCostPerKB what each kilobyte of request and answer
 	// adds. They keep requests near while near is in time, the large ones for longer, as bytes between
 	// failure domains are paid for.
-	remoteCost      = 0.12
-	remoteCostPerKB = 0.09
+	remoteCost      = 0.15
+	remoteCostPerKB = 0.12
 	// workSmoothing is the weight of a new sample in the work time of a kind and in the pace of an
 	// endpoint.
 	workSmoothing = 0.1
