--- /dev/null
+++ b/agent/caller/routed_test.go
@@ -0,0 +1,191 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
+	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// routedMarks is a dialect whose callers read statuses only.
+var routedMarks = dialect.Dialect{
+	RequestID: "Id", TimeLeft: "Left", Expect: "Expected", Origin: "From", Stamp: "Stamp", NotRun: "Not-Run", FractionalSeconds: true,
+}
+
+// newRoutedBench returns a handler for a configuration with routes, in front of pages servers.
+func newRoutedBench(t *testing.T, instances ...string) *bench {
+	t.Helper()
+	b := newBench(instances...)
+	route := func(name, prefix string, idempotent bool) snapshot.Route {
+		return snapshot.Route{
+			Kind: snapshot.Kind{Name: name, PathPrefix: prefix, Rank: 1, Idempotent: idempotent, Deadline: time.Second},
+			Host: "wiki.example", Target: 500 * time.Millisecond, MaxAttempts: 2,
+		}
+	}
+	s, err := snapshot.Assemble(5, []*snapshot.Service{{
+		Name: "pages", Team: "ops", Connections: 10,
+		Routes: []snapshot.Route{route("view", "/view/", true), route("save", "/save/", false)},
+	}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.accept(s)
+	b.config.Dialect, b.config.Origin = &routedMarks, "shop"
+	return b
+}
+
+func routedRequest(method, path string, headers ...string) *http.Request {
+	r := request(method, path, "body", append([]string{"Id", "q7", "Left", "900"}, headers...)...)
+	r.Host = "wiki.example"
+	return r
+}
+
+// Guards against a request that reaches a backend server with a caller's marks in place of ours, or changed in
+// method, target or body.
+func TestRoutedRequest(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	r := routedRequest("GET", "/view/a%2Fb?x=1&y=%20", "From", "forged", "Expected", "i-1", "Other", "kept")
+	r.RequestURI = "/view/a%2Fb?x=1&y=%20"
+	w := b.serveHTTP(r)
+	is.Equal(w.Code, http.StatusOK)
+	sent := b.remote.sent[0]
+	is.Equal(sent.Target, "/view/a%2Fb?x=1&y=%20")
+	is.Equal(string(sent.Body), "body")
+	is.Equal(sent.Header.Get("From"), "shop")
+	is.Equal(sent.Header.Get("Expected"), "")
+	is.Equal(sent.Header.Get("Left"), "")
+	is.Equal(sent.Header.Get("Id"), "q7")
+	is.Equal(sent.Header.Get("Other"), "kept")
+	is.True(sent.Timeout <= 900*time.Millisecond && sent.Rank == 1 && sent.Idempotent)
+	is.Equal(w.Header().Get(verdict.Header), "")
+}
+
+// Guards against 404 for a proper request, and against anything but 404 for one without a route.
+func TestNoRoute(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	is.Equal(b.serveHTTP(routedRequest("GET", "/other/")).Code, http.StatusNotFound)
+	r := routedRequest("GET", "/view/a")
+	r.Host = "pages" // names of services are no hosts here
+	is.Equal(b.serveHTTP(r).Code, http.StatusNotFound)
+	b.accept(nil)
+	is.Equal(b.serveHTTP(routedRequest("GET", "/other/")).Code, http.StatusServiceUnavailable)
+}
+
+// busyReply is the refusal of a daemon whose backend server has no free slot.
+func busyReply(r *call.Request) *call.Response {
+	return &call.Response{
+		Attempt: r.Attempt, Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Reason: "no slot is free soon",
+		RetryAfter: 300 * time.Millisecond, Load: 2,
+	}
+}
+
+// Guards against an overload in which each request is sent to one daemon after the other, and against a late
+// time to come back.
+func TestBusyEverywhere(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1", "i2", "i3", "i4")
+	b.remote.do = func(_ context.Context, _ string, r *call.Request) (*call.Response, error) { return busyReply(r), nil }
+	w := b.serveHTTP(routedRequest("POST", "/save/a"))
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(len(b.remote.sent), maxBounces+1)
+	is.Equal(w.Header().Get("Retry-After"), "0.040")
+	is.True(b.remote.sent[0].Patience > 0)
+	is.Equal(b.remote.sent[maxBounces].Patience, time.Duration(0))
+}
+
+// Guards against a status that promises "not run" for a request that may have run, and against one that keeps a
+// caller from submitting again what has not run.
+func TestStatusIsAPromise(t *testing.T) {
+	is := is.New(t)
+	notRun := verdict.Wrap(verdict.NotRun, errors.New("connection refused"))
+	lost := verdict.Wrap(verdict.MayHaveRun, errors.New("connection broken"))
+	for _, c := range []struct {
+		err    error
+		fence  fence.Answer
+		status int
+	}{
+		{notRun, fence.Unknown, http.StatusServiceUnavailable},
+		{verdict.Wrap(verdict.NotRun, context.DeadlineExceeded), fence.Unknown, http.StatusServiceUnavailable},
+		{lost, fence.Unknown, http.StatusBadGateway},
+		{lost, fence.HasStarted, http.StatusBadGateway},
+		{lost, fence.NeverWillRun, http.StatusServiceUnavailable},
+	} {
+		b := newRoutedBench(t, "i1")
+		b.remote.do = func(context.Context, string, *call.Request) (*call.Response, error) { return nil, c.err }
+		b.remote.fenceDo = func(context.Context, string, fence.AttemptID) fence.Answer { return c.fence }
+		is.Equal(b.serveHTTP(routedRequest("POST", "/save/a")).Code, c.status)
+	}
+}
+
+// Guards against a run on more servers than the route allows, and against a non-idempotent request that is sent
+// again after it may have run.
+func TestRoutedAttempts(t *testing.T) {
+	is := is.New(t)
+	for path, most := range map[string]int{"/view/a": 2, "/save/a": 1} {
+		b := newRoutedBench(t, "i1", "i2", "i3")
+		b.remote.do = func(_ context.Context, _ string, r *call.Request) (*call.Response, error) {
+			resp := ran(r)
+			resp.Status, resp.Offered = http.StatusInternalServerError, true
+			return resp, nil
+		}
+		w := b.serveHTTP(routedRequest("POST", path))
+		is.Equal(w.Code, http.StatusInternalServerError) // the answer of the server, not one of ours
+		is.Equal(len(b.remote.sent), most)
+	}
+}
+
+// Guards against a stopping daemon whose requests wait for long, since their connections close with it.
+func TestStoppingHasLittlePatience(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	b.config.Stopping = func() bool { return true }
+	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a")).Code, http.StatusOK)
+	is.Equal(b.remote.sent[0].Patience, time.Duration(stoppingPatience*float64(500*time.Millisecond)))
+}
+
+// Guards against a request that came back after a refusal and is given the aim of a fresh one.
+func TestAimOfASecondSubmission(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	first := routedRequest("GET", "/view/a")
+	is.Equal(b.serveHTTP(first).Code, http.StatusOK)
+	second := routedRequest("GET", "/view/a")
+	second.Header.Set("Left", "600")
+	is.Equal(b.serveHTTP(second).Code, http.StatusOK)
+	left := b.remote.sent[1].Aim
+	is.True(left <= 200*time.Millisecond && left > 100*time.Millisecond)
+}
+
+// Guards against memory that grows with the names of routes.
+func TestAllowancesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var a allowances
+	now := time.Unix(1000, 0)
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			for n := range 2 * maxAllowances {
+				a.waited(string(rune('a'+i))+time.Duration(n).String(), time.Second, now)
+			}
+		})
+	}
+	wg.Wait()
+	count := 0
+	a.byRoute.Range(func(any, any) bool { count++; return true })
+	is.True(count <= 2*maxAllowances)
+	is.Equal(a.waited("view", time.Second, now), time.Duration(0))
+	is.Equal(a.waited("view", 400*time.Millisecond, now), 600*time.Millisecond)
+	is.Equal(a.waited("view", 400*time.Millisecond, now.Add(allowanceMemory+time.Second)), time.Duration(0))
+}
