--- /dev/null
+++ b/agent/peer/sync/source_test.go
@@ -0,0 +1,159 @@
+package sync
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+// oneMember is the membership of a daemon that knows only itself.
+type oneMember struct {
+	mu    sync.Mutex
+	state *membership.State
+}
+
+func newOneMember(self endpoint.Record) *oneMember {
+	return &oneMember{state: membership.New(membership.Config{Local: self}, time.Now(), 1)}
+}
+
+func (m *oneMember) Do(f func(now time.Time, s *membership.State)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(time.Now(), m.state)
+}
+
+func (m *oneMember) View() *endpoint.View { return m.state.View() }
+
+// fakeSource is a source whose newest version and availability a test sets.
+type fakeSource struct {
+	mu      sync.Mutex
+	version snapshot.Version
+	down    bool
+	reads   int
+	changed chan struct{}
+}
+
+func (s *fakeSource) set(version snapshot.Version, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.down = version, down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeSource) Current(context.Context) (*snapshot.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down || s.version == 0 {
+		return nil, map[bool]error{true: errDown}[s.down]
+	}
+	return snapshot.Assemble(s.version, []*snapshot.Service{{Name: "pages", Team: "ops", Connections: 1, HealthPath: fmt.Sprint("/", s.version)}}, nil)
+}
+
+func (s *fakeSource) Changed(ctx context.Context) (bool, error) {
+	s.mu.Lock()
+	changed, down := s.changed, s.down
+	s.mu.Unlock()
+	if down {
+		return false, errDown
+	}
+	select {
+	case <-changed:
+		return true, nil
+	case <-time.After(50 * time.Millisecond):
+		return false, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+// realCodec builds snapshots as the daemon does.
+type realCodec struct{ fakeCodec }
+
+func (*realCodec) Apply(base *snapshot.Snapshot, d *snapshot.Delta) (*snapshot.Snapshot, error) {
+	return base.Apply(d)
+}
+
+func (*realCodec) Delta(from, to *snapshot.Snapshot) (*snapshot.Delta, error) {
+	return to.DeltaFrom(from)
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out: %s", what)
+		}
+	}
+}
+
+// Guards against a daemon that serves before it knows the newest version, that misses a change, that goes back
+// to an older version, or that does not tell the others that the source turns it away.
+func TestSourceIsFollowed(t *testing.T) {
+	is := is.New(t)
+	self := endpoint.Record{Instance: "i1", Domain: "a", RPCAddr: "127.0.0.1:1"}
+	source := &fakeSource{changed: make(chan struct{})}
+	members := newOneMember(self)
+	f := NewFollower(Config{Self: self, Members: members, Store: NewStore(&realCodec{}), Source: source, Dial: DialTCP, Log: event.Nop(), Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { f.startFromSource(ctx) })
+	running.Go(func() { f.readSource(ctx) })
+	defer running.Wait()
+	defer cancel()
+	time.Sleep(50 * time.Millisecond)
+	is.True(!f.Ready()) // nothing is written yet
+	source.set(5, false)
+	waitFor(t, "version 5", func() bool { return f.Ready() && f.cfg.Store.Version() == 5 })
+	source.set(9, false)
+	waitFor(t, "version 9", func() bool { return f.cfg.Store.Version() == 9 })
+	source.set(7, false)
+	time.Sleep(2 * readPause)
+	is.Equal(f.cfg.Store.Version(), snapshot.Version(9))
+	away := func() (away bool) {
+		members.Do(func(_ time.Time, s *membership.State) { away = s.Local().SourceAway })
+		return away
+	}
+	source.set(9, true)
+	waitFor(t, "the loss of the source is told", away)
+	source.set(12, false)
+	waitFor(t, "version 12", func() bool { return f.cfg.Store.Version() == 12 && !away() })
+}
+
+// Guards against a failure domain in which nobody reads the source because its readers are turned away, and
+// against one in which all daemons read it.
+func TestReaders(t *testing.T) {
+	is := is.New(t)
+	f := &Follower{cfg: Config{Self: endpoint.Record{Instance: "i1", Domain: "a"}}}
+	members, view := &endpoint.Members{}, &endpoint.View{Records: map[endpoint.InstanceID]endpoint.Record{}}
+	for i := range 6 {
+		id := endpoint.InstanceID(fmt.Sprint("i", i))
+		members.Instances = append(members.Instances, id)
+		view.Records[id] = endpoint.Record{Instance: id, Domain: "a"}
+	}
+	first := f.readers(members, view)
+	is.True(first[0] != "" && first[1] != "" && first[0] != first[1])
+	for _, id := range first {
+		view.Records[id] = endpoint.Record{Instance: id, Domain: "a", SourceAway: true}
+	}
+	second := f.readers(members, view)
+	is.True(second[0] != "" && second[1] != "")
+	for _, id := range second {
+		is.True(!slices.Contains(first[:], id))
+	}
+	for id := range view.Records {
+		view.Records[id] = endpoint.Record{Instance: id, Domain: "a", SourceAway: true}
+	}
+	is.Equal(f.readers(members, view)[0], endpoint.InstanceID("i1")) // every daemon tries
+}
