--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -39,7 +39,7 @@
 	mu      sync.Mutex
 	version snapshot.Version
 	down    bool
-	reads   int
+	read    snapshot.Version // by the last call of Current
 	changed chan struct{}
 }
 
@@ -54,7 +54,9 @@
 func (s *fakeSource) Current(context.Context) (*snapshot.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reads++
+	if !s.down {
+		s.read = s.version
+	}
 	if s.down || s.version == 0 {
 		return nil, map[bool]error{true: errDown}[s.down]
 	}
@@ -63,10 +65,10 @@
 
 func (s *fakeSource) Changed(ctx context.Context) (bool, error) {
 	s.mu.Lock()
-	changed, down := s.changed, s.down
+	changed, down, missed := s.changed, s.down, s.version != s.read
 	s.mu.Unlock()
-	if down {
-		return false, errDown
+	if down || missed {
+		return missed && !down, map[bool]error{true: errDown}[down]
 	}
 	select {
 	case <-changed:
