--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -23,12 +23,16 @@
 }
 
 const (
-	// maxDirectoryJoins bounds the daemons of the directory that are asked at a time.
-	maxDirectoryJoins = 16
+	// joinAll is the number of unknown daemons up to which a daemon exchanges its records with all of
+	// them; of more it takes joinSome at random, since each answers with the records of all.
+	joinAll  = 10
+	joinSome = 3
 	// relistMax bounds the pause between two looks into the directory, which doubles from relistBase.
-	// They reunite groups of daemons that started without seeing each other.
-	relistBase = time.Second
-	relistMax  = 64 * time.Second
+	// They reunite groups of daemons that started without seeing each other. A daemon that knows no
+	// other one looks again after relistAlone.
+	relistAlone = time.Second
+	relistBase  = 30 * time.Second
+	relistMax   = 5 * time.Minute
 	// removeTimeout bounds the removal of a stopping daemon from the directory.
 	removeTimeout = 500 * time.Millisecond
 )
@@ -37,7 +41,7 @@
 func (f *Follower) useDirectory(ctx context.Context) {
 	f.register(ctx)
 	failed := distribution.Backoff{Base: retryBase, Max: retryMax}
-	for wait := relistBase; ctx.Err() == nil; wait = min(2*wait, relistMax) {
+	for wait := relistBase; ctx.Err() == nil; {
 		for !f.joinListed(ctx) && pause(ctx, failed.Next(f.random)) {
 		}
 		failed.Reset()
@@ -45,7 +49,12 @@
 			f.cfg.Log.Log(event.PeerJoined, zap.Int("records", len(f.cfg.Members.View().Records)))
 			close(f.joined)
 		})
+		if len(f.cfg.Members.View().Records) <= 1 {
+			pause(ctx, f.jitter(relistAlone))
+			continue
+		}
 		pause(ctx, f.jitter(wait))
+		wait = min(2*wait, relistMax)
 	}
 }
 
@@ -89,13 +98,13 @@
 	return true
 }
 
-// unknownAmong returns the addresses of up to maxDirectoryJoins listed daemons that are not members.
+// unknownAmong returns the addresses of the listed daemons that are not members: all, or some at random.
 func (f *Follower) unknownAmong(names []string) []string {
 	records := f.cfg.Members.View().Records
 	var addrs []string
 	for _, name := range names {
 		id, addr, err := ParseHolder(name)
-		if err != nil || id == f.cfg.Self.Instance || len(addrs) == maxDirectoryJoins {
+		if err != nil || id == f.cfg.Self.Instance {
 			continue
 		}
 		if r, known := records[id]; known && r.RPCAddr == addr {
@@ -103,6 +112,9 @@
 		}
 		addrs = append(addrs, addr)
 	}
+	if len(addrs) > joinAll {
+		return f.shuffle(addrs)[:joinSome]
+	}
 	return addrs
 }
 
--- a/agent/peer/sync/packed.go
+++ b/agent/peer/sync/packed.go
@@ -4,14 +4,16 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
-// packedDelta is an encoded delta whose objects are compressed. The dictionary of an object is the one
-// of the same service in the base, from which a revision differs in a few bytes.
+// packedDelta is an encoded delta whose objects are patches of the same services in the base, from which a
+// revision differs in a few bytes.
 type packedDelta struct {
 	base, version snapshot.Version
 	data          []byte
@@ -40,25 +42,63 @@
 	return data, err
 }
 
-// pack compresses the objects of d, which is based on base.
+// patch is an object as a change of the same service in the base: its first Prefix and last Suffix bytes are
+// those of the base, and Middle is what lies between, compressed with the middle of the base as dictionary. A
+// service can have thousands of routes, far more than the window of the compression, of which a version
+// changes a few.
+type patch struct {
+	_      struct{} `cbor:",toarray"`
+	Prefix int
+	Suffix int
+	Middle []byte
+}
+
+// pack turns the objects of d, which is based on base, into patches.
 func (s *Store) pack(base *snapshot.Snapshot, d *snapshot.Delta) error {
 	for i, e := range d.Changed {
-		var b bytes.Buffer
-		w, err := flate.NewWriterDict(&b, flate.DefaultCompression, s.codec.Object(base, e.Service))
+		data, err := packObject(s.codec.Object(base, e.Service), d.Objects[i])
 		if err != nil {
 			return errors.Wrap(err, "compress an object")
 		}
-		if _, err := w.Write(d.Objects[i]); err != nil {
-			return errors.Wrap(err, "compress an object")
-		}
-		if err := w.Close(); err != nil {
-			return errors.Wrap(err, "compress an object")
-		}
-		d.Objects[i] = b.Bytes()
+		d.Objects[i] = data
 	}
 	return nil
 }
 
+func packObject(base, object []byte) ([]byte, error) {
+	p := patch{Prefix: commonPrefix(base, object)}
+	p.Suffix = commonSuffix(base[p.Prefix:], object[p.Prefix:])
+	var b bytes.Buffer
+	w, err := flate.NewWriterDict(&b, flate.DefaultCompression, base[p.Prefix:len(base)-p.Suffix])
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(object[p.Prefix : len(object)-p.Suffix]); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	p.Middle = b.Bytes()
+	return cbor.Marshal(p)
+}
+
+func commonPrefix(a, b []byte) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+func commonSuffix(a, b []byte) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[len(a)-1-n] == b[len(b)-1-n] {
+		n++
+	}
+	return n
+}
+
 // unpack reverses pack. It returns ErrOtherBase if the base is not among the recent versions.
 func (s *Store) unpack(d *snapshot.Delta) error {
 	base := s.recent(d.Base)
@@ -66,15 +106,30 @@
 		return ErrOtherBase
 	}
 	for i, e := range d.Changed {
-		r := flate.NewReaderDict(bytes.NewReader(d.Objects[i]), s.codec.Object(base, e.Service))
-		object, err := io.ReadAll(io.LimitReader(r, snapshot.MaxObjectBytes+1))
+		object, err := unpackObject(s.codec.Object(base, e.Service), d.Objects[i])
 		if err != nil {
 			return errors.Wrapf(err, "decompress service %s", e.Service)
 		}
-		if len(object) > snapshot.MaxObjectBytes {
-			return errors.Errorf("service %s exceeds %d bytes", e.Service, snapshot.MaxObjectBytes)
-		}
 		d.Objects[i] = object
 	}
 	return nil
 }
+
+func unpackObject(base, data []byte) ([]byte, error) {
+	var p patch
+	if err := decMode.Unmarshal(data, &p); err != nil {
+		return nil, err
+	}
+	if p.Prefix < 0 || p.Suffix < 0 || p.Prefix > len(base) || p.Suffix > len(base)-p.Prefix {
+		return nil, errors.Errorf("patch keeps %d and %d of %d bytes", p.Prefix, p.Suffix, len(base))
+	}
+	r := flate.NewReaderDict(bytes.NewReader(p.Middle), base[p.Prefix:len(base)-p.Suffix])
+	middle, err := io.ReadAll(io.LimitReader(r, snapshot.MaxObjectBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if p.Prefix+len(middle)+p.Suffix > snapshot.MaxObjectBytes {
+		return nil, errors.Errorf("an object exceeds %d bytes", snapshot.MaxObjectBytes)
+	}
+	return slices.Concat(base[:p.Prefix], middle, base[len(base)-p.Suffix:]), nil
+}
--- a/agent/peer/sync/source.go
+++ b/agent/peer/sync/source.go
@@ -34,9 +34,13 @@
 	sourceTimeout = time.Second
 	// readerCheck separates two looks of a daemon whether it is a reader.
 	readerCheck = 250 * time.Millisecond
+	// startCheck separates two looks of a starting daemon whether it has a version.
+	startCheck = 50 * time.Millisecond
 	// awayAfter is the number of failed reads in a row after which a reader tells the others that it
 	// does not reach the source.
 	awayAfter = 2
+	// firstWait bounds the wait for the first configuration of a deployment before another look.
+	firstWait = 10 * time.Second
 	// memberHeadStart is how long the members' answers wait for that of the source when a daemon
 	// starts. An answer of the source is exact and usually arrives in some milliseconds.
 	memberHeadStart = 400 * time.Millisecond
@@ -44,6 +48,9 @@
 
 // readSource reads the source while this daemon is a reader of its failure domain.
 func (f *Follower) readSource(ctx context.Context) {
+	if !f.awaitStart(ctx) {
+		return
+	}
 	failures := 0
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
 	read := false // whether the last read is known to be the newest
@@ -75,6 +82,23 @@
 	}
 }
 
+// awaitStart waits until this daemon has a version and knows others, because alone it would take itself for a
+// reader. It does not wait for others for longer than joinGrace.
+func (f *Follower) awaitStart(ctx context.Context) bool {
+	for !f.Ready() {
+		if !pause(ctx, startCheck) {
+			return false
+		}
+	}
+	select {
+	case <-f.joined:
+	case <-time.After(joinGrace):
+	case <-ctx.Done():
+	}
+	// The records of an exchange are in the view after the next publication.
+	return pause(ctx, membership.PublishInterval)
+}
+
 // readOnce waits for a change, unless nothing is known yet, and puts the newest version in force.
 func (f *Follower) readOnce(ctx context.Context, read bool) error {
 	if read {
@@ -183,8 +207,8 @@
 }
 
 // readFloor reads the source once and reports whether it answered.
-func (f *Follower) readFloor(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
+func (f *Follower) readFloor(parent context.Context) bool {
+	ctx, cancel := context.WithTimeout(parent, sourceTimeout)
 	defer cancel()
 	next, err := f.cfg.Source.Current(ctx)
 	if err != nil {
@@ -192,7 +216,11 @@
 		return false
 	}
 	if next == nil {
-		return false // a deployment starts with its first configuration
+		// A deployment starts with its first configuration. A failure shows in the next read.
+		wait, cancel := context.WithTimeout(parent, firstWait)
+		defer cancel()
+		_, _ = f.cfg.Source.Changed(wait)
+		return false
 	}
 	f.floor.Platform(next.Version)
 	f.cfg.Log.Log(event.VersionFloorKnown, zap.Uint64("floor", uint64(next.Version)), zap.Bool("exact", true))
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -110,6 +110,7 @@
 	f := NewFollower(Config{Self: self, Members: members, Store: NewStore(&realCodec{}), Source: source, Dial: DialTCP, Log: event.Nop(), Seed: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	close(f.joined)
 	running.Go(func() { f.startFromSource(ctx) })
 	running.Go(func() { f.readSource(ctx) })
 	defer running.Wait()
