--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -67,21 +67,29 @@
 		if err == nil {
 			return
 		}
-		f.cfg.Log.Log(event.DirectoryFailed, zap.Error(err))
+		f.noteDirectory(err)
 		// Others may be found although this daemon cannot be entered.
 		f.joinListed(ctx)
 		pause(ctx, backoff.Next(f.random))
 	}
 }
 
+// noteDirectory logs the first of a series of failures. Only the goroutine of useDirectory calls it.
+func (f *Follower) noteDirectory(err error) {
+	if err != nil && !f.directoryAway {
+		f.cfg.Log.Log(event.DirectoryFailed, zap.Error(err))
+	}
+	f.directoryAway = err != nil
+}
+
 // joinListed exchanges records with the listed daemons that are not known yet. It reports whether the
 // directory answered and, if it lists others, one of them or a known member did.
 func (f *Follower) joinListed(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, sourceTimeout)
 	names, err := f.cfg.Directory.List(callCtx)
 	cancel()
+	f.noteDirectory(err)
 	if err != nil {
-		f.cfg.Log.Log(event.DirectoryFailed, zap.Error(err))
 		return false
 	}
 	var group errgroup.Group
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -89,6 +89,8 @@
 	joined chan struct{}
 	// joinOnce closes joined where a Directory is used.
 	joinOnce sync.Once
+	// directoryAway tells that the last call of the Directory failed.
+	directoryAway bool
 	// leading tells that this daemon holds a lease and reads the head itself.
 	leading atomic.Bool
 
--- a/agent/peer/sync/source.go
+++ b/agent/peer/sync/source.go
@@ -191,7 +191,7 @@
 	exact := make(chan struct{})
 	go func() {
 		defer close(exact)
-		for ctx.Err() == nil && !f.readFloor(ctx) {
+		for first := true; ctx.Err() == nil && !f.readFloor(ctx, first); first = false {
 			pause(ctx, backoff.Next(f.random))
 		}
 	}()
@@ -206,13 +206,15 @@
 	f.floorFromMembers(ctx, exact)
 }
 
-// readFloor reads the source once and reports whether it answered.
-func (f *Follower) readFloor(parent context.Context) bool {
+// readFloor reads the source once and reports whether it answered. first tells that no read has failed yet.
+func (f *Follower) readFloor(parent context.Context, first bool) bool {
 	ctx, cancel := context.WithTimeout(parent, sourceTimeout)
 	defer cancel()
 	next, err := f.cfg.Source.Current(ctx)
 	if err != nil {
-		f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
+		if first { // the others of a series would say the same
+			f.cfg.Log.Log(event.HeadReadFailed, zap.Error(err))
+		}
 		return false
 	}
 	if next == nil {
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -67,6 +67,8 @@
 	maxRelays = 64
 	// maxAhead bounds the list of peers known to hold a higher configuration version.
 	maxAhead = 8
+	// greetRate is the number of pings per second that all members together send to a dead one.
+	greetRate = 3
 	// mergeGossip is the number of changed records of one anti-entropy exchange that are passed
 	// on with the probes. More than these would crowd out new changes.
 	mergeGossip = 32
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -282,3 +282,20 @@
 		t.Fatalf("largest packets by reserve: %v", sizes)
 	}
 }
+
+// Guards against a daemon that stops, restarts without a seed and stays alone although the others know its
+// address, as when the platform is away meanwhile.
+func TestRestartWithoutSeeds(t *testing.T) {
+	w := newNetwork(t, 12, 9, 3)
+	w.until("join", 30*time.Second, w.agree)
+	w.send(w.nodes[4], w.nodes[4].state.Leave(w.now))
+	w.run(20 * time.Millisecond)
+	w.nodes[4].down = true
+	w.until("leave", 5*time.Second, w.agree)
+	n := w.start(4, "domain-1", 2000)
+	w.until("it knows another member", 2*time.Second, func() bool { return n.state.Size() > 1 })
+	w.until("all know it", 10*time.Second, func() bool {
+		w.repairAll()
+		return w.agree()
+	})
+}
--- a/pkg/membership/probing.go
+++ b/pkg/membership/probing.go
@@ -83,6 +83,20 @@
 	if list := s.remoteDomains(func(d *domain) bool { return d.unreachable }); len(list) > 0 {
 		s.startProbe(now, list[s.rng.IntN(len(list))].nextTarget(s.rng.IntN))
 	}
+	s.greetDead()
+}
+
+// greetDead sends a ping to a dead member now and then. One that has restarted at its address knows nobody if
+// its seeds and the platform are away; the ping tells it of this member and asks for its new record. All
+// members together send each dead one about greetRate pings per second.
+func (s *State) greetDead() {
+	if len(s.dead) == 0 || s.rng.Float64()*float64(s.Size()) > greetRate*float64(len(s.dead)) {
+		return
+	}
+	m := s.dead[s.rng.IntN(len(s.dead))]
+	s.seq++
+	local := s.local.record
+	s.send(m.addr, true, message{Kind: kindPing, Seq: s.seq, Target: m.record.Instance}, update{Kind: updateRecord, Record: &local})
 }
 
 // probeRemote probes a member of another domain once in remoteInterval. The members of a domain share
