--- a/cli/cmd/root.go
+++ b/cli/cmd/root.go
@@ -35,6 +35,7 @@
 		{name: "backend", short: "Run a stand-in backend server", long: "Runs a stand-in for a backend server and announces it to its daemon.", data: &backendCommand{}},
 		{name: "version", short: "Print the version", long: "Prints the version of the program.", data: &versionCommand{}},
 		{name: "platform", short: "Run the stand-in for the platform", long: "Runs a stand-in for the table service and the object store, in memory.", data: &platformCommand{}},
+		{name: "explain", short: "Tell what became of a request", long: "Reads logs of daemons and prints the path of one request by its ID.", data: &explainCommand{}},
 		{name: "report", short: "Print the service-level report", long: "Asks all daemons for the outcomes of requests and prints the service level and its burn rates.", data: &reportCommand{}},
 		{name: "keys", short: "Make keys and certificates", long: "Makes the files with which daemons are authenticated to each other. Existing files are never replaced.", sub: keysCommands()},
 		{name: "answers", short: "Write, check and submit answer files", long: "Writes, checks and submits the files in which teams describe their services.", sub: answersCommands()},
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const origin = `   1.2 sidecar-1 {"level":"info","time":"2026-01-09T17:28:02.500Z","msg":"request ended","request":"q7","route":"r-a","service":"pages","version":4,"rank":1,"allowed_ms":900,"took_ms":12,"status":503,"verdict":"not-run","reason":"request refused: deadline cannot be met","attempts":[{"instance":"i2","after_ms":0,"took_ms":4,"patience_ms":71,"verdict":"not-run","reached_server":false,"status":503,"load":1.5,"reason":"no slot is free soon"}],"event":2001}
+{"level":"info","time":"2026-01-09T17:28:02.600Z","msg":"request ended","request":"q77","event":2001}
+{"broken q7
+`
+
+const receiver = `{"level":"info","time":"2026-01-09T17:28:03.900Z","msg":"request refused by admission control","request":"q7","route":"r-a","rank":1,"service":"pages","version":4,"left_ms":870,"patience_ms":0,"load":1.5,"slots":12,"error":"request refused: deadline cannot be met","event":2002}
+`
+
+// Guards against lines of other requests, a lost line, an effect before its cause where clocks differ, and
+// silence about what could not be read.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	l := New("q7")
+	is.NoErr(l.Read("one", strings.NewReader(origin)))
+	is.NoErr(l.Read("two", strings.NewReader(receiver)))
+	var out strings.Builder
+	found, err := l.Write(&out)
+	is.NoErr(err)
+	is.True(found)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 5)
+	is.True(strings.Contains(lines[0], "two: the daemon beside a server of pages did not admit it"))
+	is.True(strings.Contains(lines[1], "one: ended with 503 after 12 of 900 ms (route r-a to pages, version 4, rank 1); it has not run"))
+	is.True(strings.Contains(lines[2], "attempt 1, after 0 ms, to i2: stopped at the daemon beside it"))
+	is.True(strings.Contains(lines[4], "1 lines with its ID are no events"))
+
+	out.Reset()
+	found, err = New("q9").Write(&out)
+	is.NoErr(err)
+	is.True(!found && strings.Contains(out.String(), "no line about request q9"))
+}
