--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -172,7 +172,15 @@
 	if a.err == nil {
 		return true // paid for in retryResponse
 	}
-	if res.spent(e) >= e.maxAttempts || ctx.Err() != nil || errors.Is(a.err, call.ErrRequestTooLarge) {
+	if ctx.Err() != nil || errors.Is(a.err, call.ErrRequestTooLarge) {
+		return false
+	}
+	if e.routed() && !a.offered() {
+		// The transmission has cost no server anything. One that follows an earlier arrival at a server
+		// was paid for then.
+		return res.bounces <= maxBounces && res.attempts < maxTransmissions
+	}
+	if res.spent(e) >= e.maxAttempts {
 		return false
 	}
 	if a.verdict != verdict.NotRun && !e.kind.Idempotent {
@@ -181,9 +189,6 @@
 	if a.response != nil && a.response.Draining {
 		return res.attempts < maxTransmissions
 	}
-	if e.routed() && res.offered == 0 {
-		return res.bounces <= maxBounces && res.attempts < maxTransmissions
-	}
 	return e.budget.Withdraw()
 }
 
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -189,3 +189,18 @@
 	is.Equal(a.waited("view", 400*time.Millisecond, now), 600*time.Millisecond)
 	is.Equal(a.waited("view", 400*time.Millisecond, now.Add(allowanceMemory+time.Second)), time.Duration(0))
 }
+
+// Guards against a request that goes on and on between daemons without a free slot after one server has failed
+// it, and uses up the budget for repeated runs.
+func TestBusyAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1", "i2")
+	b.remote.do = func(_ context.Context, _ string, r *call.Request) (*call.Response, error) {
+		if len(b.remote.sent) == 1 {
+			return nil, verdict.Wrap(verdict.MayHaveRun, errors.New("connection broken"))
+		}
+		return busyReply(r), nil
+	}
+	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a")).Code, http.StatusBadGateway)
+	is.Equal(len(b.remote.sent), 1+maxBounces+1)
+}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -218,7 +218,6 @@
 
 // Run serves until ctx ends, then stops gracefully. It returns the first error of a part.
 func (d *Daemon) Run(ctx context.Context) error {
-	go d.debugCounts()
 	d.log.Log(event.DaemonStarted, zap.String("instance", d.settings.Daemon.Instance),
 		zap.String("failure_domain", d.settings.Daemon.FailureDomain))
 	// The parts keep running while requests are drained, so they do not end with ctx.
--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -17,6 +17,9 @@
 const (
 	// maxConnsPerPeer bounds the calls in flight to one daemon, waiting ones included.
 	maxConnsPerPeer = 512
+	// openTimeout bounds the opening of a connection with its greeting. It is several round trips between
+	// regions; a daemon that takes longer is frozen or cut off, and another one may have a free slot.
+	openTimeout = 500 * time.Millisecond
 	// idleTimeout closes connections that were not used for so long.
 	idleTimeout = time.Minute
 	// lostLimit is the number of attempts without a response that can still be fenced.
@@ -138,12 +141,15 @@
 	if err := c.reserve(addr); err != nil {
 		return nil, err
 	}
-	conn, err := dial(ctx, c.dialer, addr)
+	opening, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, err := dial(opening, c.dialer, addr)
 	if err != nil {
 		c.discard(addr, nil)
 		return nil, err
 	}
-	return conn, nil
+	deadline, _ := ctx.Deadline()
+	return conn, errors.WithStack(conn.codec.conn.SetDeadline(deadline))
 }
 
 func (c *Client) reserve(addr string) error {
