--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -163,7 +163,7 @@
 	if e.routed() {
 		failed = failed || resp.Status == http.StatusInternalServerError || resp.Status == http.StatusBadGateway
 	}
-	return e.kind.Idempotent && failed && res.spent(e) < e.maxAttempts && e.budget.Withdraw()
+	return e.kind.Idempotent && failed && res.spent(e) < e.maxAttempts && e.budget.Withdraw(true)
 }
 
 // mayRetry reports whether e may be sent again after a. A refusal by a draining daemon is free of
@@ -189,7 +189,7 @@
 	if a.response != nil && a.response.Draining {
 		return res.attempts < maxTransmissions
 	}
-	return e.budget.Withdraw()
+	return e.budget.Withdraw(a.verdict != verdict.NotRun)
 }
 
 // attempt sends e once to the picked endpoint.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -44,7 +44,7 @@
 
 // Withdraw reports whether a retry is allowed and records it. A retry counts against both the
 // share and the minimum, so that the two do not add up.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw(bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(b.now())
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -21,7 +21,7 @@
 			now = now.Add(time.Second / time.Duration(perSecond))
 			b.Deposit()
 			for range 2 {
-				if b.Withdraw() {
+				if b.Withdraw(false) {
 					retries++
 				}
 			}
@@ -39,11 +39,11 @@
 	now := time.Unix(1000, 0)
 	b := NewBudget(0.1, 3, func() time.Time { return now })
 	for range 3 {
-		is.True(b.Withdraw())
+		is.True(b.Withdraw(false))
 	}
-	is.True(!b.Withdraw())
+	is.True(!b.Withdraw(false))
 	now = now.Add(400 * time.Millisecond)
-	is.True(b.Withdraw())
+	is.True(b.Withdraw(false))
 }
 
 // Guards against a hop that leaves no time for its own failure response.
@@ -60,9 +60,9 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	budgets := NewBudgets(0.1, 3, func() time.Time { return now })
-	for budgets.Of("pages", "preview").Withdraw() {
+	for budgets.Of("pages", "preview").Withdraw(false) {
 	}
-	is.True(budgets.Of("pages", "save").Withdraw())
-	is.True(budgets.Of("finder", "preview").Withdraw())
-	is.True(!budgets.Of("pages", "preview").Withdraw())
+	is.True(budgets.Of("pages", "save").Withdraw(false))
+	is.True(budgets.Of("finder", "preview").Withdraw(false))
+	is.True(!budgets.Of("pages", "preview").Withdraw(false))
 }
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -10,13 +10,19 @@
 type Allowance interface {
 	// Deposit records a request that is not a retry.
 	Deposit()
-	// Withdraw reports whether a retry is allowed and records it.
-	Withdraw() bool
+	// Withdraw reports whether a retry is allowed and records it. ran tells that the attempt before it has
+	// or may have run.
+	Withdraw(ran bool) bool
 }
 
-// sharedMargin is the part of a shared budget that the daemons use. The rest covers the calls that repeated
-// requests make and the differences between the windows of the daemons.
-const sharedMargin = 0.45
+const (
+	// sharedMargin is the part of a shared budget that the daemons use. The rest covers the calls that
+	// repeated runs make and the differences between the windows of the daemons.
+	sharedMargin = 0.7
+	// runCost is what a repeated run takes from the budget, in retries of requests that have not run. It
+	// makes its calls again, and they count as retries at the services that it calls.
+	runCost = 2.5
+)
 
 // windowSlots is the number of parts into which the window of a shared budget is divided.
 const windowSlots = 10
@@ -69,7 +75,7 @@
 	window   time.Duration // for which the slots were counted
 	slot     int64         // number of the latest slot
 	requests [windowSlots]int
-	retries  [windowSlots]int
+	retries  [windowSlots]float64 // in costs
 }
 
 // Deposit implements Allowance.
@@ -80,21 +86,25 @@
 }
 
 // Withdraw implements Allowance.
-func (b *sharedBudget) Withdraw() bool {
+func (b *sharedBudget) Withdraw(ran bool) bool {
+	cost := 1.0
+	if ran {
+		cost = runCost
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit := b.shared.limit.Load()
 	at := b.advance(limit)
-	requests, retries := 0, 0
+	requests, retries := 0, 0.0
 	for i := range windowSlots {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
 	slack := limit.Slack / float64(max(limit.Members(), 1))
-	if float64(retries+1) > sharedMargin*(limit.Ratio*float64(requests)+slack) {
+	if retries+cost > sharedMargin*(limit.Ratio*float64(requests)+slack) {
 		return false
 	}
-	b.retries[at]++
+	b.retries[at] += cost
 	return true
 }
 
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -39,7 +39,7 @@
 				d.Deposit()
 				requests = append(requests, now)
 			default:
-				if d.Withdraw() {
+				if d.Withdraw(rapid.Bool().Draw(rt, "ran")) {
 					retries = append(retries, now)
 				}
 			}
@@ -58,7 +58,7 @@
 	shared := NewShared(SharedLimit{Slack: 10, Window: 10 * time.Second, Members: func() int { return 1 }, Now: func() time.Time { return now }})
 	budget := shared.Of("pages", "")
 	take := func() (n int) {
-		for budget.Withdraw() {
+		for budget.Withdraw(false) {
 			n++
 		}
 		return n
--- a/tools/bench/flood/world.go
+++ b/tools/bench/flood/world.go
@@ -188,7 +188,7 @@
 		w.tally.add(r, outcomeServed)
 	case res.Verdict == verdict.Ran && !res.Failed:
 		w.tally.add(r, outcomeLate)
-	case w.mayRetry(r, res) && r.sender.budgets[r.kind.Name].Withdraw():
+	case w.mayRetry(r, res) && r.sender.budgets[r.kind.Name].Withdraw(false):
 		w.attempt(r)
 	case res.Verdict == verdict.NotRun:
 		w.tally.add(r, outcomeRefused)
