Leave slow start out of the choice by expected time

Cause: after a loss of all daemons every server had just become ready and stood aside at random, so requests piled up on the near ones for seconds; the time from start to the first served request was 0.1 s already.

--- a/pkg/selection/demand.go
+++ b/pkg/selection/demand.go
@@ -197,7 +197,9 @@
 	return c.better(s.unreachable, nil), math.Inf(1)
 }
 
-// leastCost returns the member with the lowest cost, and by how much the next one costs more.
+// leastCost returns the member with the lowest cost, and by how much the next one costs more. There is no slow
+// start: a server that is slow at first shows it in its pace, and after a restart of all daemons all
+// servers would stand aside at once.
 func (c *chooser) leastCost(s *set, d *Demand) (*member, float64) {
 	var best *member
 	lowest, second := math.Inf(1), math.Inf(1)
@@ -216,8 +218,7 @@
 		if at >= len(s.local) {
 			cost += m.works.remote(d)
 		}
-		// In slow start an endpoint stands aside with the share that it lacks.
-		if cost < lowest && (best == nil || c.warm(m)) {
+		if cost < lowest {
 			best, lowest, second = m, cost, lowest
 		} else {
 			second = min(second, cost)
--- a/pkg/selection/demand_test.go
+++ b/pkg/selection/demand_test.go
@@ -130,3 +130,26 @@
 	is.NoErr(err)
 	is.True(idle > 0 && p.Patience(demand.Target) > idle)
 }
+
+// Guards against all requests on one server after a restart of the daemons, when every server has just become
+// ready.
+func TestRestartOfAllDaemons(t *testing.T) {
+	is := is.New(t)
+	s, now := demandSelector("a1", "a2", "a3", "a4")
+	v := &endpoint.View{ByService: map[string][]endpoint.Record{}}
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		v.ByService["pages"] = append(v.ByService["pages"], endpoint.Record{
+			Instance: endpoint.InstanceID(name), Domain: "a", Service: "pages", State: endpoint.Ready, Slots: 4, ReadySinceMS: now.UnixMilli(),
+		})
+	}
+	s.Update(v)
+	got := map[string]int{}
+	for range 16 {
+		p, err := s.PickFor(demand)
+		is.NoErr(err)
+		got[string(p.Record().Instance)]++ // none of them ends
+	}
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		is.True(got[name] >= 3 && got[name] <= 5)
+	}
+}
