--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -36,6 +36,8 @@
 const (
 	// MaxDepth bounds a chain of calls between services; a longer one is taken for a loop.
 	MaxDepth = 13
+	// defaultBodyBytes bounds the body of a request where the configuration states no limit.
+	defaultBodyBytes = 1 << 20
 	// MaxKeyBytes bounds an idempotency key.
 	MaxKeyBytes = 256
 )
@@ -87,7 +89,7 @@
 	if len(key) > MaxKeyBytes {
 		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
 	}
-	body, err := readBody(r)
+	body, err := readBody(r, bodyLimit(snap))
 	if err != nil {
 		return nil, err
 	}
@@ -196,21 +198,30 @@
 	return min(deadline, time.Duration(ms)*time.Millisecond), nil
 }
 
-func readBody(r *http.Request) ([]byte, error) {
-	if r.ContentLength > call.MaxRequestBodyBytes {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", call.MaxRequestBodyBytes)
+// bodyLimit returns the largest body of a request in bytes.
+func bodyLimit(snap *snapshot.Snapshot) int64 {
+	if limits := snap.Manifest.Limits; limits != nil && limits.BodyBytes > 0 {
+		return min(int64(limits.BodyBytes), call.MaxRequestBodyBytes)
+	}
+	return defaultBodyBytes
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if r.ContentLength > 0 {
+	// A longer body gets its memory as it arrives, not when it is announced.
+	if r.ContentLength > 0 && r.ContentLength <= defaultBodyBytes {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, bodyError(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, call.MaxRequestBodyBytes+1))
-	if len(body) > call.MaxRequestBodyBytes {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", call.MaxRequestBodyBytes)
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if int64(len(body)) > limit {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit)
 	}
 	return body, bodyError(err)
 }
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -204,3 +206,24 @@
 	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a")).Code, http.StatusBadGateway)
 	is.Equal(len(b.remote.sent), 1+maxBounces+1)
 }
+
+// Guards against a proper request that is refused for its size, and against one over the limit that is held in
+// memory.
+func TestBodyLimitOfTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	limited, err := snapshot.Assemble(6, []*snapshot.Service{b.snap.Services["pages"]}, &snapshot.Limits{BodyBytes: 3 * defaultBodyBytes})
+	is.NoErr(err)
+	b.accept(limited)
+	for size, want := range map[int]int{3 * defaultBodyBytes: http.StatusOK, 3*defaultBodyBytes + 1: http.StatusRequestEntityTooLarge} {
+		for _, chunked := range []bool{false, true} {
+			r := httptest.NewRequest("POST", "/save/a", bytes.NewReader(make([]byte, size)))
+			r.Host = "wiki.example"
+			if chunked {
+				r.ContentLength = -1
+			}
+			is.Equal(b.serveHTTP(r).Code, want)
+		}
+	}
+	is.Equal(len(b.remote.sent[0].Body), 3*defaultBodyBytes)
+}
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -17,8 +17,8 @@
 
 // Limits of a call. Bodies are held in memory as a whole.
 const (
-	MaxRequestBodyBytes  = 1 << 20
-	MaxResponseBodyBytes = 4 << 20
+	MaxRequestBodyBytes  = 64 << 20
+	MaxResponseBodyBytes = 64 << 20
 	// MaxHeaderBytes limits the encoded header of a frame, including the HTTP header.
 	MaxHeaderBytes = 64 << 10
 )
