--- a/agent/caller/refusal.go
+++ b/agent/caller/refusal.go
@@ -58,3 +58,33 @@
 	}
 	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
 }
+
+const (
+	// comeBackShare and minComeBack give the time after which a refused request may come back, as a share
+	// of its target and at least.
+	comeBackShare = 0.08
+	minComeBack   = 10 * time.Millisecond
+)
+
+// comeBack sets when the caller of a refused request may come back. A slot becomes free many times within the
+// target; the sooner the request is back, the more of its time is left.
+func (e *exchange) comeBack(f *refusal) {
+	if e.routed() && f.verdict == verdict.NotRun {
+		f.retryAfter = max(time.Duration(comeBackShare*float64(e.target)), minComeBack)
+	}
+}
+
+// promise makes the status of a refusal say what its verdict proves: callers that do not read verdicts may
+// submit a request again after 503 only.
+func (h *Handler) promise(res *result) {
+	f := res.refusal
+	if h.config.Dialect.Annotated || res.response != nil || f == nil {
+		return
+	}
+	switch {
+	case f.verdict == verdict.NotRun && f.status >= http.StatusInternalServerError:
+		f.status = http.StatusServiceUnavailable
+	case f.verdict != verdict.NotRun && f.status == http.StatusServiceUnavailable:
+		f.status = http.StatusBadGateway
+	}
+}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -58,10 +58,10 @@
 		Authority   string `key:"authority" optional:"true"`
 		ProbeKeys   string `key:"probe-keys" optional:"true"`
 	} `section:"security"`
-	// Backend describes the backend server on this instance before it has announced itself.
+	// Backend concerns the backend server on this instance.
 	Backend struct {
-		Service string         `key:"service" optional:"true"`
-		Address netip.AddrPort `key:"address" optional:"true"`
+		// Service is stated to other backend servers as the origin of requests from this instance.
+		Service string `key:"service" optional:"true"`
 		// AnnouncementLifetime is the time after which an announcement that is not renewed has expired.
 		AnnouncementLifetime time.Duration `key:"announcement-lifetime" default:"3s"`
 	} `section:"backend"`
