Remember the usual load of an endpoint beside its last one

Cause: a returned load counts half after 0.5 s. Among 82 machines a daemon hears of an endpoint every 2 to 3 s only, so nearly all endpoints look idle, and all daemons send to the fastest ones. Change: what is not covered by the last report is the smoothed load of the endpoint, which itself fades in 4 s so that the endpoint is tried again.

--- a/pkg/selection/demand_test.go
+++ b/pkg/selection/demand_test.go
@@ -153,3 +153,16 @@
 		is.True(got[name] >= 3 && got[name] <= 5)
 	}
 }
+
+// Guards against an endpoint that seems idle as soon as its last report is old, although it is loaded all the
+// time. With many daemons, each one hears of an endpoint every few seconds only.
+func TestUsualLoad(t *testing.T) {
+	is := is.New(t)
+	s, now := demandSelector("a1", "a2")
+	work := map[string]time.Duration{"a1": 50 * time.Millisecond, "a2": 100 * time.Millisecond}
+	teach(t, s, work, map[string]float64{"a1": 4, "a2": 0.5})
+	*now = now.Add(2 * time.Second)
+	is.True(counts(t, s, demand, 50)["a2"] > 45)
+	*now = now.Add(time.Minute) // it is tried again some time
+	is.True(counts(t, s, demand, 50)["a1"] > 10)
+}
--- a/pkg/selection/stats.go
+++ b/pkg/selection/stats.go
@@ -19,6 +19,10 @@
 	distrustFactor = 1.1
 	// levelSmoothing is the weight of a new report in the load of the set.
 	levelSmoothing = 0.05
+	// usualSmoothing is the weight of a new report in the usual load of an endpoint, usualMemory the time
+	// after which that load counts half, so that an endpoint that was loaded is tried again.
+	usualSmoothing = 0.2
+	usualMemory    = 4 * time.Second
 )
 
 // stats holds what this daemon has seen of an endpoint. It survives an Update of the table. Times
@@ -38,6 +42,8 @@
 	// pace is the logarithm of the work time in relation to that of the set, failing the share of
 	// results that are failures.
 	pace, failing smoothed
+	// usual is the load that the endpoint returns on average.
+	usual smoothed
 }
 
 // level is a smoothed load of a service, from the reports that are trusted.
@@ -85,11 +91,9 @@
 
 func (m *member) reported(now int64) float64 {
 	load := math.Float64frombits(m.stats.load.Load())
-	if load == 0 {
-		return 0
-	}
 	age := float64(max(now-m.stats.loadAt.Load(), 0)) / float64(loadHalfLife)
-	return load * math.Exp2(-age)
+	weight := math.Exp2(-age)
+	return load*weight + m.stats.usual.get(now, usualMemory)*(1-weight)
 }
 
 // share is the part of its normal share that the endpoint receives during slow start.
@@ -121,7 +125,9 @@
 }
 
 func (s *stats) setLoad(load float64, now int64) {
-	s.load.Store(math.Float64bits(min(load, maxReportedLoad)))
+	load = min(load, maxReportedLoad)
+	s.usual.add(load, usualSmoothing, now)
+	s.load.Store(math.Float64bits(load))
 	s.loadAt.Store(now)
 }
 
