Compare the failures of an endpoint with those of its service

Cause: while all 44 servers of the catalogue shed half of their requests, a daemon that had seen the near ones fail took the untried ones of other domains for sound: 24,410 sends to other domains by second 20. Change: an endpoint is charged only for failing more often than its service.

--- a/pkg/selection/demand.go
+++ b/pkg/selection/demand.go
@@ -40,6 +40,8 @@
 	failureCost = 0.5
 	// failureSmoothing is the weight of a new result in the failure rate of an endpoint.
 	failureSmoothing = 0.15
+	// setFailureSmoothing is the weight of a new result in the failure rate of a service.
+	setFailureSmoothing = 0.05
 	// failureMemory is the time in which the failure rate of an endpoint without results halves.
 	failureMemory = 2 * time.Second
 )
@@ -139,6 +141,7 @@
 	}
 	if !r.Refused {
 		m.stats.failing.add(failed, failureSmoothing, now)
+		m.level.failing.add(failed, setFailureSmoothing, now)
 	}
 	if r.Work > 0 {
 		ratio := m.works.observe(kind, r.Work, r.Bytes)
@@ -157,7 +160,13 @@
 	pace := math.Exp(m.stats.pace.get(now, paceMemory))
 	occupied := m.cost(now)
 	cost := work * pace * (max(1, occupied) + 0.1*min(occupied, 1)) / target
-	return cost + failureCost*m.stats.failing.get(now, failureMemory)
+	return cost + failureCost*m.failingMore(now)
+}
+
+// failingMore returns by how much the endpoint fails more often than its service. If all endpoints fail alike,
+// those that have not been tried lately are no better.
+func (m *member) failingMore(now int64) float64 {
+	return max(m.stats.failing.get(now, failureMemory)-m.level.failing.get(now, failureMemory), 0)
 }
 
 // PickFor chooses the endpoint that is expected to answer d first, where one in another failure domain
--- a/pkg/selection/demand_test.go
+++ b/pkg/selection/demand_test.go
@@ -166,3 +166,17 @@
 	*now = now.Add(time.Minute) // it is tried again some time
 	is.True(counts(t, s, demand, 50)["a1"] > 10)
 }
+
+// Guards against bytes between failure domains for a failure that all endpoints of a service have, where those
+// of other domains have just not been tried lately.
+func TestAllFailAlike(t *testing.T) {
+	is := is.New(t)
+	s, _ := demandSelector("a1", "a2", "b1", "b2")
+	teach(t, s, map[string]time.Duration{"a1": time.Millisecond, "a2": time.Millisecond, "b1": time.Millisecond, "b2": time.Millisecond}, nil)
+	for n := range 60 {
+		p, err := s.PickFor(demand)
+		is.NoErr(err)
+		is.Equal(p.Record().Domain, "a")
+		p.Done(Result{Verdict: verdict.Ran, Failed: n%3 != 0, Load: -1})
+	}
+}
--- a/pkg/selection/stats.go
+++ b/pkg/selection/stats.go
@@ -47,7 +47,11 @@
 }
 
 // level is a smoothed load of a service, from the reports that are trusted.
-type level struct{ bits atomic.Uint64 }
+type level struct {
+	bits atomic.Uint64
+	// failing is the share of the results that are failures.
+	failing smoothed
+}
 
 func (l *level) get() float64 { return math.Float64frombits(l.bits.Load()) }
 
