Look for a free slot up to three times

Cause: with 82 machines a daemon knows the loads of few servers; 12,000 sends found no slot within their patience by second 20 and waited at the second daemon, although others of the domain were idle. Change: maxBounces 1 -> 3. A refusal reaches no server and costs no budget.

--- a/agent/caller/policy.go
+++ b/agent/caller/policy.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// maxBounces bounds the refusals after which a request of a route looks for a free slot elsewhere. In
-	// an overload there is none, and each transmission costs bytes.
-	maxBounces = 1
+	// maxBounces bounds the refusals after which a request of a route looks for a free slot elsewhere. The
+	// more daemons there are, the less each one knows of the loads; in an overload no slot is free, and each
+	// transmission costs bytes.
+	maxBounces = 3
 	// stoppingPatience is the longest wait that a stopping daemon accepts, as a share of the target.
 	stoppingPatience = 0.2
 )
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -107,6 +107,21 @@
 	is.Equal(b.remote.sent[maxBounces].Patience, time.Duration(0))
 }
 
+// Guards against a refusal while another server has a free slot, of which this daemon does not know.
+func TestFindsAFreeSlot(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1", "i2", "i3", "i4")
+	answer := b.remote.do
+	b.remote.do = func(ctx context.Context, addr string, r *call.Request) (*call.Response, error) {
+		if r.Patience > 0 && len(b.remote.sent) < 4 {
+			return busyReply(r), nil
+		}
+		return answer(ctx, addr, r)
+	}
+	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a")).Code, http.StatusOK)
+	is.Equal(len(b.remote.sent), 4)
+}
+
 // Guards against a status that promises "not run" for a request that may have run, and against one that keeps a
 // caller from submitting again what has not run.
 func TestStatusIsAPromise(t *testing.T) {
