--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -299,3 +300,37 @@
 		return w.agree()
 	})
 }
+
+// Guards against records that each member of each domain passes on to all others: bytes between domains grow with
+// the number of members then, and a domain tells of its own members anyway.
+func TestRecordsCrossFromTheirDomainOnly(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	record := func(name, domain string) endpoint.Record {
+		return endpoint.Record{
+			Instance: endpoint.InstanceID(name), Domain: domain, Incarnation: 1, State: endpoint.Ready, Service: "pages",
+			CallAddr: "10.0.0.1:1", RPCAddr: "10.0.0.1:2", ProbeAddr: "10.0.0.1:3", AdminAddr: "10.0.0.1:4",
+		}
+	}
+	s := New(Config{Local: record("a1", "a")}, now, 1)
+	queued := func(remote bool) (names []endpoint.InstanceID) {
+		for _, data := range s.queue.take(MaxPacketBytes, 100, remote) {
+			u, err := decodeUpdate(data)
+			is.NoErr(err)
+			if u.Kind == updateRecord {
+				names = append(names, u.Record.Instance)
+			} else {
+				names = append(names, u.Instance)
+			}
+		}
+		slices.Sort(names)
+		return names
+	}
+	for _, r := range []endpoint.Record{record("a2", "a"), record("b1", "b"), record("c1", "c")} {
+		s.apply(now, update{Kind: updateRecord, Record: &r})
+	}
+	is.Equal(queued(true), []endpoint.InstanceID{"a1", "a2"})
+	is.Equal(queued(false), []endpoint.InstanceID{"a1", "a2", "b1", "c1"})
+	s.apply(now, update{Kind: updateDead, Instance: "b1", Incarnation: 1})
+	is.Equal(queued(true), []endpoint.InstanceID{"a1", "a2"})
+}
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -114,7 +114,7 @@
 	}
 	s.suspects = append(s.suspects, m)
 	u, _ := accusation(m)
-	s.queueUpdate("status:"+string(m.record.Instance), u, false)
+	s.queueUpdate("status:"+string(m.record.Instance), u, s.remote(m.record.Domain))
 }
 
 func (s *State) expireSuspects(now time.Time) {
@@ -155,7 +155,7 @@
 	s.dead = append(s.dead, m)
 	s.changed[m.record.Instance] = struct{}{}
 	u, _ := accusation(m)
-	s.queueUpdate("status:"+string(m.record.Instance), u, false)
+	s.queueUpdate("status:"+string(m.record.Instance), u, s.remote(m.record.Domain))
 }
 
 func (s *State) forgetDead(now time.Time) {
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -190,9 +190,11 @@
 	s.queue.put(key, mustEncode(u), local)
 }
 
+// queueRecord spreads the record of m. That of a member of another domain stays in the own one: its domain tells
+// the others, so that an update crosses to a domain a few times and not once from each member of all domains.
 func (s *State) queueRecord(m *member) {
 	record := m.record
-	s.queueUpdate("record:"+string(record.Instance), update{Kind: updateRecord, Record: &record}, false)
+	s.queueUpdate("record:"+string(record.Instance), update{Kind: updateRecord, Record: &record}, s.remote(record.Domain))
 }
 
 // send adds a packet to addr; the rest of the packet is filled with updates.
