--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -3,6 +3,9 @@
 package sync
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -112,17 +115,42 @@
 	return mode
 }()
 
+// maxEntryBytes bounds the encoded entries accepted from a peer; a record has some 200 bytes.
+const maxEntryBytes = 16 << 20
+
+// encodeEntries returns the compressed form of entries, whose records have most of their text in common.
 func encodeEntries(entries []membership.Entry) ([]byte, error) {
 	data, err := cbor.Marshal(entries)
-	return data, errors.Wrap(err, "encode entries")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode entries")
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress entries")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress entries")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress entries")
+	}
+	return b.Bytes(), nil
 }
 
 func decodeEntries(data []byte) ([]membership.Entry, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxEntryBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress entries")
+	}
+	if len(plain) > maxEntryBytes {
+		return nil, errors.Errorf("entries exceed %d bytes", maxEntryBytes)
+	}
 	var entries []membership.Entry
-	return entries, errors.Wrap(decMode.Unmarshal(data, &entries), "decode entries")
+	return entries, errors.Wrap(decMode.Unmarshal(plain, &entries), "decode entries")
 }
 
 func encodeDelta(d *snapshot.Delta) ([]byte, error) {
--- a/agent/peer/sync/packed.go
+++ b/agent/peer/sync/packed.go
@@ -13,19 +13,23 @@
 )
 
 // packedDelta is an encoded delta whose objects are patches of the same services in the base, from which a
-// revision differs in a few bytes.
+// revision differs in a few bytes. A complete delta has the base 0, in which every service is empty.
 type packedDelta struct {
 	base, version snapshot.Version
 	data          []byte
 }
 
-// packed returns the encoded delta from base to the version in force. The children of a daemon ask for
+// packed returns the encoded delta from base, nil for a complete one, to the version in force. The children of a daemon ask for
 // the same one at the same time; it is made once, as a compressor takes 0.8 MB.
 func (s *Server) packed(base *snapshot.Snapshot) ([]byte, error) {
 	s.packing.Lock()
 	defer s.packing.Unlock()
 	current := s.store.Load()
-	if s.last.base == base.Version && s.last.version == current.Version {
+	var from snapshot.Version
+	if base != nil {
+		from = base.Version
+	}
+	if s.last.base == from && s.last.version == current.Version {
 		return s.last.data, nil
 	}
 	d, err := s.store.codec.Delta(base, current)
@@ -37,7 +41,7 @@
 	}
 	data, err := encodeDelta(d)
 	if err == nil {
-		s.last = packedDelta{base.Version, current.Version, data}
+		s.last = packedDelta{from, current.Version, data}
 	}
 	return data, err
 }
@@ -56,7 +60,7 @@
 // pack turns the objects of d, which is based on base, into patches.
 func (s *Store) pack(base *snapshot.Snapshot, d *snapshot.Delta) error {
 	for i, e := range d.Changed {
-		data, err := packObject(s.codec.Object(base, e.Service), d.Objects[i])
+		data, err := packObject(s.objectOf(base, e.Service), d.Objects[i])
 		if err != nil {
 			return errors.Wrap(err, "compress an object")
 		}
@@ -65,6 +69,14 @@
 	return nil
 }
 
+// objectOf returns the encoded service in base, empty without a base.
+func (s *Store) objectOf(base *snapshot.Snapshot, service string) []byte {
+	if base == nil {
+		return nil
+	}
+	return s.codec.Object(base, service)
+}
+
 func packObject(base, object []byte) ([]byte, error) {
 	p := patch{Prefix: commonPrefix(base, object)}
 	p.Suffix = commonSuffix(base[p.Prefix:], object[p.Prefix:])
@@ -102,11 +114,11 @@
 // unpack reverses pack. It returns ErrOtherBase if the base is not among the recent versions.
 func (s *Store) unpack(d *snapshot.Delta) error {
 	base := s.recent(d.Base)
-	if base == nil {
+	if base == nil && d.Base != 0 {
 		return ErrOtherBase
 	}
 	for i, e := range d.Changed {
-		object, err := unpackObject(s.codec.Object(base, e.Service), d.Objects[i])
+		object, err := unpackObject(s.objectOf(base, e.Service), d.Objects[i])
 		if err != nil {
 			return errors.Wrapf(err, "decompress service %s", e.Service)
 		}
--- a/agent/peer/sync/packed_test.go
+++ b/agent/peer/sync/packed_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -70,6 +73,53 @@
 	is.True(receiver.unpack(d) != nil)
 }
 
+// Guards against complete deltas in full, which a start of all daemons and a large change multiply by their number,
+// and against one that a daemon without a configuration cannot read.
+func TestPackedCompleteDelta(t *testing.T) {
+	is := is.New(t)
+	server := &Server{store: storeAt(is, 4, 6), full: make(chan struct{}, maxFullSyncs)}
+	for _, args := range []PollArgs{{Full: true, Packed: true}, {Have: 2, Packed: true}} {
+		var reply PollReply
+		is.NoErr(server.answer(args, &reply))
+		is.True(reply.Packed)
+		f := &Follower{cfg: Config{Store: NewStore(&fakeCodec{})}}
+		d, err := f.readDelta(&reply)
+		is.NoErr(err)
+		is.Equal(d.Base, snapshot.Version(0))
+		next, err := f.cfg.Store.Apply(d)
+		is.NoErr(err)
+		is.Equal(next.Manifest, *manifestOf(6))
+	}
+}
+
+// Guards against records that are sent in full, and against an answer that fills the memory.
+func TestCompressedEntries(t *testing.T) {
+	is := is.New(t)
+	var entries []membership.Entry
+	for n := range 80 {
+		entries = append(entries, membership.Entry{Record: endpoint.Record{
+			Instance: endpoint.InstanceID(fmt.Sprintf("sidecar-zone-a-%d", n)), Domain: "zone-a", Service: "pages", Incarnation: uint64(n),
+			CallAddr: fmt.Sprintf("10.0.0.%d:7000", n), RPCAddr: fmt.Sprintf("10.0.0.%d:7001", n), ProbeAddr: fmt.Sprintf("10.0.0.%d:7001", n),
+		}})
+	}
+	data, err := encodeEntries(entries)
+	is.NoErr(err)
+	is.True(len(data) < 80*50)
+	got, err := decodeEntries(data)
+	is.NoErr(err)
+	is.Equal(got, entries)
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	is.NoErr(err)
+	_, err = w.Write(make([]byte, maxEntryBytes+1))
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	_, err = decodeEntries(b.Bytes())
+	is.True(err != nil)
+	_, err = decodeEntries([]byte{0xff, 1, 2})
+	is.True(err != nil)
+}
+
 // Guards against daemons of an earlier version, which cannot read packed objects, during a rolling
 // restart.
 func TestUnpackedDelta(t *testing.T) {
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -83,7 +83,10 @@
 // answer adds the delta to the version in force, which is above args.Have.
 func (s *Server) answer(args PollArgs, reply *PollReply) error {
 	base := s.store.recent(args.Have)
-	if args.Full || base == nil {
+	if args.Full {
+		base = nil
+	}
+	if base == nil {
 		if !s.beginFull() {
 			reply.RetryAfter = retryAfter()
 			return nil
@@ -93,12 +96,12 @@
 	var d *snapshot.Delta
 	var err error
 	switch {
-	case args.Full:
-		d, err = s.store.Complete()
-	case args.Packed && base != nil:
+	case args.Packed:
 		reply.Packed = true
 		reply.Delta, err = s.packed(base)
 		return err
+	case args.Full:
+		d, err = s.store.Complete()
 	default:
 		d, err = s.store.After(args.Have)
 	}
