Hold requests while a daemon starts, and keep looks for a slot in the own domain

Change: in the first 3 s of a daemon a request waits for both, for a third of the time that its caller allows. The second and third look for a free slot stay in the own failure domain, where bytes cost nothing.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -47,6 +47,9 @@
 			return res.end(timeoutRefusal())
 		}
 		pick, err := h.pick(e, res)
+		if err != nil && res.attempts == 0 {
+			pick, err = h.pickAtStartup(ctx, e, res, err)
+		}
 		if err != nil {
 			if res.attempts > 0 {
 				return res.end(res.refusal) // tells more than that no further server is left
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -83,6 +83,8 @@
 	// allowances holds the time that callers usually allow for the requests of each route.
 	allowances allowances
 	metrics    metrics
+	// startupWaits is the number of requests that wait for what a starting daemon does not know yet.
+	startupWaits atomic.Int64
 }
 
 type metrics struct {
@@ -129,7 +131,8 @@
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.metrics.requests.Add(1)
-	snap := h.config.Snapshot()
+	arrived := h.config.Now()
+	snap := h.currentSnapshot(r, arrived)
 	if snap == nil {
 		f := refuse(http.StatusServiceUnavailable, "this daemon has no configuration yet")
 		f.retryAfter = time.Second
@@ -137,7 +140,7 @@
 		h.refuse(w, f)
 		return
 	}
-	e, err := h.newExchange(snap, r)
+	e, err := h.newExchange(snap, r, arrived)
 	if err != nil {
 		f := asRefusal(err)
 		h.logStray(r, f)
--- a/agent/caller/policy.go
+++ b/agent/caller/policy.go
@@ -22,15 +22,15 @@
 )
 
 // patience returns the longest wait for a slot that a daemon may accept e for, 0 for any. Another daemon may
-// have a free slot while what is known here is out of date; after maxBounces refusals the request waits where
-// it is sent, unless this daemon may stop meanwhile.
+// have a free slot while what is known here is out of date; after maxBounces refusals, or after one if the next
+// daemon is in another failure domain, the request waits where it is sent, unless this daemon may stop meanwhile.
 func (h *Handler) patience(e *exchange, pick *selection.Pick, bounces int) time.Duration {
 	switch {
 	case !e.routed():
 		return 0
 	case h.config.Stopping():
 		return time.Duration(stoppingPatience * float64(e.target))
-	case bounces >= maxBounces:
+	case bounces >= maxBounces, bounces > 0 && pick.Record().Domain != h.config.Domain:
 		return 0
 	}
 	return pick.Patience(e.target)
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -69,9 +69,9 @@
 // routed reports whether e came by a route.
 func (e *exchange) routed() bool { return !e.aim.IsZero() }
 
-// newExchange routes r on snap and reads its body. Errors are *refusal.
-func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request) (*exchange, error) {
-	now, marks := h.config.Now(), h.config.Dialect
+// newExchange routes r, which arrived at the time now, on snap and reads its body. Errors are *refusal.
+func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
+	marks := h.config.Dialect
 	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now}
 	if err := h.route(e, r, now); err != nil {
 		return nil, err
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	b.accept(s)
-	b.config.Dialect, b.config.Origin = &routedMarks, "shop"
+	b.config.Dialect, b.config.Origin, b.config.Domain = &routedMarks, "shop", "lj-1"
 	return b
 }
 
@@ -93,12 +93,16 @@
 	}
 }
 
+func answerBusy(_ context.Context, _ string, r *call.Request) (*call.Response, error) {
+	return busyReply(r), nil
+}
+
 // Guards against an overload in which each request is sent to one daemon after the other, and against a late
 // time to come back.
 func TestBusyEverywhere(t *testing.T) {
 	is := is.New(t)
 	b := newRoutedBench(t, "i1", "i2", "i3", "i4")
-	b.remote.do = func(_ context.Context, _ string, r *call.Request) (*call.Response, error) { return busyReply(r), nil }
+	b.remote.do = answerBusy
 	w := b.serveHTTP(routedRequest("POST", "/save/a"))
 	is.Equal(w.Code, http.StatusServiceUnavailable)
 	is.Equal(len(b.remote.sent), maxBounces+1)
