--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/rpc"
 	"slices"
 	"sync"
 	"testing"
@@ -160,3 +162,72 @@
 	}
 	is.Equal(f.readers(members, view)[0], endpoint.InstanceID("i1")) // every daemon tries
 }
+
+// fakeDirectory is a directory whose entries and calls a test sees.
+type fakeDirectory struct {
+	mu         sync.Mutex
+	names      []string
+	registered int
+}
+
+func (d *fakeDirectory) Register(_ context.Context, _ endpoint.InstanceID, name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registered++
+	d.names = append(d.names, name)
+	return nil
+}
+
+func (d *fakeDirectory) Remove(context.Context, endpoint.InstanceID) error { return nil }
+
+func (d *fakeDirectory) List(context.Context) ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.names), nil
+}
+
+// Guards against a second or more until daemons that start together after a failure of all of them know one
+// another, against a daemon of the past that holds the others up, and against an entry written anew at each start.
+func TestDirectoryAfterAFailureOfAll(t *testing.T) {
+	is := is.New(t)
+	const daemons = 12
+	directory := &fakeDirectory{names: []string{"gone 192.0.2.1:7000"}} // an address that does not answer
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	var all []*Follower
+	for n := range daemons {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		self := endpoint.Record{
+			Instance: endpoint.InstanceID(fmt.Sprint("i", n)), Domain: "a", Incarnation: 1, State: endpoint.Ready,
+			RPCAddr: listener.Addr().String(), ProbeAddr: "127.0.0.1:1", CallAddr: "127.0.0.1:1",
+		}
+		directory.names = append(directory.names, HolderName(self))
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			if addr == "192.0.2.1:7000" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return DialTCP(ctx, addr)
+		}
+		f := NewFollower(Config{Self: self, Members: newOneMember(self), Store: NewStore(&realCodec{}), Directory: directory, Dial: dial, Log: event.Nop(), Seed: uint64(n)})
+		server := rpc.NewServer()
+		is.NoErr(NewServer(f).Register(ctx, server))
+		running.Go(func() { _ = Serve(ctx, listener, server) })
+		all = append(all, f)
+	}
+	for _, f := range all {
+		running.Go(func() { f.useDirectory(ctx) })
+	}
+	waitFor(t, "all daemons know one another", func() bool {
+		for _, f := range all {
+			if len(f.cfg.Members.View().Records) < daemons {
+				return false
+			}
+		}
+		return true
+	})
+	is.Equal(directory.registered, 0)
+}
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -26,9 +26,10 @@
 	// DeadRetention is how long the record of a dead member is kept, so that late packets that
 	// still call it alive are recognized as outdated.
 	DeadRetention = 10 * time.Minute
-	// PublishInterval is the shortest time between two views. Building one costs a copy of the
-	// record map.
-	PublishInterval = 250 * time.Millisecond
+	// PublishInterval is the longest of the shortest times between two views. Building one costs a copy of
+	// the record map, so the time is publishPerMember for each member up to that.
+	PublishInterval  = 250 * time.Millisecond
+	publishPerMember = 250 * time.Microsecond
 
 	// remoteInterval separates two probes of a daemon into other failure domains.
 	remoteInterval = 3 * ProbeInterval
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -9,13 +9,14 @@
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
-// publish replaces the view if anything changed and the last one is older than PublishInterval.
+// publish replaces the view if anything changed and the last one is old enough.
 // Lists of services without a change are shared with the previous view.
 func (s *State) publish(now time.Time) {
 	if len(s.changed) == 0 && !s.reachDirty {
 		return
 	}
-	if !s.lastPublish.IsZero() && now.Sub(s.lastPublish) < PublishInterval {
+	interval := min(PublishInterval, time.Duration(s.Size())*publishPerMember)
+	if !s.lastPublish.IsZero() && now.Sub(s.lastPublish) < interval {
 		return
 	}
 	s.lastPublish = now
