Enforce the header and idle limits of the configuration

A header over the limit is answered with 431, and connections of callers end after the configured idle time or with a header that takes longer than it may. The times of http.Server are fixed when it starts to serve, so the connections cap the deadlines that it sets. Limits longer than those of the daemon change nothing.

--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -72,6 +72,9 @@
 // newExchange routes r, which arrived at the time now, on snap and reads its body. Errors are *refusal.
 func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
 	marks := h.config.Dialect
+	if limit := headerLimit(snap); headerBytes(r) > limit {
+		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit)
+	}
 	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now}
 	if err := h.route(e, r, now); err != nil {
 		return nil, err
@@ -198,6 +201,26 @@
 	return min(deadline, time.Duration(ms)*time.Millisecond), nil
 }
 
+// headerLimit returns the largest header of a request in bytes.
+func headerLimit(snap *snapshot.Snapshot) int {
+	if limits := snap.Manifest.Limits; limits != nil && limits.HeaderBytes > 0 {
+		return limits.HeaderBytes
+	}
+	return http.DefaultMaxHeaderBytes
+}
+
+// headerBytes returns the size of the header of r, with the request line.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len("  HTTP/1.1\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // bodyLimit returns the largest body of a request in bytes.
 func bodyLimit(snap *snapshot.Snapshot) int64 {
 	if limits := snap.Manifest.Limits; limits != nil && limits.BodyBytes > 0 {
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -246,3 +247,15 @@
 	}
 	is.Equal(len(b.remote.sent[0].Body), 3*defaultBodyBytes)
 }
+
+// Guards against a header over the limit of the configuration, and against a proper one that is refused.
+func TestHeaderLimitOfTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	limited, err := snapshot.Assemble(6, []*snapshot.Service{b.snap.Services["pages"]}, &snapshot.Limits{HeaderBytes: 2000})
+	is.NoErr(err)
+	b.accept(limited)
+	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a", "Large", strings.Repeat("x", 1800))).Code, http.StatusOK)
+	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a", "Large", strings.Repeat("x", 2000))).Code, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(len(b.remote.sent), 1)
+}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -294,7 +294,7 @@
 		return nil
 	})
 	for server, listener := range map[*http.Server]net.Listener{
-		admin: d.listeners.admin, callers: socket.Listener{Listener: d.listeners.callers}, announcements: d.listeners.announcements,
+		admin: d.listeners.admin, callers: limitedListener{socket.Listener{Listener: d.listeners.callers}, d.store.Load}, announcements: d.listeners.announcements,
 		readiness: d.listeners.readiness,
 	} {
 		if listener == nil {
