Serve metrics with latency histograms on an address of the settings

In tests, each machine has a loopback address of its own: a port that was free a moment ago had been taken by another listener in one run of TestDaemonsOnThePlatform (address already in use).

--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -83,6 +83,7 @@
 	// allowances holds the time that callers usually allow for the requests of each route.
 	allowances allowances
 	metrics    metrics
+	latencies  latencies
 	// startupWaits is the number of requests that wait for what a starting daemon does not know yet.
 	startupWaits atomic.Int64
 }
@@ -124,6 +125,7 @@
 	m.Set("refusals", &h.metrics.refusals)
 	m.Set("fences", &h.metrics.fences)
 	m.Set("key_questions", &h.metrics.questions)
+	m.Set("latency", expvar.Func(h.latencies.summaries))
 	m.Set("keys", expvar.Func(func() any { return h.keys.table.Len() }))
 	return m
 }
@@ -151,6 +153,7 @@
 	res := h.serve(r.Context(), e)
 	h.promise(res)
 	h.logEnd(e, res)
+	h.latencies.record(e.service.Name, outcomeName(res), h.config.Now().Sub(e.arrived))
 	h.config.Recorder.Record(e.service, e.kind, h.outcome(e, res))
 	h.metrics.retries.Add(int64(max(res.attempts-1, 0)))
 	if res.response != nil {
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -237,7 +237,11 @@
 	callers := d.callerServer()
 	announcements := &http.Server{Handler: d.announcements(), ReadHeaderTimeout: headerTimeout}
 	readiness := d.readinessServer()
-	d.serve(parts, group, admin, callers, announcements, readiness)
+	metrics := &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	d.serve(parts, group, map[*http.Server]net.Listener{
+		admin: d.listeners.admin, announcements: d.listeners.announcements, readiness: d.listeners.readiness, metrics: d.listeners.metrics,
+		callers: limitedListener{socket.Listener{Listener: d.listeners.callers}, d.store.Load},
+	})
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -248,6 +252,7 @@
 		_ = admin.Close()
 		_ = announcements.Close()
 		_ = readiness.Close()
+		_ = metrics.Close()
 		d.backend.Close()
 		d.client.Close()
 		return nil
@@ -279,8 +284,8 @@
 	})
 }
 
-// serve starts all parts in group.
-func (d *Daemon) serve(ctx context.Context, group *errgroup.Group, admin, callers, announcements, readiness *http.Server) {
+// serve starts all parts in group, and those of servers that have a listener.
+func (d *Daemon) serve(ctx context.Context, group *errgroup.Group, servers map[*http.Server]net.Listener) {
 	group.Go(func() error { return d.prober.Run(ctx) })
 	group.Go(func() error {
 		return peersync.Serve(ctx, d.listeners.rpc, d.rpcWithSync(ctx))
@@ -293,10 +298,7 @@
 		keys.NewMover(d.callers, d.prober.View, d.dialDaemon, d.log).Run(ctx)
 		return nil
 	})
-	for server, listener := range map[*http.Server]net.Listener{
-		admin: d.listeners.admin, callers: limitedListener{socket.Listener{Listener: d.listeners.callers}, d.store.Load}, announcements: d.listeners.announcements,
-		readiness: d.listeners.readiness,
-	} {
+	for server, listener := range servers {
 		if listener == nil {
 			continue
 		}
--- a/agent/listeners.go
+++ b/agent/listeners.go
@@ -14,9 +14,9 @@
 // listeners holds the sockets of a daemon.
 type listeners struct {
 	callers, announcements, admin, calls, rpc net.Listener
-	// readiness is nil without an adapter.
-	readiness net.Listener
-	probes    ProbeConn
+	// readiness is nil without an adapter, metrics where the settings name no address for it.
+	readiness, metrics net.Listener
+	probes             ProbeConn
 }
 
 // openListeners opens all sockets, or none.
@@ -33,9 +33,10 @@
 		{&l.calls, "calls", s.Listen.Calls},
 		{&l.rpc, "rpc", s.Listen.RPC},
 		{&l.readiness, "readiness", s.Listen.Readiness},
+		{&l.metrics, "metrics", s.Listen.Metrics},
 	} {
 		if !item.addr.IsValid() {
-			continue // only readiness may be left out
+			continue // only readiness and metrics may be left out
 		}
 		listener, err := net.Listen("tcp", item.addr.String())
 		if err != nil {
@@ -54,7 +55,7 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.announcements, l.admin, l.calls, l.rpc, l.readiness} {
+	for _, listener := range []net.Listener{l.callers, l.announcements, l.admin, l.calls, l.rpc, l.readiness, l.metrics} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -46,6 +46,8 @@
 		// Readiness takes questions of the platform whether this daemon may get requests; it needs an
 		// adapter.
 		Readiness netip.AddrPort `key:"readiness" optional:"true"`
+		// Metrics serves the metrics and the service-level report to whoever collects them.
+		Metrics netip.AddrPort `key:"metrics" optional:"true"`
 	} `section:"listen"`
 	// Advertise holds the addresses at which other daemons reach this one where they differ from those
 	// that it listens on, as behind a relay or address translation.
--- a/tests/soak/clients_test.go
+++ b/tests/soak/clients_test.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// checkMetrics checks that the daemon of m tells how long requests took.
+func (w *world) checkMetrics(m *machine) {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", m.ip, portMetrics))
+	if err != nil {
+		w.ledger.violate("metrics of %s: %v", m.name, err)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || !bytes.Contains(body, []byte(`"`+services[0]+`/answered":`)) {
+		w.ledger.violate("metrics of %s lack the latency of answers: %v", m.name, err)
+	}
+}
+
 // heals waits until each daemon serves all kinds of requests and the newest configuration.
 func (w *world) heals() {
 	deadline := time.Now().Add(healLimit)
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -99,6 +99,9 @@
 	}
 	running.Wait()
 	w.heals()
+	for _, m := range w.machines {
+		w.checkMetrics(m)
+	}
 	endLoad()
 	w.end()
 	w.jobs.Wait()
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -31,6 +31,7 @@
 	portRelayCalls
 	portRelayPeer
 	portRelayStore
+	portMetrics = 9464
 )
 
 const (
@@ -96,12 +97,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{t: t, ledger: newLedger(), store: &standin.Store{}, control: &http.Client{}, dir: t.TempDir(), ended: ctx, end: cancel}
 	t.Cleanup(w.close)
-	net2 := fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, worlds.Add(1)%250)
-	storeAddr := net2 + ".250:7000"
-	w.serveStore(storeAddr)
+	prefix, storeAddr := w.serveStore()
 	w.publish()
 	for n := range count {
-		m, err := w.addMachine(fmt.Sprintf("m%d", n), fmt.Sprintf("zone-%d", n%3), services[n/3%2], fmt.Sprintf("%s.%d", net2, n+1), storeAddr)
+		m, err := w.addMachine(fmt.Sprintf("m%d", n), fmt.Sprintf("zone-%d", n%3), services[n/3%2], fmt.Sprintf("%s.%d", prefix, n+1), storeAddr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -116,13 +115,23 @@
 	return w
 }
 
-func (w *world) serveStore(addr string) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		w.t.Fatal(err)
+// serveStore starts the store on the first free network of the process. Its address keeps others from using the
+// same one.
+func (w *world) serveStore() (prefix, addr string) {
+	const networks, lastOctet = 120, 250
+	for range lastOctet {
+		prefix = fmt.Sprintf("127.%d.%d", 1+os.Getpid()%networks, worlds.Add(1)%lastOctet)
+		addr = fmt.Sprintf("%s.%d:7000", prefix, lastOctet)
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		w.stores = &http.Server{Handler: w.store}
+		go func() { _ = w.stores.Serve(listener) }()
+		return prefix, addr
 	}
-	w.stores = &http.Server{Handler: w.store}
-	go func() { _ = w.stores.Serve(listener) }()
+	w.t.Fatal("no free loopback network")
+	return "", ""
 }
 
 // publish writes the next version of the configuration.
