Retire the idle connections of a daemon that has gone silent

A request in flight on a silent connection ends at its deadline, and each further pooled connection cost another one. Now all idle ones are closed, unless the daemon has answered on any connection since the failed call began.

--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -240,3 +240,43 @@
 	is.NoErr(<-result)
 	is.NoErr(<-stopped)
 }
+
+// Guards against one request after the other on connections that went silent together, and against connections that
+// are closed because one server takes long.
+func TestSilentConnectionsAreRetired(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	d := startDaemon(t, func(_ context.Context, r *Request) *Response {
+		if r.Target == "/slow" {
+			<-release
+		}
+		return &Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: http.StatusOK}
+	})
+	defer close(release)
+	client := newTestClient(t)
+	is.NoErr(client.Prepare(within(t, generous), d.addr, 3))
+	idle := func() int {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		if p := client.peers[d.addr]; p != nil {
+			return len(p.idle)
+		}
+		return 0
+	}
+	var seq atomic.Uint64
+	call := func(target string, limit time.Duration) error {
+		r := request(seq.Add(1))
+		r.Target = target
+		_, err := client.Do(within(t, limit), d.addr, r)
+		return err
+	}
+	slow := make(chan error)
+	go func() { slow <- call("/slow", 200*time.Millisecond) }()
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(call("/fast", generous)) // the daemon is not silent
+	is.True(<-slow != nil)
+	is.Equal(idle(), 2)
+	is.True(call("/slow", 50*time.Millisecond) != nil)
+	is.Equal(idle(), 0)
+	is.NoErr(call("/fast", generous))
+}
--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,8 @@
 type peer struct {
 	idle []*clientConn // the most recently used is last
 	open int
+	// heard is when the daemon last answered a call.
+	heard time.Time
 }
 
 // NewClient returns a Client without connections.
@@ -72,6 +75,7 @@
 	if len(r.Body) > MaxRequestBodyBytes {
 		return nil, verdict.Wrap(verdict.NotRun, ErrRequestTooLarge)
 	}
+	began := time.Now()
 	conn, err := c.conn(ctx, addr)
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, errors.Wrapf(err, "call daemon %s", addr))
@@ -82,12 +86,34 @@
 		return resp, nil
 	}
 	c.discard(addr, conn)
+	if isSilence(err) {
+		c.retire(addr, began)
+	}
 	if verdict.Of(err) == verdict.MayHaveRun {
 		c.noteLost(r.Attempt, addr, conn.incarnation)
 	}
 	return nil, err
 }
 
+// isSilence reports whether a call failed because nothing came from the receiver.
+func isSilence(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// retire closes the idle connections to the daemon at addr unless it has answered a call since the given time. When
+// one connection goes silent, the others mostly have done so, too, and each of them would cost a request its time.
+func (c *Client) retire(addr string, since time.Time) {
+	c.mu.Lock()
+	var idle []*clientConn
+	if p := c.peers[addr]; p != nil && p.heard.Before(since) {
+		idle, p.idle = p.idle, nil
+	}
+	c.mu.Unlock()
+	for _, conn := range idle {
+		c.discard(addr, conn)
+	}
+}
+
 // Prepare opens connections to the daemon at addr until n are idle, so that its first calls do not
 // wait for new connections.
 func (c *Client) Prepare(ctx context.Context, addr string, n int) error {
@@ -184,6 +210,7 @@
 	}
 	p := c.peers[addr]
 	p.idle = append(p.idle, conn)
+	p.heard = conn.idleSince
 	c.armReaper()
 	c.mu.Unlock()
 }
