Remove fields that nothing reads

The cold time of an announcement, the ID header and the path of health requests: after a restart the next heartbeat of the server comes within 0.07 s (it fails before, so the server repeats it), and a probe would cost a slot.

--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -37,8 +36,6 @@
 	ID        string `json:"id,omitempty"`
 	StartedMS int64  `json:"started_ms,omitempty"`
 	Sequence  uint64 `json:"-"`
-	// Cold is how long the backend server stays slow after its start.
-	Cold time.Duration `json:"-"`
 }
 
 // announced is a checked announcement.
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -114,7 +114,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	status := Status{Announcement: b.current.Announcement, State: b.state()}
-	status.Sequence, status.Cold = 0, 0 // they change with each announcement
+	status.Sequence = 0 // it changes with each announcement
 	return status
 }
 
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -62,7 +62,7 @@
 	if s.down || s.version == 0 {
 		return nil, map[bool]error{true: errDown}[s.down]
 	}
-	return snapshot.Assemble(s.version, []*snapshot.Service{{Name: "pages", Team: "ops", Connections: 1, HealthPath: fmt.Sprint("/", s.version)}}, nil)
+	return snapshot.Assemble(s.version, []*snapshot.Service{{Name: "pages", Team: "ops", Connections: int(s.version)}}, nil)
 }
 
 func (s *fakeSource) Changed(ctx context.Context) (bool, error) {
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -21,8 +21,6 @@
 	Stamp string
 	// NotRun is on each answer of a backend server to a request that it has not run.
 	NotRun string
-	// ServerID is on the answers to health requests; it names the lifetime of the backend server.
-	ServerID string
 	// Annotated tells that answers to callers carry verdict, version and number of attempts.
 	Annotated bool
 	// FractionalSeconds tells that callers read fractions in Retry-After.
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -43,8 +43,6 @@
 	// Routes lead requests for hosts and paths to this service. A service that has them, or is the
 	// destination of one, need not declare kinds and capacity.
 	Routes []Route `cbor:"8,keyasint,omitempty"`
-	// HealthPath is the path at which its servers tell their state and ID; it may be empty.
-	HealthPath string `cbor:"9,keyasint,omitempty"`
 }
 
 // ManifestEntry names the configuration of one service in a version.
