Assume as many members for a shared retry budget as were known lately

Cause: a daemon that has just started knows one member and would take the whole slack of a service, and one that is cut off takes the part of those it has lost sight of; all together may exceed the limit. Change: the largest number of the last minute counts, that of the directory too, and no slack is used before either tells of others.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -71,6 +71,7 @@
 	// endRequests ends the requests of callers that are in progress.
 	endRequests context.CancelFunc
 	record      recordKeeper
+	members     memberCount
 	// peerTraffic counts the net/rpc connections between daemons, platformTraffic those to the
 	// platform.
 	peerTraffic, platformTraffic traffic.Counter
@@ -97,6 +98,7 @@
 		return nil, err
 	}
 	d := &Daemon{settings: s, network: network, log: log, started: time.Now(), listeners: l, security: security}
+	d.members.started = d.started
 	if newAdapter != nil {
 		d.adapter = newAdapter(s.Platform.Address.String(), d.platformTraffic.Dial(network.DialContext))
 	}
@@ -280,7 +282,9 @@
 	r := d.settings.Retries
 	return retry.NewShared(retry.SharedLimit{
 		Ratio: r.Ratio, Slack: float64(r.Slack), Window: r.Window, Now: time.Now,
-		Members: func() int { return len(d.prober.View().Records) },
+		Members: func() int {
+			return d.members.assume(time.Now(), len(d.prober.View().Records), d.follower.Listed(), d.settings.Retries.Window)
+		},
 	})
 }
 
--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -86,6 +86,9 @@
 	defer cancel()
 	names, err := f.cfg.Directory.List(ctx)
 	f.noteDirectory(err)
+	if err == nil {
+		f.listed.Store(int64(len(names)))
+	}
 	return names, err
 }
 
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -89,6 +89,8 @@
 	joined chan struct{}
 	// joinOnce closes joined where a Directory is used.
 	joinOnce sync.Once
+	// listed is the number of daemons that the directory listed last.
+	listed atomic.Int64
 	// directoryAway tells that the last call of the Directory failed.
 	directoryAway bool
 	// leading tells that this daemon holds a lease and reads the head itself.
@@ -154,6 +156,10 @@
 // Leading reports whether this daemon holds a lease of its failure domain.
 func (f *Follower) Leading() bool { return f.leading.Load() }
 
+// Listed returns the number of daemons that the directory listed last, 0 without an answer of it. It may be below
+// their number, as the directory lists some dozens at most.
+func (f *Follower) Listed() int { return int(f.listed.Load()) }
+
 // Refusals returns the latest refused versions, oldest first.
 func (f *Follower) Refusals() []Refusal {
 	f.mu.Lock()
