--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO ?= go
-.PHONY: all build lint test race demo bench
+.PHONY: all build lint test race demo bench soak
 
 all: build
 
@@ -23,3 +23,7 @@
 
 bench: build
 	$(GO) run ./tools/bench -binary bin/kingcupwood
+
+# A seed that fails goes to tests/soak/regressions_test.go, its logs to bin/soak.
+soak:
+	$(GO) test ./tests/soak -run TestSoak -timeout 60m -parallel 3 -soak.seeds 50 -soak.length 20s -soak.keep $(CURDIR)/bin/soak
