Patch configurations with a compressor that looks back over the whole service

Change: patches are made with zstd (klauspost/compress) and the base as dictionary. The flag in the messages has a new name, so that daemons of the last version get and send objects in full.

--- a/agent/peer/sync/follow.go
+++ b/agent/peer/sync/follow.go
@@ -150,7 +150,7 @@
 }
 
 func (f *Follower) pollFor(ctx context.Context, s *session, args PollArgs) error {
-	args.Packed = true
+	args.Patches = true
 	var reply PollReply
 	if err := s.call(ctx, args.Wait+pollGrace, "Poll", args, &reply); err != nil {
 		return err
@@ -182,7 +182,7 @@
 // packed and their base is not known here.
 func (f *Follower) readDelta(reply *PollReply) (*snapshot.Delta, error) {
 	d, err := decodeDelta(reply.Delta)
-	if err == nil && reply.Packed {
+	if err == nil && reply.Patches {
 		err = f.cfg.Store.unpack(d)
 	}
 	return d, err
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -29,16 +29,16 @@
 	Wait time.Duration
 	// Domain is the failure domain of the asking daemon.
 	Domain string
-	// Packed tells that the asking daemon reads packed objects.
-	Packed bool
+	// Patches tells that the asking daemon reads objects as patches.
+	Patches bool
 }
 
 // PollReply answers PollArgs.
 type PollReply struct {
 	// Delta is an encoded snapshot.Delta; empty if there is no higher version.
 	Delta []byte
-	// Packed tells that the objects of Delta are compressed against those of its base.
-	Packed bool
+	// Patches tells that the objects of Delta are patches of those of its base.
+	Patches bool
 	// RetryAfter is set if the server is busy with full syncs.
 	RetryAfter time.Duration
 	Highest    snapshot.Version
--- a/agent/peer/sync/packed.go
+++ b/agent/peer/sync/packed.go
@@ -1,12 +1,10 @@
 package sync
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -48,8 +46,8 @@
 
 // patch is an object as a change of the same service in the base: its first Prefix and last Suffix bytes are
 // those of the base, and Middle is what lies between, compressed with the middle of the base as dictionary. A
-// service can have thousands of routes, far more than the window of the compression, of which a version
-// changes a few.
+// service can have thousands of routes, of which a version changes a few in different places, so the compression
+// has to look back over the whole of the middle.
 type patch struct {
 	_      struct{} `cbor:",toarray"`
 	Prefix int
@@ -57,6 +55,15 @@
 	Middle []byte
 }
 
+const (
+	// patchWindow bounds how far a patch refers back, in the object and its base together.
+	patchWindow = 4 << 20
+	// minDictionary is the size below which a dictionary is not worth its set-up.
+	minDictionary = 64
+	// patchDictionary is the ID under which the dictionary is named in a patch.
+	patchDictionary = 1
+)
+
 // pack turns the objects of d, which is based on base, into patches.
 func (s *Store) pack(base *snapshot.Snapshot, d *snapshot.Delta) error {
 	for i, e := range d.Changed {
@@ -80,21 +87,31 @@
 func packObject(base, object []byte) ([]byte, error) {
 	p := patch{Prefix: commonPrefix(base, object)}
 	p.Suffix = commonSuffix(base[p.Prefix:], object[p.Prefix:])
-	var b bytes.Buffer
-	w, err := flate.NewWriterDict(&b, flate.DefaultCompression, base[p.Prefix:len(base)-p.Suffix])
-	if err != nil {
-		return nil, err
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithEncoderLevel(zstd.SpeedFastest),
+		zstd.WithEncoderCRC(false), zstd.WithWindowSize(windowFor(len(base) + len(object))),
 	}
-	if _, err := w.Write(object[p.Prefix : len(object)-p.Suffix]); err != nil {
-		return nil, err
+	if dictionary := base[p.Prefix : len(base)-p.Suffix]; len(dictionary) >= minDictionary {
+		options = append(options, zstd.WithEncoderDictRaw(patchDictionary, dictionary))
 	}
-	if err := w.Close(); err != nil {
+	w, err := zstd.NewWriter(nil, options...)
+	if err != nil {
 		return nil, err
 	}
-	p.Middle = b.Bytes()
+	p.Middle = w.EncodeAll(object[p.Prefix:len(object)-p.Suffix], nil)
 	return cbor.Marshal(p)
 }
 
+// windowFor returns the smallest window that spans size bytes, a power of two within the bounds of zstd and
+// patchWindow.
+func windowFor(size int) int {
+	window := zstd.MinWindowSize
+	for window < size && window < patchWindow {
+		window *= 2
+	}
+	return window
+}
+
 func commonPrefix(a, b []byte) int {
 	n := 0
 	for n < len(a) && n < len(b) && a[n] == b[n] {
@@ -135,8 +152,18 @@
 	if p.Prefix < 0 || p.Suffix < 0 || p.Prefix > len(base) || p.Suffix > len(base)-p.Prefix {
 		return nil, errors.Errorf("patch keeps %d and %d of %d bytes", p.Prefix, p.Suffix, len(base))
 	}
-	r := flate.NewReaderDict(bytes.NewReader(p.Middle), base[p.Prefix:len(base)-p.Suffix])
-	middle, err := io.ReadAll(io.LimitReader(r, snapshot.MaxObjectBytes+1))
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(snapshot.MaxObjectBytes),
+	}
+	if dictionary := base[p.Prefix : len(base)-p.Suffix]; len(dictionary) >= minDictionary {
+		options = append(options, zstd.WithDecoderDictRaw(patchDictionary, dictionary))
+	}
+	r, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	middle, err := r.DecodeAll(p.Middle, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/agent/peer/sync/packed_test.go
+++ b/agent/peer/sync/packed_test.go
@@ -5,8 +5,12 @@
 	"compress/flate"
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
 	"github.com/matryer/is"
 
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
@@ -38,7 +42,7 @@
 		data, err := server.packed(sender.recent(have))
 		is.NoErr(err)
 		f := &Follower{cfg: Config{Store: storeAt(is, 4, have)}}
-		d, err := f.readDelta(&PollReply{Delta: data, Packed: true})
+		d, err := f.readDelta(&PollReply{Delta: data, Patches: true})
 		is.NoErr(err)
 		next, err := f.cfg.Store.Apply(d)
 		is.NoErr(err)
@@ -55,7 +59,7 @@
 	data, err := (&Server{store: sender}).packed(sender.recent(5))
 	is.NoErr(err)
 	f := &Follower{cfg: Config{Store: storeAt(is, 3, 4)}}
-	_, err = f.readDelta(&PollReply{Delta: data, Packed: true})
+	_, err = f.readDelta(&PollReply{Delta: data, Patches: true})
 	is.Equal(err, ErrOtherBase)
 
 	d, err := decodeDelta(data)
@@ -63,25 +67,52 @@
 	receiver := storeAt(is, 4, 5)
 	d.Objects[0] = []byte{0xff}
 	is.True(receiver.unpack(d) != nil)
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestCompression)
+	w, err := zstd.NewWriter(nil)
 	is.NoErr(err)
-	_, err = w.Write(make([]byte, snapshot.MaxObjectBytes+1))
+	bomb, err := cbor.Marshal(patch{Middle: w.EncodeAll(make([]byte, snapshot.MaxObjectBytes+1), nil)})
 	is.NoErr(err)
-	is.NoErr(w.Close())
-	d.Objects[0] = b.Bytes()
+	d.Objects[0] = bomb
 	is.True(receiver.unpack(d) != nil)
 }
 
+// Guards against a patch of some kilobytes for a few bytes that change in different places of a large service, which
+// each daemon gets for each version.
+func TestPatchOfScatteredChanges(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var base []byte
+	for range 2000 {
+		base = fmt.Appendf(base, "route r-%07x host%d.example /%07x/ 1500 500 2;", rng.Uint32()>>4, rng.IntN(20), rng.Uint32()>>4)
+	}
+	object := bytes.Clone(base)
+	for n := range 4 {
+		at := (n + 1) * len(base) / 6
+		object = slices.Concat(object[:at], []byte("changed"), object[at+3:])
+	}
+	data, err := packObject(base, object)
+	is.NoErr(err)
+	is.True(len(data) < 1000)
+	got, err := unpackObject(base, data)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, object))
+	for _, small := range [][]byte{nil, []byte("a"), base[:70]} {
+		data, err := packObject(small, object)
+		is.NoErr(err)
+		got, err := unpackObject(small, data)
+		is.NoErr(err)
+		is.True(bytes.Equal(got, object))
+	}
+}
+
 // Guards against complete deltas in full, which a start of all daemons and a large change multiply by their number,
 // and against one that a daemon without a configuration cannot read.
 func TestPackedCompleteDelta(t *testing.T) {
 	is := is.New(t)
 	server := &Server{store: storeAt(is, 4, 6), full: make(chan struct{}, maxFullSyncs)}
-	for _, args := range []PollArgs{{Full: true, Packed: true}, {Have: 2, Packed: true}} {
+	for _, args := range []PollArgs{{Full: true, Patches: true}, {Have: 2, Patches: true}} {
 		var reply PollReply
 		is.NoErr(server.answer(args, &reply))
-		is.True(reply.Packed)
+		is.True(reply.Patches)
 		f := &Follower{cfg: Config{Store: NewStore(&fakeCodec{})}}
 		d, err := f.readDelta(&reply)
 		is.NoErr(err)
@@ -129,7 +160,7 @@
 		server := &service{Server: NewServer(c.daemons[0].Follower), ctx: context.Background()}
 		var reply PollReply
 		is.NoErr(server.Poll(PollArgs{Have: 4}, &reply))
-		is.True(!reply.Packed)
+		is.True(!reply.Patches)
 		d, err := decodeDelta(reply.Delta)
 		is.NoErr(err)
 		next, err := storeAt(is, 4, 4).Apply(d)
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -96,8 +96,8 @@
 	var d *snapshot.Delta
 	var err error
 	switch {
-	case args.Packed:
-		reply.Packed = true
+	case args.Patches:
+		reply.Patches = true
 		reply.Delta, err = s.packed(base)
 		return err
 	case args.Full:
