Compress probes, and look into the directory each minute

Change: packets from 256 bytes on are compressed (zstd); the first look comes after a minute, not half of one.

--- /dev/null
+++ b/agent/peer/probe/compress_test.go
@@ -0,0 +1,62 @@
+package probe
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+)
+
+// Guards against packets with records that are sent in full, which is most of what daemons tell one another, and
+// against messages that change on the way.
+func TestPacketsAreCompressed(t *testing.T) {
+	is := is.New(t)
+	record := func(n int) endpoint.Record {
+		return endpoint.Record{
+			Instance: endpoint.InstanceID(fmt.Sprintf("sidecar-zone-a-%d", n)), Domain: "zone-a", Service: "pages", Incarnation: 1700000000000 + uint64(n),
+			CallAddr: fmt.Sprintf("10.0.0.%d:7000", n), RPCAddr: fmt.Sprintf("10.0.0.%d:7001", n), ProbeAddr: fmt.Sprintf("10.0.0.%d:7001", n),
+			AdminAddr: fmt.Sprintf("10.0.0.%d:7002", n), State: endpoint.Ready, Slots: 12, ReadySinceMS: 1700000000000 + int64(n),
+		}
+	}
+	now := time.Unix(1000, 0)
+	state := membership.New(membership.Config{Local: record(1)}, now, 1)
+	for n := 2; n < 40; n++ {
+		state.Merge(now, []membership.Entry{{Record: record(n)}})
+	}
+	c := newCompressor()
+	plain, sent := 0, 0
+	for tick := range 100 {
+		for _, p := range state.Tick(now.Add(time.Duration(tick) * membership.TickInterval)) {
+			data := c.compress(p.Data)
+			plain, sent = plain+len(p.Data), sent+len(data)
+			got, err := c.decompress(data)
+			is.NoErr(err)
+			is.True(bytes.Equal(got, p.Data))
+		}
+	}
+	is.True(plain > 10*membership.MaxPacketBytes/2)
+	is.True(2*sent < plain) // half of the bytes at most
+}
+
+// Guards against a packet that fills the memory, and against a broken one that ends the daemon.
+func TestBrokenPackets(t *testing.T) {
+	is := is.New(t)
+	c := newCompressor()
+	encoder, err := zstd.NewWriter(nil)
+	is.NoErr(err)
+	for _, data := range [][]byte{encoder.EncodeAll(make([]byte, membership.MaxPacketBytes+1), nil), frameMagic, append(bytes.Clone(frameMagic), 1, 2, 3)} {
+		_, err := c.decompress(data)
+		is.True(err != nil)
+	}
+	for _, data := range [][]byte{nil, {0x28}, {0x8a, 1}} {
+		got, err := c.decompress(data)
+		is.NoErr(err)
+		is.Equal(got, data)
+	}
+}
--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -45,7 +45,8 @@
 	log   *event.Logger
 	state *membership.State
 	// auth is nil if packets are not authenticated.
-	auth *packetauth.Authenticator
+	auth       *packetauth.Authenticator
+	compressor *compressor
 	// mu guards state. It is never held during a system call.
 	mu sync.Mutex
 
@@ -61,7 +62,7 @@
 
 // New returns a Prober that sends and receives over conn and closes it when Run ends.
 func New(conn Conn, state *membership.State, log *event.Logger) *Prober {
-	return &Prober{conn: conn, state: state, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval}}
+	return &Prober{conn: conn, state: state, log: log, compressor: newCompressor(), rejectLog: rate.Sometimes{Interval: rejectLogInterval}}
 }
 
 // NewAuthenticated is New with packets that auth seals and opens. The state must leave
@@ -140,14 +141,18 @@
 
 // open returns the message in a packet.
 func (p *Prober) open(from netip.AddrPort, packet []byte) ([]byte, error) {
-	if p.auth == nil {
-		return packet, nil
+	if p.auth != nil {
+		var err error
+		if packet, err = p.auth.Open(time.Now(), from, packet); err != nil {
+			return nil, err
+		}
 	}
-	return p.auth.Open(time.Now(), from, packet)
+	return p.compressor.decompress(packet)
 }
 
 // seal returns the packet for a message.
 func (p *Prober) seal(to netip.AddrPort, message []byte) []byte {
+	message = p.compressor.compress(message)
 	if p.auth == nil {
 		return message
 	}
@@ -161,7 +166,7 @@
 		p.rejected[reason].Add(1)
 	}
 	p.rejectLog.Do(func() {
-		p.log.Log(event.ProbeRejected, zap.Stringer("from", from), zap.Stringer("reason", reason), zap.Any("rejected", p.Rejected()))
+		p.log.Log(event.ProbeRejected, zap.Stringer("from", from), zap.Stringer("reason", reason), zap.Error(err), zap.Any("rejected", p.Rejected()))
 	})
 }
 
--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -38,7 +38,7 @@
 	// They reunite groups of daemons that started without seeing each other. A daemon that knows no
 	// other one looks again after relistAlone.
 	relistAlone = time.Second
-	relistBase  = 30 * time.Second
+	relistBase  = time.Minute
 	relistMax   = 5 * time.Minute
 	// removeTimeout bounds the removal of a daemon from the directory.
 	removeTimeout = 500 * time.Millisecond
