Read records and probes that are not compressed, as those of earlier versions

Records and probes now share lib/compact, which tells compressed from plain messages by their first bytes.

--- a/agent/peer/probe/compress_test.go
+++ b/agent/peer/probe/compressed_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
 	"github.com/matryer/is"
 
+	"kingcupwood.example/kingcupwood/lib/compact"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 )
@@ -29,13 +29,13 @@
 	for n := 2; n < 40; n++ {
 		state.Merge(now, []membership.Entry{{Record: record(n)}})
 	}
-	c := newCompressor()
+	c := compact.New(membership.MaxPacketBytes)
 	plain, sent := 0, 0
 	for tick := range 100 {
 		for _, p := range state.Tick(now.Add(time.Duration(tick) * membership.TickInterval)) {
-			data := c.compress(p.Data)
+			data := c.Compress(p.Data)
 			plain, sent = plain+len(p.Data), sent+len(data)
-			got, err := c.decompress(data)
+			got, err := c.Decompress(data)
 			is.NoErr(err)
 			is.True(bytes.Equal(got, p.Data))
 		}
@@ -43,20 +43,3 @@
 	is.True(plain > 10*membership.MaxPacketBytes/2)
 	is.True(2*sent < plain) // half of the bytes at most
 }
-
-// Guards against a packet that fills the memory, and against a broken one that ends the daemon.
-func TestBrokenPackets(t *testing.T) {
-	is := is.New(t)
-	c := newCompressor()
-	encoder, err := zstd.NewWriter(nil)
-	is.NoErr(err)
-	for _, data := range [][]byte{encoder.EncodeAll(make([]byte, membership.MaxPacketBytes+1), nil), frameMagic, append(bytes.Clone(frameMagic), 1, 2, 3)} {
-		_, err := c.decompress(data)
-		is.True(err != nil)
-	}
-	for _, data := range [][]byte{nil, {0x28}, {0x8a, 1}} {
-		got, err := c.decompress(data)
-		is.NoErr(err)
-		is.Equal(got, data)
-	}
-}
--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"kingcupwood.example/kingcupwood/lib/compact"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
@@ -46,7 +47,7 @@
 	state *membership.State
 	// auth is nil if packets are not authenticated.
 	auth       *packetauth.Authenticator
-	compressor *compressor
+	compressor *compact.Compressor
 	// mu guards state. It is never held during a system call.
 	mu sync.Mutex
 
@@ -62,7 +63,7 @@
 
 // New returns a Prober that sends and receives over conn and closes it when Run ends.
 func New(conn Conn, state *membership.State, log *event.Logger) *Prober {
-	return &Prober{conn: conn, state: state, log: log, compressor: newCompressor(), rejectLog: rate.Sometimes{Interval: rejectLogInterval}}
+	return &Prober{conn: conn, state: state, log: log, compressor: compact.New(membership.MaxPacketBytes), rejectLog: rate.Sometimes{Interval: rejectLogInterval}}
 }
 
 // NewAuthenticated is New with packets that auth seals and opens. The state must leave
@@ -147,12 +148,12 @@
 			return nil, err
 		}
 	}
-	return p.compressor.decompress(packet)
+	return p.compressor.Decompress(packet)
 }
 
 // seal returns the packet for a message.
 func (p *Prober) seal(to netip.AddrPort, message []byte) []byte {
-	message = p.compressor.compress(message)
+	message = p.compressor.Compress(message)
 	if p.auth == nil {
 		return message
 	}
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -3,14 +3,12 @@
 package sync
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/lib/compact"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -121,33 +119,16 @@
 // encodeEntries returns the compressed form of entries, whose records have most of their text in common.
 func encodeEntries(entries []membership.Entry) ([]byte, error) {
 	data, err := cbor.Marshal(entries)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode entries")
-	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress entries")
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress entries")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress entries")
-	}
-	return b.Bytes(), nil
+	return compact.New(max(len(data), 1)).Compress(data), errors.Wrap(err, "encode entries")
 }
 
 func decodeEntries(data []byte) ([]membership.Entry, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxEntryBytes+1))
+	plain, err := compact.New(maxEntryBytes).Decompress(data)
 	if err != nil {
-		return nil, errors.Wrap(err, "decompress entries")
-	}
-	if len(plain) > maxEntryBytes {
-		return nil, errors.Errorf("entries exceed %d bytes", maxEntryBytes)
+		return nil, errors.Wrap(err, "decode entries")
 	}
 	var entries []membership.Entry
 	return entries, errors.Wrap(decMode.Unmarshal(plain, &entries), "decode entries")
--- a/agent/peer/sync/packed_test.go
+++ b/agent/peer/sync/packed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -139,14 +138,15 @@
 	got, err := decodeEntries(data)
 	is.NoErr(err)
 	is.Equal(got, entries)
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	is.NoErr(err)
-	_, err = w.Write(make([]byte, maxEntryBytes+1))
+	w, err := zstd.NewWriter(nil)
 	is.NoErr(err)
-	is.NoErr(w.Close())
-	_, err = decodeEntries(b.Bytes())
+	_, err = decodeEntries(w.EncodeAll(make([]byte, maxEntryBytes+1), nil))
 	is.True(err != nil)
+	plain, err := cbor.Marshal(entries) // from a daemon of an earlier version
+	is.NoErr(err)
+	got, err = decodeEntries(plain)
+	is.NoErr(err)
+	is.Equal(got, entries)
 	_, err = decodeEntries([]byte{0xff, 1, 2})
 	is.True(err != nil)
 }
--- /dev/null
+++ b/lib/compact/compact_test.go
@@ -0,0 +1,37 @@
+package compact
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/matryer/is"
+)
+
+const largest = 1200
+
+// Guards against a message that changes on the way, and against one that grows.
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	c := New(largest)
+	for _, message := range [][]byte{nil, {0x8a}, bytes.Repeat([]byte("member "), 10), bytes.Repeat([]byte("member "), 150), append([]byte{0x8a}, make([]byte, largest-1)...)} {
+		data := c.Compress(message)
+		is.True(len(data) <= len(message))
+		got, err := c.Decompress(data)
+		is.NoErr(err)
+		is.True(bytes.Equal(got, message))
+	}
+	is.True(len(c.Compress(bytes.Repeat([]byte("member "), 150))) < 100)
+}
+
+// Guards against a message that fills the memory, and against a broken one that ends the program.
+func TestBrokenMessages(t *testing.T) {
+	is := is.New(t)
+	c := New(largest)
+	encoder, err := zstd.NewWriter(nil)
+	is.NoErr(err)
+	for _, data := range [][]byte{encoder.EncodeAll(make([]byte, largest+1), nil), frameMagic, append(bytes.Clone(frameMagic), 1, 2, 3)} {
+		_, err := c.Decompress(data)
+		is.True(err != nil)
+	}
+}
--- a/tools/bench/synthetic/members.go
+++ b/tools/bench/synthetic/members.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
+	"kingcupwood.example/kingcupwood/lib/compact"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
@@ -37,9 +38,10 @@
 
 // Members are the running stand-ins.
 type Members struct {
-	cfg Config
-	udp *net.UDPConn
-	tcp net.Listener
+	cfg        Config
+	udp        *net.UDPConn
+	compressor *compact.Compressor
+	tcp        net.Listener
 	// now is replaced in tests.
 	now func() time.Time
 
@@ -70,7 +72,7 @@
 		_ = udp.Close()
 		return nil, errors.Wrap(err, "listen for net/rpc")
 	}
-	m := &Members{cfg: cfg, udp: udp, tcp: tcp, now: time.Now, records: map[endpoint.InstanceID]*endpoint.Record{}}
+	m := &Members{cfg: cfg, udp: udp, tcp: tcp, now: time.Now, compressor: compact.New(membership.MaxPacketBytes), records: map[endpoint.InstanceID]*endpoint.Record{}}
 	m.makeRecords()
 	m.state = membership.New(membership.Config{Local: *m.records[m.order[0]]}, time.Now(), 1)
 	m.state.Merge(time.Now(), m.entries())
--- a/tools/bench/synthetic/traffic.go
+++ b/tools/bench/synthetic/traffic.go
@@ -38,7 +38,8 @@
 			return
 		}
 		var p packet
-		if cbor.Unmarshal(buf[:n], &p) != nil {
+		message, err := m.compressor.Decompress(buf[:n])
+		if err != nil || cbor.Unmarshal(message, &p) != nil {
 			continue
 		}
 		for _, reply := range m.replies(&p) {
