--- a/pkg/admission/differential_test.go
+++ b/pkg/admission/differential_test.go
@@ -189,8 +189,7 @@
 // sendNaive sends r to a random server, which serves first come first served.
 func sendNaive(f *fleet, r *fleetRequest) {
 	n := f.rng.IntN(len(fleetSpeeds))
-	var begin func()
-	begin = func() {
+	begin := func() {
 		f.busy[n]++
 		took, failed := f.serve(n, r)
 		f.at(took, func() {
