--- a/agent/stop.go
+++ b/agent/stop.go
@@ -67,6 +67,10 @@
 	d.record.drain()
 	wait(ctx, d.settings.Daemon.DrainTime-d.settings.Daemon.ServeTime)
 
+	// The store may take its time, which must not add to that of the requests.
+	left := make(chan struct{})
+	go func() { defer close(left); d.follower.LeaveDirectory(ctx) }()
+	defer func() { <-left }()
 	limit, cancel := context.WithTimeout(ctx, d.settings.Daemon.StopTime)
 	defer cancel()
 	// Requests that have not ended by then get an answer before their connection is closed.
@@ -79,7 +83,6 @@
 		d.log.Log(event.DrainIncomplete, zap.String("part", "calls"), zap.Error(err))
 	}
 	d.handOverKeys(ctx)
-	d.follower.LeaveDirectory(ctx)
 }
 
 // handOverKeys gives the outcomes of the idempotency keys of this daemon to their next owners. The other
