Count each wait of a starting daemon once, and pause longer after each failure to register

Read once more: a request that came after the start lowered the number of waiting requests without having raised it, so the bound of 512 would have been lost; and a directory that takes no writes was asked every 0.1 to 0.15 s, since the read before each write reset the pause. Both with a test that fails before.

--- a/agent/caller/startup.go
+++ b/agent/caller/startup.go
@@ -29,11 +29,13 @@
 	if end := time.UnixMilli(int64(h.config.StartedMS)).Add(startupTime); end.Before(until) {
 		until = end
 	}
-	if !until.After(h.config.Now()) || h.startupWaits.Add(1) > maxStartupWaits {
-		h.startupWaits.Add(-1)
+	if !until.After(h.config.Now()) {
 		return false
 	}
 	defer h.startupWaits.Add(-1)
+	if h.startupWaits.Add(1) > maxStartupWaits {
+		return false
+	}
 	ticker := time.NewTicker(startupCheck)
 	defer ticker.Stop()
 	for h.config.Now().Before(until) {
--- a/agent/caller/startup_test.go
+++ b/agent/caller/startup_test.go
@@ -53,6 +53,7 @@
 	code, took = status(routedRequest("GET", "/view/a", "Left", "300"))
 	is.Equal(code, http.StatusServiceUnavailable)
 	is.True(took >= 90*time.Millisecond)
+	is.Equal(b.startupWaits.Load(), int64(0)) // each wait is counted once
 	r := routedRequest("GET", "/view/a")
 	r.Header.Del("Left") // nothing is known of the time that the caller allows
 	code, _ = status(r)
--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -53,13 +53,13 @@
 			pause(ctx, failed.Next(f.random))
 			continue
 		}
-		failed.Reset()
 		f.joinListed(ctx, names)
 		first := !entered
 		if entered = entered || f.isListed(names) || f.register(ctx); !entered {
 			pause(ctx, failed.Next(f.random))
 			continue
 		}
+		failed.Reset()
 		f.joinOnce.Do(func() {
 			f.cfg.Log.Log(event.PeerJoined, zap.Int("records", len(f.cfg.Members.View().Records)))
 			close(f.joined)
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -168,12 +168,16 @@
 	mu         sync.Mutex
 	names      []string
 	registered int
+	readOnly   bool
 }
 
 func (d *fakeDirectory) Register(_ context.Context, _ endpoint.InstanceID, name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.registered++
+	if d.readOnly {
+		return errDown
+	}
 	d.names = append(d.names, name)
 	return nil
 }
@@ -231,3 +235,15 @@
 	})
 	is.Equal(directory.registered, 0)
 }
+
+// Guards against a daemon that asks a directory which takes no writes as fast as it answers.
+func TestDirectoryWithoutWrites(t *testing.T) {
+	is := is.New(t)
+	directory := &fakeDirectory{readOnly: true}
+	self := endpoint.Record{Instance: "i1", Domain: "a", RPCAddr: "127.0.0.1:1"}
+	f := NewFollower(Config{Self: self, Members: newOneMember(self), Store: NewStore(&realCodec{}), Directory: directory, Dial: DialTCP, Log: event.Nop(), Seed: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	f.useDirectory(ctx)
+	is.True(directory.registered > 0 && directory.registered <= 8) // 13 to 20 at the shortest pause
+}
