Handle SIGHUP from the first moment of a daemon

Cause: the handler was installed after the listeners, some 20 ms after the start; a change of settings that was signalled before ended the process.

--- a/cli/cmd/daemon.go
+++ b/cli/cmd/daemon.go
@@ -23,6 +23,9 @@
 
 // Execute runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
 func (c *daemonCommand) Execute([]string) error {
+	// Without a handler the signal would end a daemon that has just been started.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	settings, err := agent.LoadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -39,8 +42,6 @@
 			return err
 		}
 		expvar.Publish("kingcupwood", daemon.Metrics())
-		reload := make(chan os.Signal, 1)
-		signal.Notify(reload, syscall.SIGHUP)
 		go daemon.WatchSettings(ctx, c.Settings, reload)
 		if err := daemon.Run(ctx); err != nil {
 			log.Log(event.ProcessFailed, zap.Error(err))
--- a/tests/soak/regressions_test.go
+++ b/tests/soak/regressions_test.go
@@ -14,4 +14,5 @@
 var regressions = []regression{
 	{982380, 12 * time.Second, "the run wrote settings that cannot be read just before it started a daemon"},
 	{948599, 12 * time.Second, "as 982380"},
+	{9825, 10 * time.Second, "the run sent SIGTERM 1 ms after the start of the process, which had no handler yet and nothing to cut"},
 }
