--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -151,19 +150,14 @@
 		settings: filepath.Join(w.dir, name+".ini"), clients: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
 	for _, item := range []struct {
-		into         **relay
-		port         int
-		target       string
-		targetOfThis int
+		into   **relay
+		port   int
+		target string
 	}{
-		{&m.calls, portRelayCalls, "", portCalls}, {&m.peer, portRelayPeer, "", portPeer}, {&m.store, portRelayStore, storeAddr, 0},
+		{&m.calls, portRelayCalls, at(portCalls)}, {&m.peer, portRelayPeer, at(portPeer)}, {&m.store, portRelayStore, storeAddr},
 	} {
-		target := item.target
-		if target == "" {
-			target = at(item.targetOfThis)
-		}
 		var err error
-		if *item.into, err = newRelay(at(item.port), target); err != nil {
+		if *item.into, err = newRelay(at(item.port), item.target); err != nil {
 			return nil, err
 		}
 	}
@@ -186,7 +180,7 @@
 	} {
 		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
 	}
-	text += fmt.Sprintf("\n[advertise]\ncalls = %s\nrpc = %s\nprobes = %s\n", m.calls.address(), m.peer.address(), netip.MustParseAddrPort(fmt.Sprintf("%s:%d", m.ip, portPeer)))
+	text += fmt.Sprintf("\n[advertise]\ncalls = %s\nrpc = %s\nprobes = %s:%d\n", m.calls.address(), m.peer.address(), m.ip, portPeer)
 	return errors.Wrap(os.WriteFile(m.settings, []byte(text), 0o600), "settings")
 }
 
