Keep the compressor of records, and let it take bounds below a window

Read once more: each exchange of records made a compressor of its own, 0.08 to 0.11 ms and 0.3 MB (0.6 to 0.8 ms beside load) against 0.02 ms with a kept one (BenchmarkMessages); and one for messages below 1 KB could not read what it had written, as the bound on memory was below the smallest window.

--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -84,9 +84,10 @@
 type Follower struct {
 	cfg Config
 	// dial is cfg.Dial with counters.
-	dial   Dialer
-	floor  distribution.Floor
-	joined chan struct{}
+	dial    Dialer
+	entries entryCodec
+	floor   distribution.Floor
+	joined  chan struct{}
 	// joinOnce closes joined where a Directory is used.
 	joinOnce sync.Once
 	// listed is the number of daemons that the directory listed last.
@@ -117,7 +118,7 @@
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
 	return &Follower{
-		cfg: cfg, dial: limitWrites(cfg.Dial), joined: make(chan struct{}), headWanted: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, dial: limitWrites(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headWanted: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		objects: rate.NewLimiter(objectRate, objectBurst),
 	}
 }
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -91,7 +91,7 @@
 		own = []membership.Entry{{Record: s.Local()}}
 	})
 	var args ExchangeArgs
-	if args.Entries, err = encodeEntries(own); err != nil {
+	if args.Entries, err = f.entries.encode(own); err != nil {
 		return nil, err
 	}
 	var reply ExchangeReply
@@ -101,7 +101,7 @@
 	if reply.RetryAfter > 0 {
 		return reply.Peers, &busyError{reply.RetryAfter}
 	}
-	entries, err := decodeEntries(reply.Entries)
+	entries, err := f.entries.decode(reply.Entries)
 	if err != nil {
 		return nil, err
 	}
@@ -353,14 +353,14 @@
 		own = m.Entries(domain, args.Buckets)
 	})
 	var err error
-	if args.Entries, err = encodeEntries(own); err != nil {
+	if args.Entries, err = f.entries.encode(own); err != nil {
 		return 0, err
 	}
 	var reply BucketReply
 	if err := s.call(ctx, exchangeTimeout, "Buckets", args, &reply); err != nil {
 		return 0, err
 	}
-	entries, err := decodeEntries(reply.Entries)
+	entries, err := f.entries.decode(reply.Entries)
 	if err != nil {
 		return 0, err
 	}
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -116,17 +116,21 @@
 // maxEntryBytes bounds the encoded entries accepted from a peer; a record has some 200 bytes.
 const maxEntryBytes = 16 << 20
 
-// encodeEntries returns the compressed form of entries, whose records have most of their text in common.
-func encodeEntries(entries []membership.Entry) ([]byte, error) {
+// entryCodec encodes lists of entries and compresses them, as their records have most of their text in common.
+type entryCodec struct{ compressor *compact.Compressor }
+
+func newEntryCodec() entryCodec { return entryCodec{compact.New(maxEntryBytes)} }
+
+func (c entryCodec) encode(entries []membership.Entry) ([]byte, error) {
 	data, err := cbor.Marshal(entries)
-	return compact.New(max(len(data), 1)).Compress(data), errors.Wrap(err, "encode entries")
+	return c.compressor.Compress(data), errors.Wrap(err, "encode entries")
 }
 
-func decodeEntries(data []byte) ([]membership.Entry, error) {
+func (c entryCodec) decode(data []byte) ([]membership.Entry, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
-	plain, err := compact.New(maxEntryBytes).Decompress(data)
+	plain, err := c.compressor.Decompress(data)
 	if err != nil {
 		return nil, errors.Wrap(err, "decode entries")
 	}
--- a/agent/peer/sync/packed_test.go
+++ b/agent/peer/sync/packed_test.go
@@ -132,22 +132,23 @@
 			CallAddr: fmt.Sprintf("10.0.0.%d:7000", n), RPCAddr: fmt.Sprintf("10.0.0.%d:7001", n), ProbeAddr: fmt.Sprintf("10.0.0.%d:7001", n),
 		}})
 	}
-	data, err := encodeEntries(entries)
+	codec := newEntryCodec()
+	data, err := codec.encode(entries)
 	is.NoErr(err)
 	is.True(len(data) < 80*50)
-	got, err := decodeEntries(data)
+	got, err := codec.decode(data)
 	is.NoErr(err)
 	is.Equal(got, entries)
 	w, err := zstd.NewWriter(nil)
 	is.NoErr(err)
-	_, err = decodeEntries(w.EncodeAll(make([]byte, maxEntryBytes+1), nil))
+	_, err = codec.decode(w.EncodeAll(make([]byte, maxEntryBytes+1), nil))
 	is.True(err != nil)
 	plain, err := cbor.Marshal(entries) // from a daemon of an earlier version
 	is.NoErr(err)
-	got, err = decodeEntries(plain)
+	got, err = codec.decode(plain)
 	is.NoErr(err)
 	is.Equal(got, entries)
-	_, err = decodeEntries([]byte{0xff, 1, 2})
+	_, err = codec.decode([]byte{0xff, 1, 2})
 	is.True(err != nil)
 }
 
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -151,7 +151,7 @@
 
 // Exchange merges the entries of a joining daemon and returns all entries.
 func (s *service) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
-	entries, err := decodeEntries(args.Entries)
+	entries, err := s.follower.entries.decode(args.Entries)
 	if err != nil {
 		return err
 	}
@@ -167,7 +167,7 @@
 		all = m.AllEntries()
 		reply.Highest = m.Highest()
 	})
-	reply.Entries, err = encodeEntries(all)
+	reply.Entries, err = s.follower.entries.encode(all)
 	return err
 }
 
@@ -215,7 +215,7 @@
 
 // Buckets merges the entries of the asking daemon and returns its own of the same buckets.
 func (s *service) Buckets(args BucketArgs, reply *BucketReply) error {
-	entries, err := decodeEntries(args.Entries)
+	entries, err := s.follower.entries.decode(args.Entries)
 	if err != nil {
 		return err
 	}
@@ -224,7 +224,7 @@
 		own = m.Entries(args.Domain, args.Buckets)
 		m.Merge(now, entries)
 	})
-	reply.Entries, err = encodeEntries(own)
+	reply.Entries, err = s.follower.entries.encode(own)
 	return err
 }
 
--- a/agent/peer/sync/store_test.go
+++ b/agent/peer/sync/store_test.go
@@ -125,12 +125,13 @@
 	}
 	f.Add(data)
 	f.Add([]byte{0x81, 0xa0})
+	codec := newEntryCodec()
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		if d, err := decodeDelta(data); err == nil {
 			store := NewStore(&fakeCodec{})
 			_, _ = store.Apply(d)
 			_ = store.unpack(d)
 		}
-		_, _ = decodeEntries(data)
+		_, _ = codec.decode(data)
 	})
 }
--- a/lib/compact/compact.go
+++ b/lib/compact/compact.go
@@ -12,7 +12,7 @@
 	// minCompressed is the size in bytes from which a message is compressed; smaller ones would hardly shrink.
 	minCompressed = 256
 	// maxWindow bounds the memory of a Compressor in bytes.
-	maxWindow = 1 << 20
+	maxWindow = 128 << 10
 )
 
 // frameMagic begins a compressed message. Others must begin with another byte, as CBOR arrays do.
@@ -20,11 +20,13 @@
 
 // Compressor compresses and decompresses messages. It is safe for concurrent use.
 type Compressor struct {
+	largest int
 	encoder *zstd.Encoder
 	decoder *zstd.Decoder
 }
 
-// New returns a Compressor for messages of up to largest bytes.
+// New returns a Compressor for messages of up to largest bytes. The first message costs some 0.1 ms and 0.3 MB more, so a
+// Compressor is kept.
 func New(largest int) *Compressor {
 	window := zstd.MinWindowSize
 	for window < largest && window < maxWindow {
@@ -35,11 +37,11 @@
 	if err != nil {
 		panic(err) // the window is a power of two within the bounds of zstd
 	}
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(uint64(largest)))
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(uint64(max(largest, window))))
 	if err != nil {
-		panic(err) // largest is above 0
+		panic(err) // the memory is above 0
 	}
-	return &Compressor{encoder, decoder}
+	return &Compressor{largest, encoder, decoder}
 }
 
 // Compress returns message in a shorter form, or as it is.
@@ -60,5 +62,11 @@
 		return data, nil
 	}
 	message, err := c.decoder.DecodeAll(data, nil)
-	return message, errors.Wrap(err, "decompress a message")
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress a message")
+	}
+	if len(message) > c.largest {
+		return nil, errors.Errorf("a message has %d bytes, at most %d are allowed", len(message), c.largest)
+	}
+	return message, nil
 }
--- a/lib/compact/compact_test.go
+++ b/lib/compact/compact_test.go
@@ -24,6 +24,19 @@
 	is.True(len(c.Compress(bytes.Repeat([]byte("member "), 150))) < 100)
 }
 
+// Guards against a bound below the smallest window, for which nothing could be decompressed.
+func TestSmallMessages(t *testing.T) {
+	is := is.New(t)
+	const small = 300
+	c := New(small)
+	message := bytes.Repeat([]byte("member "), small/7)
+	got, err := c.Decompress(c.Compress(message))
+	is.NoErr(err)
+	is.True(bytes.Equal(got, message))
+	_, err = c.Decompress(New(largest).Compress(make([]byte, small+1)))
+	is.True(err != nil)
+}
+
 // Guards against a message that fills the memory, and against a broken one that ends the program.
 func TestBrokenMessages(t *testing.T) {
 	is := is.New(t)
