Tell other domains at once about changes of records, and let a domain meet through others

Change: a daemon tells two members of each other domain about a change of its record and its leave, one about a death that it has found; some three members of a domain introduce a new member to its own one. TestHintsGoFirst takes the introductions out first; what it checks is unchanged.

--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -48,6 +48,11 @@
 	// force, besides one of another domain. At 0.27 versions/s it costs about 100 bytes/s. With
 	// probes alone, daemons below dead lease holders did not follow within 5 s.
 	versionFanout = 3
+	// recordFanout is the number of members of each other domain that a daemon tells at once about a change of
+	// its record, and deathFanout of those that it tells about the death of a member of its own domain.
+	// The probes between domains alone take several rounds of remoteInterval.
+	recordFanout = 2
+	deathFanout  = 1
 	// recheckPause is how long a domain that just answered is not checked again on a hint.
 	recheckPause = 2 * time.Second
 	// lateTick is the gap between ticks above which this daemon considers itself paused: packets
@@ -73,6 +78,10 @@
 	// mergeGossip is the number of changed records of one anti-entropy exchange that are passed
 	// on with the probes. More than these would crowd out new changes.
 	mergeGossip = 32
+	// introductions is the number of changed records of one exchange up to which their own domains are told,
+	// as after the join of a daemon, introducers the number of members of each domain that do so.
+	introductions = 4
+	introducers   = 3
 	// maxFieldBytes bounds each text field of a record, so that every record fits in a packet.
 	maxFieldBytes = 64
 )
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -334,3 +335,48 @@
 	s.apply(now, update{Kind: updateDead, Instance: "b1", Incarnation: 1})
 	is.Equal(queued(true), []endpoint.InstanceID{"a1", "a2"})
 }
+
+// Guards against a change that another domain learns of seconds later, with its next anti-entropy: a server that
+// drains or has just become ready must be known there within the drain time.
+func TestChangesCrossDomainsSoon(t *testing.T) {
+	const drainTime = 2 * time.Second // that of the users' deployments
+	for seed := range uint64(12) {
+		w := newNetwork(t, seed, 9, 3)
+		w.until("join", 30*time.Second, w.agree)
+		for _, state := range []endpoint.State{endpoint.Draining, endpoint.Ready} {
+			n := w.nodes[int(seed)%len(w.nodes)]
+			r := n.state.Local()
+			r.State = state
+			n.state.SetLocal(w.now, r)
+			w.until(fmt.Sprintf("seed %d: change to %v", seed, state), drainTime, w.agree)
+		}
+		leaving := w.nodes[int(seed+1)%len(w.nodes)]
+		w.send(leaving, leaving.state.Leave(w.now))
+		w.run(20 * time.Millisecond)
+		leaving.down = true
+		w.until(fmt.Sprintf("seed %d: leave", seed), drainTime, w.agree)
+	}
+}
+
+// Guards against members of a domain that do not find one another because each has joined through other domains,
+// which do not pass records on to the domain that they belong to.
+func TestDomainMeetsThroughOthers(t *testing.T) {
+	const meet = 5 * time.Second // half of the interval of anti-entropy
+	for seed := range uint64(20) {
+		w := newNetwork(t, seed, 0, 3)
+		for i := range 9 { // each joins through a member of another domain
+			w.start(i, fmt.Sprintf("domain-%d", i%3), 1000)
+			if i > 0 {
+				w.join(w.nodes[i], w.nodes[max(i-1, 0)])
+			}
+		}
+		w.until(fmt.Sprintf("seed %d: all know all", seed), meet, w.agree)
+	}
+	w := newNetwork(t, 1, 0, 2)
+	for i, domain := range []string{"domain-0", "domain-0", "domain-1"} {
+		w.start(i, domain, 1000)
+	}
+	w.join(w.nodes[0], w.nodes[2]) // the two of domain-0 know domain-1 only
+	w.join(w.nodes[2], w.nodes[1])
+	w.until("the two of domain-0 know each other", meet, w.agree)
+}
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -11,8 +11,13 @@
 func (s *State) apply(now time.Time, u update) {
 	switch u.Kind {
 	case updateRecord:
+		_, known := s.members[u.Record.Instance]
 		if s.mergeRecord(*u.Record) {
-			s.queueRecord(s.members[u.Record.Instance])
+			m := s.members[u.Record.Instance]
+			s.queueRecord(m)
+			if !known {
+				s.introduce(m)
+			}
 		}
 	case updateSuspect:
 		s.heardSuspect(now, u)
@@ -124,6 +129,7 @@
 	for _, m := range slices.Clone(s.suspects) {
 		if !m.suspectUntil.IsZero() && !now.Before(m.suspectUntil) {
 			s.kill(now, m, m.statusInc)
+			s.announceDeath(m)
 		}
 	}
 }
--- a/pkg/membership/partition_test.go
+++ b/pkg/membership/partition_test.go
@@ -126,6 +126,7 @@
 	for i := 1; i < 400; i++ {
 		s.apply(now, update{Kind: updateRecord, Record: new(testRecord(i, fmt.Sprint("domain-", i%2), 1))})
 	}
+	s.take() // the introductions of these members
 	s.setReachable(s.domains["domain-1"], false)
 	for what, packets := range map[updateKind][]Packet{updateCut: s.take(), updateDead: s.Leave(now)} {
 		if len(packets) != hintFanout {
--- a/pkg/membership/probing.go
+++ b/pkg/membership/probing.go
@@ -50,6 +50,7 @@
 		s.probeRemote(now)
 	}
 	s.announceVersion()
+	s.announceRecord()
 	s.publish(now)
 	return s.take()
 }
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -126,6 +126,32 @@
 	}
 }
 
+// recordVersion is the version of a record.
+type recordVersion struct{ incarnation, counter uint64 }
+
+// announceRecord tells a few members of each other domain about the record of this daemon if it has changed, or if
+// the domain has become known or reachable, since it was told.
+func (s *State) announceRecord() {
+	local := s.local.record
+	version := recordVersion{local.Incarnation, local.Counter}
+	for _, d := range s.remoteDomains(func(d *domain) bool { return !d.unreachable && d.told != version }) {
+		d.told = version
+		for _, m := range s.sample(d, recordFanout, nil) {
+			s.sendTo(m, message{Kind: kindPush}, update{Kind: updateRecord, Record: &local})
+		}
+	}
+}
+
+// announceDeath tells a member of each other domain that m of the own domain is dead.
+func (s *State) announceDeath(m *member) {
+	dead, _ := accusation(m)
+	for _, d := range s.remoteDomains(func(d *domain) bool { return !d.unreachable }) {
+		for _, to := range s.sample(d, deathFanout, nil) {
+			s.sendTo(to, message{Kind: kindPush}, dead)
+		}
+	}
+}
+
 // NoteHighest records a configuration version that is known to exist.
 func (s *State) NoteHighest(v snapshot.Version) { s.highest = max(s.highest, v) }
 
--- a/pkg/membership/repair.go
+++ b/pkg/membership/repair.go
@@ -117,10 +117,30 @@
 			s.queueRecord(m)
 		}
 	}
+	if len(changed) <= introductions {
+		for _, m := range changed {
+			s.introduce(m)
+		}
+	}
 	s.publish(now)
 	return len(changed) + deaths
 }
 
+// introduce tells members of the domain of m, which has just become known, about m if that is another domain than the
+// own one. Daemons of a domain may join through other domains only, whose members do not pass their records on to
+// it. Some members of the own domain do so, enough that one of them knows both.
+func (s *State) introduce(m *member) {
+	own := len(s.domainOf(s.local.record.Domain).order) + 1
+	d := s.domainOf(m.record.Domain)
+	if !s.remote(d.name) || d.unreachable || s.rng.IntN(own) >= introducers {
+		return
+	}
+	record := m.record
+	for _, to := range s.sample(d, recordFanout, m) {
+		s.sendTo(to, message{Kind: kindPush}, update{Kind: updateRecord, Record: &record})
+	}
+}
+
 // mergeDead handles an entry of a dead member. Unknown dead members are not added.
 func (s *State) mergeDead(now time.Time, e Entry) int {
 	m := s.members[e.Record.Instance]
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -125,7 +125,13 @@
 	gone := update{Kind: updateDead, Instance: s.self, Incarnation: s.local.record.Incarnation}
 	s.queueUpdate("status:"+string(s.self), gone, false)
 	local := s.local.record
-	s.fanOut(gone, update{Kind: updateRecord, Record: &local})
+	last := update{Kind: updateRecord, Record: &local}
+	s.fanOut(gone, last)
+	for _, d := range s.remoteDomains(func(d *domain) bool { return !d.unreachable }) {
+		for _, m := range s.sample(d, recordFanout, nil) {
+			s.sendTo(m, message{Kind: kindPush}, gone, last)
+		}
+	}
 	s.publish(now)
 	return s.take()
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -35,6 +35,9 @@
 
 // domain holds the members of one failure domain and whether it can be reached.
 type domain struct {
+	// told is the record of this daemon that members of the domain were told last; it is used for other
+	// domains only.
+	told recordVersion
 	name string
 	// order holds the members that are not dead in the order of probing.
 	order   []*member
