Take bounds of tests from what they state

The least urgent rank in an overload: a quarter of the common share (the users' word for starved) in place of 0.05, which is stricter; compressed records and patches in relation to what they replace in place of numbers of bytes.

--- a/agent/peer/sync/packed_test.go
+++ b/agent/peer/sync/packed_test.go
@@ -90,7 +90,7 @@
 	}
 	data, err := packObject(base, object)
 	is.NoErr(err)
-	is.True(len(data) < 1000)
+	is.True(len(data) < len(base)/100) // four of 2000 routes have changed
 	got, err := unpackObject(base, data)
 	is.NoErr(err)
 	is.True(bytes.Equal(got, object))
@@ -135,7 +135,9 @@
 	codec := newEntryCodec()
 	data, err := codec.encode(entries)
 	is.NoErr(err)
-	is.True(len(data) < 80*50)
+	text, err := cbor.Marshal(entries)
+	is.NoErr(err)
+	is.True(3*len(data) < len(text))
 	got, err := codec.decode(data)
 	is.NoErr(err)
 	is.Equal(got, entries)
@@ -143,9 +145,7 @@
 	is.NoErr(err)
 	_, err = codec.decode(w.EncodeAll(make([]byte, maxEntryBytes+1), nil))
 	is.True(err != nil)
-	plain, err := cbor.Marshal(entries) // from a daemon of an earlier version
-	is.NoErr(err)
-	got, err = codec.decode(plain)
+	got, err = codec.decode(text) // from a daemon of an earlier version
 	is.NoErr(err)
 	is.Equal(got, entries)
 	_, err = codec.decode([]byte{0xff, 1, 2})
--- a/pkg/admission/share_test.go
+++ b/pkg/admission/share_test.go
@@ -122,7 +122,8 @@
 	is.True(share(view.served, view) >= share(save.served, save))
 	is.True(share(save.served, save) >= share(list.served, list))
 	is.True(share(save.inTime, save) > 0.4)
-	is.True(share(list.served, list) > 0.05)
+	all := kept{offered: view.offered + save.offered + list.offered, served: view.served + save.served + list.served}
+	is.True(share(list.served, list) >= share(all.served, &all)/4) // below that, a kind counts as starved
 	is.True(float64(view.inTime) > 0.75*float64(view.served))
 }
 
