Let the receiving daemon grant large bodies a time and a rate

Change: the daemon states the rate of its link in its record; a sender withholds a body of 16 KiB or more until the receiving daemon grants it a time and a rate, or refuses the request before its body moves (link busy, no slot soon, draining). Granted bodies follow one another at three quarters of the link. Selection adds the time of the transfer.

--- /dev/null
+++ b/agent/body.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/retry"
+	"kingcupwood.example/kingcupwood/pkg/transfer"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// bodyTargetShare is the share of the time until the latency target, or until the deadline if there
+// is no target, within which a large body must have arrived. The rest is for the backend server.
+const bodyTargetShare = 0.75
+
+func newBodySchedule(linkBytesPerSecond int64) *transfer.Scheduler {
+	if linkBytesPerSecond <= 0 {
+		return nil
+	}
+	return transfer.New(float64(linkBytesPerSecond))
+}
+
+// AdmitBody implements call.BodyAdmitter. It refuses a request that would be refused after its body
+// has arrived, and grants the others the link in turn.
+func (r *receiver) AdmitBody(ctx context.Context, req *call.Request, bytes int) (int, *call.Response) {
+	if refused := r.refuseByState(req); refused != nil {
+		return 0, refused
+	}
+	now := time.Now()
+	deadline := now.Add(retry.HopTimeout(req.Timeout))
+	if refusal := r.admission.Preview(admissionRequest(req, now, deadline)); refusal != nil {
+		r.logRefusal(req, refusal, deadline.Sub(now))
+		return 0, r.finish(req, refusalResponse(req, refusal))
+	}
+	if r.bodies == nil {
+		return math.MaxUint32, nil
+	}
+	grant, err := r.bodies.Reserve(transfer.Request{Bytes: bytes, FinishBy: arrivalLimit(req, now), MaxWait: req.MaxQueueTime}, now)
+	if err != nil {
+		r.logRefusal(req, err, deadline.Sub(now))
+		return 0, r.finish(req, refusalResponse(req, err))
+	}
+	if !waitFor(ctx, grant.Wait) {
+		r.bodies.Cancel(grant)
+		return 0, r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, ctx.Err())))
+	}
+	return grant.BytesPerSecond, nil
+}
+
+// arrivalLimit returns the time by which the body of req must have arrived.
+func arrivalLimit(req *call.Request, now time.Time) time.Time {
+	left := req.Timeout
+	if req.Rank > 0 && req.TimeToTarget > 0 {
+		left = min(left, req.TimeToTarget)
+	}
+	return now.Add(time.Duration(bodyTargetShare * float64(left)))
+}
+
+// waitFor waits for d and reports whether ctx did not end before.
+func waitFor(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,7 +66,9 @@
 		if !h.mayRetry(ctx, e, &a, res) {
 			return res.end(res.refusal)
 		}
-		if !a.busy() {
+		if a.busy() {
+			res.busy = append(res.busy, pick.Record().Instance)
+		} else {
 			res.tried = append(res.tried, pick.Record().Instance)
 		}
 	}
@@ -75,9 +78,18 @@
 	if !e.routed() {
 		return h.config.Selector.Pick(e.service.Name, res.tried)
 	}
-	return h.config.Selector.PickFor(selection.Request{
-		Service: e.service.Name, Kind: e.kind.Name, Target: e.target, Bytes: len(e.request.Body), Tried: res.tried,
-	})
+	want := selection.Request{
+		Service: e.service.Name, Kind: e.kind.Name, Target: e.target, Bytes: len(e.request.Body),
+		Tried: slices.Concat(res.tried, res.busy),
+	}
+	pick, err := h.config.Selector.PickFor(want)
+	if err != nil && len(res.busy) > 0 {
+		// All other endpoints were tried; the request waits at one that has no free slot.
+		res.busyRefusals = maxBusyRefusals
+		want.Tried = res.tried
+		return h.config.Selector.PickFor(want)
+	}
+	return pick, err
 }
 
 func timeoutRefusal() *refusal {
@@ -118,6 +130,7 @@
 	req.Timeout = left
 	started := h.config.Now()
 	req.MaxQueueTime = h.maxSlotWait(e, pick, res.busyRefusals)
+	req.WithholdBody = record.LinkBytesPerSecond > 0 && len(req.Body) >= call.MinWithheldBytes
 	if e.routed() {
 		req.TimeToTarget = e.targetTime.Sub(started)
 	}
--- a/agent/caller/result.go
+++ b/agent/caller/result.go
@@ -28,8 +28,11 @@
 	known verdict.Verdict
 	// tried lists the instances excluded from further attempts. offered counts the attempts that
 	// have reached or may have reached a backend server, busyRefusals those refused for lack of a
-	// slot.
-	tried                 []endpoint.InstanceID
+	// slot or because the link is busy.
+	tried []endpoint.InstanceID
+	// busy lists the instances that refused the request for lack of a slot. They are tried again only
+	// if no other instance is left.
+	busy                  []endpoint.InstanceID
 	offered, busyRefusals int
 	// traces holds the attempts for the log.
 	traces []attemptTrace
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -155,7 +155,8 @@
 		Domain:      d.settings.Daemon.FailureDomain,
 		CallAddr:    reachableAddr(advertised.Calls, l.calls.Addr()), RPCAddr: reachableAddr(advertised.RPC, l.rpc.Addr()),
 		ProbeAddr: reachableAddr(advertised.Probes, l.probes.LocalAddr()), AdminAddr: l.admin.Addr().String(),
-		State: endpoint.Starting,
+		State:              endpoint.Starting,
+		LinkBytesPerSecond: int64(d.settings.Daemon.LinkRate * bytesPerMbit),
 	}
 }
 
@@ -194,6 +195,7 @@
 		log: d.log, requestID: d.dialect().RequestID,
 		admission: admission.New(admission.Config{Slots: 1}, time.Now),
 		backend:   d.backend,
+		bodies:    newBodySchedule(local.LinkBytesPerSecond),
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
--- a/agent/peer/call/clientconn.go
+++ b/agent/peer/call/clientconn.go
@@ -84,14 +84,17 @@
 			}
 		}()
 	}
-	if complete, err := c.codec.writeRequest(r); err != nil {
+	resp, complete, err := c.send(ctx, r)
+	if err != nil {
 		v := verdict.MayHaveRun
 		if !complete {
 			v = verdict.NotRun
 		}
 		return nil, verdict.Wrap(v, errors.Wrap(ContextError(ctx, err), "send request"))
 	}
-	resp, err := c.readResponse()
+	if resp == nil {
+		resp, err = c.readResponse()
+	}
 	if err == nil && resp.Attempt != r.Attempt {
 		err = ErrMismatch
 	}
@@ -101,15 +104,25 @@
 	return resp, nil
 }
 
-func (c *clientConn) readResponse() (*Response, error) {
+// nextPrefix reads the prefix of the next frame other than frameGoAway.
+func (c *clientConn) nextPrefix() (prefix, error) {
 	p, err := c.codec.nextPrefix(MaxResponseBodyBytes)
 	if err == nil && p.kind == frameGoAway {
 		c.reusable = false
 		p, err = c.codec.nextPrefix(MaxResponseBodyBytes)
 	}
+	return p, err
+}
+
+func (c *clientConn) readResponse() (*Response, error) {
+	p, err := c.nextPrefix()
 	if err != nil {
 		return nil, err
 	}
+	return c.readResponseFrame(p)
+}
+
+func (c *clientConn) readResponseFrame(p prefix) (*Response, error) {
 	if p.kind != frameResponse {
 		return nil, errors.Wrapf(ErrProtocol, "frame type %d instead of a response", p.kind)
 	}
--- a/agent/peer/call/frame.go
+++ b/agent/peer/call/frame.go
@@ -13,8 +13,8 @@
 )
 
 // A connection starts with a greeting from the receiver: greetingMagic and its incarnation. It is
-// followed by frames. A frame consists of a prefix with type (1 byte), reserved (3 bytes), header
-// length and body length (4 bytes each, big-endian), then the CBOR header and the body.
+// followed by frames. A frame consists of a prefix with type and flags (1 byte each), reserved (2
+// bytes), header length and body length (4 bytes each, big-endian), then the CBOR header and the body.
 const (
 	greetingMagic = "kcw1"
 	greetingBytes = 12
@@ -34,23 +34,33 @@
 	// frameGoAway has neither header nor body. It announces that the receiver will close the
 	// connection, so that the sender starts no further call on it.
 	frameGoAway frameType = 3
+	// frameGrant has neither header nor body. It allows the sender to send the withheld body of its
+	// request; in place of the body length it has the rate in bytes per second.
+	frameGrant frameType = 4
 )
 
+// flagWithheld in the second byte of the prefix of a request means that the body follows only after
+// a frameGrant. A response in place of the grant refuses the request, whose body is then not sent.
+const flagWithheld = 1
+
 var goAwayFrame = []byte{byte(frameGoAway), 11: 0}
 
 type prefix struct {
 	kind         frameType
+	withheld     bool
 	header, body int
 }
 
 // parsePrefix checks the lengths against the limits before anything is allocated for them.
 func parsePrefix(b []byte, maxBody int) (prefix, error) {
 	p := prefix{
-		kind:   frameType(b[0]),
+		kind: frameType(b[0]), withheld: b[1]&flagWithheld != 0,
 		header: int(binary.BigEndian.Uint32(b[4:])),
 		body:   int(binary.BigEndian.Uint32(b[8:])),
 	}
 	switch {
+	case p.kind == frameGrant:
+		return p, nil // the body length is a rate
 	case p.header > MaxHeaderBytes:
 		return p, errors.Wrapf(ErrProtocol, "frame header of %d bytes", p.header)
 	case p.body > maxBody:
@@ -93,19 +103,30 @@
 // readFrame reads the header and body of a frame. The header is valid until the next call of
 // readFrame.
 func (c *codec) readFrame(p prefix) (header, body []byte, err error) {
+	if header, err = c.readHeader(p); err != nil {
+		return nil, nil, err
+	}
+	body, err = c.readBody(p)
+	return header, body, err
+}
+
+// readHeader reads the header of a frame. It is valid until the next call.
+func (c *codec) readHeader(p prefix) ([]byte, error) {
 	if cap(c.head) < p.header {
 		c.head = make([]byte, p.header)
 	}
-	header = c.head[:p.header]
-	if _, err := io.ReadFull(c.in, header); err != nil {
-		return nil, nil, err
-	}
+	header := c.head[:p.header]
+	_, err := io.ReadFull(c.in, header)
+	return header, err
+}
+
+func (c *codec) readBody(p prefix) ([]byte, error) {
 	if p.body == 0 {
-		return header, nil, nil
+		return nil, nil
 	}
-	body = make([]byte, p.body)
-	_, err = io.ReadFull(c.in, body)
-	return header, body, err
+	body := make([]byte, p.body)
+	_, err := io.ReadFull(c.in, body)
+	return body, err
 }
 
 // beginFrame clears the output buffer and reserves space for the prefix.
@@ -147,6 +168,9 @@
 	if c.headerTooLarge() {
 		return false, ErrRequestTooLarge
 	}
+	if r.WithholdBody {
+		return false, c.writeWithheld(len(r.Body))
+	}
 	return c.writeFrame(frameRequest, r.Body)
 }
 
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -62,6 +62,8 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
+	// WithholdBody sends the body only after the receiver has granted it; see BodyAdmitter.
+	WithholdBody bool
 
 	table *fence.Table
 }
@@ -98,6 +100,14 @@
 	ServeCall(ctx context.Context, r *Request) *Response
 }
 
+// BodyAdmitter is implemented by handlers that decide when a withheld body may be sent.
+type BodyAdmitter interface {
+	// AdmitBody waits until the body of r, which has the given size, may be sent, and returns the rate
+	// in bytes per second. A response in place of the rate refuses r, which has then not run. ctx ends
+	// with the timeout of r.
+	AdmitBody(ctx context.Context, r *Request, bytes int) (bytesPerSecond int, refused *Response)
+}
+
 // ErrorResponse returns the response that reports err with its verdict: 413 for a request that is
 // too large, 504 for an exceeded deadline, 503 for any other error with verdict not run, 502 for
 // the rest.
--- a/agent/peer/call/server.go
+++ b/agent/peer/call/server.go
@@ -114,13 +114,16 @@
 		return
 	}
 	for {
-		r, err := c.readRequest()
+		r, resp, err := c.readRequest(func(r *Request, bytes int) (int, *Response) { return s.admitBody(c, r, bytes) })
 		if err != nil {
 			s.logReadError(c, err)
 			return
 		}
 		r.table = s.table
-		if err := c.writeResponse(s.serve(c, r)); err != nil {
+		if resp == nil {
+			resp = s.serve(c, r)
+		}
+		if err := c.writeResponse(resp); err != nil {
 			s.log.Log(event.CallResponseLost, zap.Stringer("attempt", r.Attempt), zap.Error(err))
 			return
 		}
--- a/agent/peer/call/serverconn.go
+++ b/agent/peer/call/serverconn.go
@@ -62,30 +62,40 @@
 	return err
 }
 
-func (c *serverConn) readRequest() (*Request, error) {
+// admitBody decides on a withheld body of the given size. A response refuses the request.
+type admitBody func(r *Request, bytes int) (bytesPerSecond int, refused *Response)
+
+// readRequest reads a request. If its withheld body is refused, it also returns the response.
+func (c *serverConn) readRequest(admit admitBody) (*Request, *Response, error) {
 	p, err := c.codec.nextPrefix(MaxRequestBodyBytes)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if p.kind != frameRequest {
-		return nil, errors.Wrapf(ErrProtocol, "frame type %d instead of a request", p.kind)
+		return nil, nil, errors.Wrapf(ErrProtocol, "frame type %d instead of a request", p.kind)
 	}
-	if err := c.beginCall(c.codec.in.Buffered() < p.header+p.body); err != nil {
-		return nil, err
+	if err := c.beginCall(p.withheld || c.codec.in.Buffered() < p.header+p.body); err != nil {
+		return nil, nil, err
 	}
-	header, body, err := c.codec.readFrame(p)
+	header, err := c.codec.readHeader(p)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	r, err := c.codec.decodeRequest(header)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	if p.withheld {
+		refused, err := c.readWithheld(r, p, admit)
+		return r, refused, err
+	}
+	if r.Body, err = c.codec.readBody(p); err != nil {
+		return nil, nil, err
 	}
 	if !c.check.OK() {
-		return nil, errAbandoned
+		return nil, nil, errAbandoned
 	}
-	r.Body = body
-	return r, nil
+	return r, nil, nil
 }
 
 // beginCall marks the connection as in use. It sets a deadline for the rest of an incomplete frame,
--- /dev/null
+++ b/agent/peer/call/withheld.go
@@ -0,0 +1,138 @@
+package call
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupwood.example/kingcupwood/pkg/transfer"
+)
+
+// MinWithheldBytes is the size from which a body should be withheld until the receiver grants it.
+// Smaller ones cost less time on a link than the round trip for the grant.
+const MinWithheldBytes = 16 << 10
+
+// grantSlack extends the time within which a granted body must arrive, relative to its rate.
+const grantSlack = 4
+
+// writeWithheld sends the buffered header of a request with a body of the given size, but not the
+// body.
+func (c *codec) writeWithheld(body int) error {
+	frame := c.out.Bytes()
+	frame[0], frame[1] = byte(frameRequest), flagWithheld
+	binary.BigEndian.PutUint32(frame[4:], uint32(len(frame)-prefixBytes))
+	binary.BigEndian.PutUint32(frame[8:], uint32(body))
+	_, err := c.conn.Write(frame)
+	return err
+}
+
+func (c *codec) writeGrant(bytesPerSecond int) error {
+	frame := [prefixBytes]byte{byte(frameGrant)}
+	binary.BigEndian.PutUint32(frame[8:], uint32(min(bytesPerSecond, 1<<32-1)))
+	_, err := c.conn.Write(frame[:])
+	return err
+}
+
+// send sends r. A response is the refusal of a withheld body. complete is false if the peer cannot
+// have received the whole request.
+func (c *clientConn) send(ctx context.Context, r *Request) (refused *Response, complete bool, err error) {
+	complete, err = c.codec.writeRequest(r)
+	if err != nil || !r.WithholdBody {
+		return nil, complete, err
+	}
+	p, err := c.nextPrefix()
+	if err != nil {
+		return nil, false, err
+	}
+	if p.kind == frameGrant {
+		err = c.writeGranted(ctx, r.Body, p.body)
+		return nil, err == nil, err
+	}
+	refused, err = c.readResponseFrame(p)
+	return refused, false, err
+}
+
+// writeGranted sends a withheld body at the granted rate.
+func (c *clientConn) writeGranted(ctx context.Context, body []byte, bytesPerSecond int) error {
+	pacer := transfer.NewPacer(bytesPerSecond, time.Now())
+	for len(body) > 0 {
+		n, wait := pacer.Next(len(body), time.Now())
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+		if _, err := c.codec.conn.Write(body[:n]); err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// readWithheld grants and reads the withheld body of r, or returns the refusal of r. The time that
+// this takes is subtracted from the remaining time of r.
+func (c *serverConn) readWithheld(r *Request, p prefix, admit admitBody) (*Response, error) {
+	began := time.Now()
+	bytesPerSecond, refused := admit(r, p.body)
+	if refused != nil {
+		return refused, nil
+	}
+	if !c.check.OK() {
+		return nil, errAbandoned
+	}
+	if err := c.codec.writeGrant(bytesPerSecond); err != nil {
+		return nil, err
+	}
+	allowed := grantSlack * time.Duration(float64(p.body)/float64(max(bytesPerSecond, 1))*float64(time.Second))
+	if err := c.codec.conn.SetReadDeadline(time.Now().Add(max(allowed, frameTimeout))); err != nil {
+		return nil, err
+	}
+	body, err := c.codec.readBody(p)
+	if err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, errors.Wrap(err, "receive granted body")
+	}
+	if !c.check.OK() {
+		return nil, errAbandoned
+	}
+	r.Body = body
+	elapsed := time.Since(began)
+	r.Timeout = max(r.Timeout-elapsed, time.Microsecond)
+	r.TimeToTarget -= elapsed
+	return nil, nil
+}
+
+// admitBody passes a withheld body to the handler. The wait ends when the sender disconnects.
+func (s *Server) admitBody(c *serverConn, r *Request, bytes int) (int, *Response) {
+	ctx, cancel := context.WithTimeout(s.base, r.Timeout)
+	defer cancel()
+	c.beginRun(cancel)
+	defer c.endRun()
+	admitter, ok := s.handler.(BodyAdmitter)
+	if !ok {
+		return 1<<32 - 1, nil
+	}
+	rate, refused := admitter.AdmitBody(ctx, r, bytes)
+	if refused != nil {
+		refused.Attempt = r.Attempt
+	}
+	return rate, refused
+}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -12,6 +12,7 @@
 	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/retry"
+	"kingcupwood.example/kingcupwood/pkg/transfer"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,8 @@
 	// requestID is the name of the header with the request ID of the caller.
 	requestID string
 	running   runningAttempts
+	// bodies schedules the large bodies of other daemons; nil if the rate of the link is unknown.
+	bodies *transfer.Scheduler
 }
 
 // ServeCall implements call.Handler.
@@ -44,12 +47,8 @@
 	if caller.IsOwned(req) {
 		return r.serveOwned(ctx, req)
 	}
-	status := r.backend.Status()
-	if status.State == endpoint.Gone || status.Service != req.Service {
-		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, errOtherService)))
-	}
-	if status.State == endpoint.Draining || r.draining.Load() {
-		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
+	if refused := r.refuseByState(req); refused != nil {
+		return refused
 	}
 	// Reserve time to report a failure of the backend server before the call of the sender times out.
 	now := time.Now()
@@ -64,6 +63,18 @@
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
+// refuseByState refuses req if the backend server does not serve its service or is draining.
+func (r *receiver) refuseByState(req *call.Request) *call.Response {
+	status := r.backend.Status()
+	if status.State == endpoint.Gone || status.Service != req.Service {
+		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, errOtherService)))
+	}
+	if status.State == endpoint.Draining || r.draining.Load() {
+		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
+	}
+	return nil
+}
+
 // logRefusal logs why admission control refused req. A refusal because all slots are busy is normal
 // for a sender that looks for a free slot; it appears in the log of the sender.
 func (r *receiver) logRefusal(req *call.Request, err error, left time.Duration) {
@@ -143,5 +154,9 @@
 		resp.RetryAfter = refusal.RetryAfter
 		resp.Draining = refusal.Reason == admission.ReasonDraining
 	}
+	var busyLink *transfer.Refusal
+	if errors.As(err, &busyLink) {
+		resp.RetryAfter = busyLink.Wait
+	}
 	return resp
 }
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -40,6 +40,41 @@
 	return &receiver{log: event.Nop(), admission: admission.New(admission.Config{Slots: 4}, time.Now), backend: b}
 }
 
+// Guards against a body that is granted although the request would be refused on arrival: the server
+// is draining, its slots are taken for too long, or the link is busy for longer than the sender waits.
+func TestBodyIsRefusedBeforeItIsSent(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	r.bodies = newBodySchedule(1_000_000)
+	upload := func(timeout, maxWait time.Duration) *call.Request {
+		req := testRequest()
+		req.Rank, req.Timeout, req.TimeToTarget, req.MaxQueueTime = 2, timeout, timeout, maxWait
+		return req
+	}
+	ctx := context.Background()
+	rate, refused := r.AdmitBody(ctx, upload(time.Second, 0), 300_000)
+	is.Equal(refused, nil)
+	is.Equal(rate, 750_000)
+	_, refused = r.AdmitBody(ctx, upload(time.Second, 100*time.Millisecond), 10_000)
+	is.Equal(refused.Verdict, verdict.NotRun)
+	is.True(refused.RetryAfter > 100*time.Millisecond && !refused.Offered)
+	_, refused = r.AdmitBody(ctx, upload(100*time.Millisecond, 0), 10_000)
+	is.Equal(refused.Verdict, verdict.NotRun)
+
+	r.bodies = nil
+	for range 4 {
+		_, err := r.admission.AcquireFor(ctx, admission.Request{Kind: "view", Rank: 2, Deadline: time.Now().Add(time.Hour)})
+		is.NoErr(err)
+	}
+	_, refused = r.AdmitBody(ctx, upload(time.Second, time.Nanosecond), 10_000)
+	is.Equal(refused.Verdict, verdict.NotRun)
+	r.draining.Store(true)
+	_, refused = r.AdmitBody(ctx, upload(time.Second, 0), 10_000)
+	is.True(refused.Draining)
+}
+
 func testRequest() *call.Request {
 	return &call.Request{
 		Attempt: fence.AttemptID{Sender: 1, Seq: 1}, Service: "pages", Kind: "view", Timeout: 100 * time.Millisecond,
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +33,9 @@
 		// heap may exceed it.
 		MemoryLimitMB int    `key:"memory-limit" default:"80"`
 		LogLevel      string `key:"log-level" default:"info"`
+		// LinkRate is the rate of the network link of the instance in Mbit/s, zero if unknown. With a
+		// rate, large request bodies are scheduled so that they do not delay small requests.
+		LinkRate float64 `key:"link-rate" default:"0"`
 	} `section:"daemon"`
 	Listen struct {
 		// Callers receives HTTP requests of callers, Announcements those of the backend server on this
@@ -103,6 +107,12 @@
 // minRetryWindow keeps the subdivisions of the retry budget window above the timer resolution.
 const minRetryWindow = 100 * time.Millisecond
 
+// maxLinkRate is the largest rate of a link in Mbit/s; a larger one is probably in another unit.
+const maxLinkRate = 1_000_000
+
+// bytesPerMbit is the number of bytes in a megabit.
+const bytesPerMbit = 1e6 / 8
+
 // LoadSettings reads the settings of a daemon. It returns settings.Errors with all errors found.
 func LoadSettings(path string) (*Settings, error) {
 	var s Settings
@@ -135,6 +145,9 @@
 	if s.Daemon.MemoryLimitMB < minMemoryLimitMB {
 		fail("daemon", "memory-limit", fmt.Sprintf("must be at least %d MB", minMemoryLimitMB))
 	}
+	if !(s.Daemon.LinkRate >= 0 && s.Daemon.LinkRate <= maxLinkRate) {
+		fail("daemon", "link-rate", "must be between 0 and "+strconv.Itoa(maxLinkRate)+" (Mbit/s)")
+	}
 	if _, err := s.logLevel(); err != nil {
 		fail("daemon", "log-level", err.Error())
 	}
--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -160,22 +160,15 @@
 // enqueue puts w into the queue, or refuses it if its deadline cannot be met or if the queue is
 // full of requests of higher precedence. Otherwise a full queue evicts its last request.
 func (c *Controller) enqueue(w *Waiter, now time.Time, out deliveries) (*Refusal, deliveries) {
-	w.seq = c.queue.seq + 1
-	wait := c.wait(w)
-	if w.maxWait > 0 && wait > w.maxWait {
-		return &Refusal{ReasonBusy, c.retryAfter()}, out
-	}
-	if w.kind.undeclared {
+	refusal := c.refusalOf(w, now)
+	if w.kind.undeclared && (refusal == nil || refusal.Reason != ReasonBusy) {
 		c.shares.offer(w, now)
 	}
-	if now.Add(wait + w.kind.shortest()).After(w.deadline) {
-		return &Refusal{ReasonDeadline, c.retryAfter()}, out
+	if refusal != nil {
+		return refusal, out
 	}
 	if c.queue.size >= c.queueLimit {
 		last := c.queue.last()
-		if !w.before(last) {
-			return &Refusal{ReasonQueueFull, c.retryAfter()}, out
-		}
 		c.queue.remove(last)
 		out = append(out, delivery{w: last, refusal: &Refusal{ReasonEvicted, c.retryAfter()}})
 	}
@@ -186,6 +179,45 @@
 	return nil, out
 }
 
+// refusalOf returns why w cannot enter the queue at the time now, nil if it can.
+func (c *Controller) refusalOf(w *Waiter, now time.Time) *Refusal {
+	w.seq = c.queue.seq + 1
+	wait := c.wait(w)
+	switch {
+	case w.maxWait > 0 && wait > w.maxWait:
+		return &Refusal{ReasonBusy, c.retryAfter()}
+	case now.Add(wait + w.kind.shortest()).After(w.deadline):
+		return &Refusal{ReasonDeadline, c.retryAfter()}
+	case c.queue.size >= c.queueLimit && !w.before(c.queue.last()):
+		return &Refusal{ReasonQueueFull, c.retryAfter()}
+	}
+	return nil
+}
+
+// Preview returns the refusal that AcquireFor would give r now, nil if it would admit r. It takes
+// neither a slot nor a place in the queue, so that a request can be refused before its body is sent.
+func (c *Controller) Preview(r Request) *Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		return &Refusal{Reason: ReasonDraining}
+	}
+	if r.Rank == 0 {
+		return nil // a preview would consume a token of the declared kind
+	}
+	now := c.now()
+	w := r.waiter(c)
+	w.kind = c.undeclaredKind(r.Kind, r.Rank)
+	if w.tooLate(now) {
+		return &Refusal{ReasonDeadline, c.retryAfter()}
+	}
+	c.classifyByTarget(w, now)
+	if c.hasSlot(w.class) {
+		return nil
+	}
+	return c.refusalOf(w, now)
+}
+
 // result is the outcome that a blocked Acquire receives.
 type result struct {
 	ticket  *Ticket
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -160,3 +160,33 @@
 	is.Equal(ForService(svc, 0, 0).Slots, 12)
 	is.Equal(ForService(svc, 0, 0).Kinds[0].Rate, 40.0) // no ready server is known yet
 }
+
+// Guards against a preview that differs from the admission that follows it, and against one that
+// takes a slot or changes the shares of the ranks.
+func TestPreviewAgreesWithAdmission(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New(Config{Slots: 2}, func() time.Time { return now })
+	request := func(maxWait time.Duration) Request {
+		return Request{Kind: "upload", Rank: 2, Deadline: now.Add(time.Second), TargetTime: now.Add(time.Second), MaxWait: maxWait}
+	}
+	for range 2 {
+		is.Equal(c.Preview(request(0)), nil)
+		is.Equal(c.Preview(request(0)), nil)
+		_, err := c.AcquireFor(context.Background(), request(0))
+		is.NoErr(err)
+	}
+	shares := c.shares
+	refusal := c.Preview(request(time.Nanosecond))
+	is.Equal(refusal.Reason, ReasonBusy)
+	is.Equal(c.shares, shares)
+	_, err := c.AcquireFor(context.Background(), request(time.Nanosecond))
+	var got *Refusal
+	is.True(errors.As(err, &got))
+	is.Equal(got.Reason, refusal.Reason)
+	late := request(0)
+	late.Deadline = now
+	is.Equal(c.Preview(late).Reason, ReasonDeadline)
+	c.Drain()
+	is.Equal(c.Preview(request(0)).Reason, ReasonDraining)
+}
--- a/pkg/admission/request.go
+++ b/pkg/admission/request.go
@@ -38,12 +38,16 @@
 	MaxWait time.Duration
 }
 
+func (r *Request) waiter(c *Controller) *Waiter {
+	return &Waiter{ctl: c, deadline: r.Deadline, targetTime: r.TargetTime, rank: r.Rank, idempotent: r.Idempotent, maxWait: r.MaxWait}
+}
+
 // AcquireFor is Acquire for a described request.
 func (c *Controller) AcquireFor(ctx context.Context, r Request) (*Ticket, error) {
 	if ctx.Err() != nil {
 		return nil, &Refusal{Reason: ReasonCancelled}
 	}
-	w := &Waiter{ctl: c, deadline: r.Deadline, targetTime: r.TargetTime, rank: r.Rank, idempotent: r.Idempotent, maxWait: r.MaxWait}
+	w := r.waiter(c)
 	ticket, refusal, out := c.offer(w, r.Kind)
 	out.deliver()
 	switch {
--- a/pkg/selection/expected_cost.go
+++ b/pkg/selection/expected_cost.go
@@ -152,7 +152,7 @@
 }
 
 // expected returns the cost of sending r to m: the expected response time as a share of the latency
-// target, plus the cost of recent failures.
+// target, including the transfer of the body, plus the cost of recent failures.
 func (m *member) expected(r *Request, now int64) float64 {
 	target := float64(max(r.Target, time.Millisecond))
 	serviceTime := float64(m.kinds.of(r.Kind).serviceTime.Load())
@@ -162,6 +162,9 @@
 	slowness := math.Exp(m.stats.slowness.get(now, slownessHalfLife))
 	occupied := m.cost(now)
 	cost := serviceTime * slowness * (max(1, occupied) + 0.1*min(occupied, 1)) / target
+	if m.linkBytesPerSecond > 0 {
+		cost += float64(r.Bytes) / m.linkBytesPerSecond * float64(time.Second) / target
+	}
 	return cost + failureCost*m.excessFailureRate(now)
 }
 
--- a/pkg/selection/expected_cost_test.go
+++ b/pkg/selection/expected_cost_test.go
@@ -35,6 +35,25 @@
 	p.Done(Result{Verdict: verdict.Ran, Load: load, Work: work})
 }
 
+// Guards against sending a large body over a narrow link while one with a higher rate is as near,
+// and against a preference between links for small requests.
+func TestLargeBodyPrefersFasterLink(t *testing.T) {
+	is := is.New(t)
+	s, _ := newRequestSelector("a1", "a2")
+	v := &endpoint.View{ByService: map[string][]endpoint.Record{}}
+	for name, link := range map[string]int64{"a1": 1_000_000, "a2": 20_000_000} {
+		v.ByService["pages"] = append(v.ByService["pages"], endpoint.Record{
+			Instance: endpoint.InstanceID(name), Domain: "a", Service: "pages", State: endpoint.Ready, Slots: 4, ReadySinceMS: 1, LinkBytesPerSecond: link,
+		})
+	}
+	s.Update(v)
+	large := viewRequest
+	large.Bytes = 300_000
+	is.Equal(counts(t, s, large, 200)["a2"], 200)
+	small := counts(t, s, viewRequest, 200)
+	is.True(small["a1"] > 50 && small["a2"] > 50)
+}
+
 // counts picks n times, without responses in between that would change the loads.
 func counts(t *testing.T, s *Selector, d Request, n int) map[string]int {
 	t.Helper()
--- a/pkg/selection/stats.go
+++ b/pkg/selection/stats.go
@@ -73,6 +73,9 @@
 	stats   *stats
 	service *serviceStats
 	kinds   *kindTable // of the service
+	// linkBytesPerSecond is the rate at which a body reaches the instance, zero if unknown or if no
+	// link is involved.
+	linkBytesPerSecond float64
 }
 
 func newMember(r endpoint.Record, s *stats, service *serviceStats, kinds *kindTable) *member {
--- a/pkg/selection/table.go
+++ b/pkg/selection/table.go
@@ -74,7 +74,11 @@
 		for _, r := range subset(cfg, groups[domain]) {
 			st := carryOver(old.stats, kept.stats, keyOf(r.Record))
 			st.firstSeen.CompareAndSwap(0, now)
-			s.add(newMember(r.Record, st, svc, kinds), domain == cfg.Domain, v.Unreachable[domain])
+			m := newMember(r.Record, st, svc, kinds)
+			if r.Instance != cfg.Instance {
+				m.linkBytesPerSecond = float64(r.LinkBytesPerSecond)
+			}
+			s.add(m, domain == cfg.Domain, v.Unreachable[domain])
 		}
 	}
 	s.all = slices.Concat(s.local, s.remote, s.unreachable)
