Run forwarded keyed requests on the owner's own instance

Cause: ServeOwned took the received request, with the fence table of its connection, as the template of its own attempts. On its own instance an attempt was then looked up in a table that did not know it, and refused as fenced; the retry elsewhere hid that until the budget refused it. Change: Request.ForAttempts drops the table. TestOwnerRunsForwardedRequestOnItsOwnInstance failed before (attempt is fenced).

--- a/agent/caller/keys.go
+++ b/agent/caller/keys.go
@@ -180,7 +180,7 @@
 	}
 	e := &exchange{
 		snap: snap, service: service, kind: kind, key: r.Header.Get(headerOwner),
-		deadline: h.config.Now().Add(min(r.Timeout, kind.Deadline)), request: *r, maxAttempts: defaultMaxAttempts,
+		deadline: h.config.Now().Add(min(r.Timeout, kind.Deadline)), request: r.ForAttempts(), maxAttempts: defaultMaxAttempts,
 	}
 	e.request.Header = r.Header.Clone()
 	e.request.Header.Del(headerOwner)
--- a/agent/caller/keys_test.go
+++ b/agent/caller/keys_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -13,9 +14,11 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
@@ -275,3 +278,36 @@
 		}
 	}
 }
+
+// Guards against an owner that refuses a keyed request which another daemon sent to it, because its
+// own attempt is unknown to the fence table of the connection on which the request arrived.
+func TestOwnerRunsForwardedRequestOnItsOwnInstance(t *testing.T) {
+	is := is.New(t)
+	owner := newBench("a")
+	owner.config.Instance = "a"
+	owner.config.Local = handlerFunc(func(_ context.Context, r *call.Request) *call.Response {
+		if !r.Start() {
+			return call.ErrorResponse(r.Attempt, verdict.Wrap(verdict.NotRun, errors.New("attempt is fenced")))
+		}
+		return ran(r)
+	})
+	server := call.NewServer(handlerFunc(func(ctx context.Context, r *call.Request) *call.Response {
+		is.True(IsOwned(r) && r.Start())
+		return owner.ServeOwned(ctx, r)
+	}), 1, event.Nop())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	client := call.NewClient(event.Nop())
+	resp, err := client.Do(context.Background(), l.Addr().String(), &call.Request{
+		Attempt: fence.AttemptID{Sender: 1, Seq: 1}, Service: "pages", Kind: "save", Timeout: time.Second, Depth: 1,
+		Method: "POST", Target: "/pages/1", Host: "pages", Header: http.Header{headerOwner: {"key"}}, Body: []byte("text"),
+	})
+	is.NoErr(err)
+	is.Equal(resp.Reason, "")
+	is.Equal(resp.Verdict, verdict.Ran)
+	client.Close()
+	is.NoErr(server.Shutdown(context.Background()))
+	is.Equal(<-served, call.ErrClosed)
+}
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -68,6 +68,14 @@
 	table *fence.Table
 }
 
+// ForAttempts returns a copy of r as the template of new attempts of this daemon, which the fence
+// table of the connection does not know.
+func (r *Request) ForAttempts() Request {
+	template := *r
+	template.table = nil
+	return template
+}
+
 // Start marks the attempt as started. The handler calls it immediately before it sends the first
 // byte to the backend server; false means that the attempt is fenced and must not run. A request
 // that was not received from another daemon can always start.
