Charge calls of repeated runs to the retry budget of the called service

Besides, the window of a daemon had ten parts, the current one incomplete, so that the retries of almost eleven parts fell into some windows.

Change: a frame says whether its request has reached a server before; a daemon charges each call of its own server with the share of repeats among the attempts that the server is processing. Eleven parts count.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -43,6 +43,9 @@
 	res := newResult()
 	e.budget = h.config.Budgets.Of(e.service.Name, e.kind.Name)
 	e.budget.Deposit()
+	if e.fromOwnInstance {
+		e.budget.Charge(h.config.RepeatShare())
+	}
 	for {
 		left := retry.HopTimeout(e.deadline.Sub(h.config.Now()))
 		if left <= 0 {
@@ -130,6 +133,7 @@
 	req.Timeout = left
 	started := h.config.Now()
 	req.MaxQueueTime = h.maxSlotWait(e, pick, res.busyRefusals)
+	req.Repeat = res.offered > 0
 	req.WithholdBody = record.LinkBytesPerSecond > 0 && len(req.Body) >= call.MinWithheldBytes
 	if e.routed() {
 		req.TimeToTarget = e.targetTime.Sub(started)
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -53,6 +53,9 @@
 	QueryKey QueryKey
 	// Running reports whether the backend server of this daemon is processing an attempt.
 	Running func(fence.AttemptID) bool
+	// RepeatShare returns the share of repeats among the attempts that the backend server of this daemon
+	// is processing; nil means none.
+	RepeatShare func() float64
 	// Snapshot returns the snapshot in force, or nil if there is none that may be served.
 	Snapshot func() *snapshot.Snapshot
 	// View returns the current endpoints.
@@ -105,6 +108,9 @@
 	if config.Random == nil {
 		config.Random = rand.Uint64
 	}
+	if config.RepeatShare == nil {
+		config.RepeatShare = func() float64 { return 0 }
+	}
 	if config.Stopping == nil {
 		config.Stopping = func() bool { return false }
 	}
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -63,6 +63,9 @@
 	target time.Duration
 	// maxAttempts bounds the number of servers to which the request may be sent.
 	maxAttempts int
+	// fromOwnInstance means that the request was sent from the address of this daemon, that is, by the
+	// backend server beside it.
+	fromOwnInstance bool
 }
 
 // routed reports whether e matched a route.
@@ -75,7 +78,7 @@
 	if limit := headerLimit(snap); headerBytes(r) > limit {
 		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit)
 	}
-	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now}
+	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now, fromOwnInstance: isFromOwnInstance(r)}
 	if err := h.route(e, r, now); err != nil {
 		return nil, err
 	}
@@ -137,6 +140,17 @@
 	return nil
 }
 
+// isFromOwnInstance reports whether r was sent from the address at which it was received.
+func isFromOwnInstance(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return false
+	}
+	here, _, err := net.SplitHostPort(local.String())
+	from, _, fromErr := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && fromErr == nil && here == from
+}
+
 // requestTarget returns the target of the request line as received.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +17,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/fence"
+	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -138,6 +140,32 @@
 	is.Equal(b.remote.sent[1].MaxQueueTime, time.Duration(0))
 }
 
+// Guards against calls of the own backend server that are not charged to the retry budget in
+// proportion to its repeated runs, and against charging requests of callers.
+func TestCallsOfRepeatedRunsAreCharged(t *testing.T) {
+	is := is.New(t)
+	for from, share := range map[string]float64{"10.0.0.1:4000": 0.25, "10.0.0.2:4000": 0} {
+		b := newRoutedBench(t, "i1")
+		budget := &chargedBudget{Limiter: b.config.Budgets.Of("pages", "view")}
+		b.config.Budgets = budget
+		b.config.RepeatShare = func() float64 { return 0.25 }
+		r := routedRequest("GET", "/view/a")
+		r.RemoteAddr = from
+		local := &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 80}
+		is.Equal(b.serveHTTP(r.WithContext(context.WithValue(r.Context(), http.LocalAddrContextKey, local))).Code, http.StatusOK)
+		is.Equal(budget.charged, share)
+	}
+}
+
+// chargedBudget records what is charged to a budget.
+type chargedBudget struct {
+	retry.Limiter
+	charged float64
+}
+
+func (c *chargedBudget) Of(string, string) retry.Limiter { return c }
+func (c *chargedBudget) Charge(retries float64)          { c.charged += retries }
+
 // Guards against a large body that is sent without a grant to a daemon that schedules bodies, and
 // against a grant for a small body or from a daemon that does not know them.
 func TestLargeBodyIsWithheld(t *testing.T) {
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -206,7 +206,7 @@
 	d.retries = d.budgets()
 	d.callers = caller.NewHandler(caller.Config{
 		Instance: local.Instance, Domain: local.Domain, Incarnation: incarnation, StartedMS: local.Incarnation,
-		QueryKey: d.askKey, Running: d.receiver.running.contains, Snapshot: d.snapshot, View: d.prober.View,
+		QueryKey: d.askKey, Running: d.receiver.running.contains, RepeatShare: d.receiver.running.repeatShare, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
 		Budgets: d.retries, Recorder: d.burn, Log: d.log, Now: time.Now,
 		Stopping: func() bool { return d.gate.draining.Load() },
--- a/agent/nested_test.go
+++ b/agent/nested_test.go
@@ -119,7 +119,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		saving := fence.AttemptID{Sender: 7, Seq: 5}
 		var running runningAttempts
-		running.add(saving)
+		running.add(saving, false)
 		if share := searchesInTime(t, saving, running.contains); share < bound {
 			t.Errorf("the search met its deadline for a share of only %.3f of the saves", share)
 		}
--- a/agent/peer/call/frame.go
+++ b/agent/peer/call/frame.go
@@ -39,22 +39,27 @@
 	frameGrant frameType = 4
 )
 
-// flagWithheld in the second byte of the prefix of a request means that the body follows only after
-// a frameGrant. A response in place of the grant refuses the request, whose body is then not sent.
-const flagWithheld = 1
+// Flags in the second byte of the prefix of a request; receivers ignore those that they do not know.
+const (
+	// flagWithheld means that the body follows only after a frameGrant. A response in place of the
+	// grant refuses the request, whose body is then not sent.
+	flagWithheld = 1
+	// flagRepeat is Request.Repeat.
+	flagRepeat = 2
+)
 
 var goAwayFrame = []byte{byte(frameGoAway), 11: 0}
 
 type prefix struct {
-	kind         frameType
-	withheld     bool
-	header, body int
+	kind             frameType
+	withheld, repeat bool
+	header, body     int
 }
 
 // parsePrefix checks the lengths against the limits before anything is allocated for them.
 func parsePrefix(b []byte, maxBody int) (prefix, error) {
 	p := prefix{
-		kind: frameType(b[0]), withheld: b[1]&flagWithheld != 0,
+		kind: frameType(b[0]), withheld: b[1]&flagWithheld != 0, repeat: b[1]&flagRepeat != 0,
 		header: int(binary.BigEndian.Uint32(b[4:])),
 		body:   int(binary.BigEndian.Uint32(b[8:])),
 	}
@@ -168,6 +173,9 @@
 	if c.headerTooLarge() {
 		return false, ErrRequestTooLarge
 	}
+	if r.Repeat {
+		c.out.Bytes()[1] = flagRepeat
+	}
 	if r.WithholdBody {
 		return false, c.writeWithheld(len(r.Body))
 	}
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -62,6 +62,8 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
+	// Repeat means that the request has reached a backend server before this attempt.
+	Repeat bool
 	// WithholdBody sends the body only after the receiver has granted it; see BodyAdmitter.
 	WithholdBody bool
 
--- a/agent/peer/call/serverconn.go
+++ b/agent/peer/call/serverconn.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	r.Repeat = p.repeat
 	if p.withheld {
 		refused, err := c.readWithheld(r, p, admit)
 		return r, refused, err
--- a/agent/peer/call/withheld.go
+++ b/agent/peer/call/withheld.go
@@ -22,7 +22,8 @@
 // body.
 func (c *codec) writeWithheld(body int) error {
 	frame := c.out.Bytes()
-	frame[0], frame[1] = byte(frameRequest), flagWithheld
+	frame[0] = byte(frameRequest)
+	frame[1] |= flagWithheld
 	binary.BigEndian.PutUint32(frame[4:], uint32(len(frame)-prefixBytes))
 	binary.BigEndian.PutUint32(frame[8:], uint32(body))
 	_, err := c.conn.Write(frame)
--- a/agent/peer/call/withheld_test.go
+++ b/agent/peer/call/withheld_test.go
@@ -59,12 +59,14 @@
 func TestGrantedBodyArrivesWhole(t *testing.T) {
 	is := is.New(t)
 	const wait = 50 * time.Millisecond
-	timeouts := make(chan time.Duration, 2)
+	timeouts := make(chan time.Duration, 3)
+	var sawRepeat atomic.Bool
 	addr, processed := startBodyDaemon(t, func(_ context.Context, r *Request, bytes int) (int, *Response) {
 		is.Equal(bytes, testBodyBytes)
 		is.Equal(len(r.Body), 0)
 		time.Sleep(wait)
 		timeouts <- r.Timeout
+		sawRepeat.Store(r.Repeat)
 		return 20e6, nil
 	})
 	c := newTestClient(t)
@@ -75,8 +77,14 @@
 		is.True(string(resp.Body) == r.Target+" "+string(r.Body))
 		is.Equal(<-timeouts, testTimeout)
 	}
-	is.Equal(processed.Load(), int32(2))
+	is.Equal(processed.Load(), int32(2)) // each once
 	is.Equal(c.peers[addr].open, 1)
+	is.True(!sawRepeat.Load())
+	repeat := withheldRequest(4)
+	repeat.Repeat = true
+	_, err := c.Do(testCtx(t, testTimeout), addr, repeat)
+	is.NoErr(err)
+	is.True(sawRepeat.Swap(false))
 	small, err := c.Do(testCtx(t, testTimeout), addr, request(3))
 	is.NoErr(err)
 	is.Equal(string(small.Body), "/pages/a body")
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -113,7 +113,7 @@
 	started := time.Now()
 	defer r.running.remove(req.Attempt)
 	resp, err := r.backend.Do(ctx, req, func() bool {
-		r.running.add(req.Attempt)
+		r.running.add(req.Attempt, req.Repeat)
 		return req.Start()
 	})
 	outcome := admission.Outcome{}
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -166,3 +166,20 @@
 	is.True(<-during)
 	is.True(!r.running.contains(testRequest().Attempt))
 }
+
+// Guards against a share of repeats that counts attempts which have ended.
+func TestRepeatShare(t *testing.T) {
+	is := is.New(t)
+	var running runningAttempts
+	is.Equal(running.repeatShare(), 0.0)
+	for seq, repeat := range []bool{true, false, false, false} {
+		running.add(fence.AttemptID{Sender: 1, Seq: uint64(seq)}, repeat)
+	}
+	is.Equal(running.repeatShare(), 0.25)
+	running.remove(fence.AttemptID{Sender: 1, Seq: 1})
+	running.remove(fence.AttemptID{Sender: 1, Seq: 1})
+	running.remove(fence.AttemptID{Sender: 1, Seq: 2})
+	is.Equal(running.repeatShare(), 0.5)
+	running.remove(fence.AttemptID{Sender: 1, Seq: 0})
+	is.Equal(running.repeatShare(), 0.0)
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -42,6 +42,9 @@
 	b.mu.Unlock()
 }
 
+// Charge implements Limiter. The ratio of a kind covers its own retries only, so it has no effect.
+func (b *Budget) Charge(float64) {}
+
 // Withdraw reports whether a retry is allowed and records it. A retry counts against both the ratio
 // and the minimum rate, so that the two do not add up.
 func (b *Budget) Withdraw(bool) bool {
--- a/pkg/retry/shared_budget.go
+++ b/pkg/retry/shared_budget.go
@@ -10,6 +10,9 @@
 type Limiter interface {
 	// Deposit records a request that is not a retry.
 	Deposit()
+	// Charge records the given number of retries that were made elsewhere, for example by the repeated
+	// run of a request that calls the service.
+	Charge(retries float64)
 	// Withdraw reports whether a retry is allowed and records it. ran means that the previous attempt
 	// has run or may have run.
 	Withdraw(ran bool) bool
@@ -25,8 +28,13 @@
 	runCost = 2.5
 )
 
-// windowSlots is the number of parts into which the window of a shared budget is divided.
-const windowSlots = 10
+const (
+	// windowSlots is the number of parts into which the window of a shared budget is divided.
+	windowSlots = 10
+	// countedSlots is the number of parts that count: those of a whole window, and the current one,
+	// which is incomplete. Without it, the retries of almost eleven parts would fall into some windows.
+	countedSlots = windowSlots + 1
+)
 
 // SharedLimit limits the retries for each service over all daemons, without coordination between
 // them: in each window, there are at most Ratio times the requests plus Slack retries.
@@ -75,8 +83,8 @@
 	mu       sync.Mutex
 	window   time.Duration // window length for which the slots were counted
 	slot     int64         // number of the latest slot
-	requests [windowSlots]int
-	retries  [windowSlots]float64 // sums of costs
+	requests [countedSlots]int
+	retries  [countedSlots]float64 // sums of costs
 }
 
 // Deposit implements Limiter.
@@ -86,6 +94,16 @@
 	b.requests[b.advance(b.shared.limit.Load())]++
 }
 
+// Charge implements Limiter.
+func (b *sharedBudget) Charge(retries float64) {
+	if retries <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries[b.advance(b.shared.limit.Load())] += retries
+}
+
 // Withdraw implements Limiter.
 func (b *sharedBudget) Withdraw(ran bool) bool {
 	cost := 1.0
@@ -97,7 +115,7 @@
 	limit := b.shared.limit.Load()
 	at := b.advance(limit)
 	requests, retries := 0, 0.0
-	for i := range windowSlots {
+	for i := range countedSlots {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
@@ -116,9 +134,9 @@
 	if b.window != limit.Window {
 		b.window, b.slot = limit.Window, now-1 // slots of another width are not comparable
 	}
-	for n := max(b.slot+1, now-windowSlots+1); n <= now; n++ {
-		b.requests[n%windowSlots], b.retries[n%windowSlots] = 0, 0
+	for n := max(b.slot+1, now-countedSlots+1); n <= now; n++ {
+		b.requests[n%countedSlots], b.retries[n%countedSlots] = 0, 0
 	}
 	b.slot = max(b.slot, now)
-	return int(b.slot % windowSlots)
+	return int(b.slot % countedSlots)
 }
