Bound the bytes of a response that never ends

Cause: the header of a response was read up to the limit of a body, 65 MiB on each connection, and bodies were held up to 64 MiB each, allocated on their declared length alone; a backend server that sends bytes without end on all its connections could exhaust the memory of the daemon. A frame of another daemon allocated its declared length too. Change: 256 KiB for everything up to the end of the header, informational and foreign responses included; one memory of 64 MiB for all bodies that are being received beyond 256 KiB each; memory for more than 1 MiB is allocated as it arrives. Verdicts stay true (may have run until the status line, ran afterwards), and the connection is closed.

--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -50,6 +50,7 @@
 type Backend struct {
 	cfg         Config
 	log         *event.Logger
+	memory      responseMemory
 	maintainNow chan struct{}
 	stop        chan struct{}
 	done        chan struct{}
@@ -220,6 +221,6 @@
 			b.dialFailed(reserved, err)
 			return
 		}
-		b.release(newConn(raw, reserved))
+		b.release(newConn(raw, reserved, &b.memory))
 	}
 }
--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -351,7 +351,7 @@
 		if err != nil {
 			return
 		}
-		body, err := readBody(head, &dialect.Default)
+		body, err := readBody(head, &dialect.Default, &bodyMemory{shared: new(responseMemory)})
 		if err == nil && (len(body) > call.MaxResponseBodyBytes || head.ContentLength > int64(len(body))) {
 			t.Fatalf("accepted %d of %d bytes", len(body), head.ContentLength)
 		}
--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -23,13 +23,23 @@
 	ErrInvalidRequest   = errors.New("request cannot be written as HTTP/1.1")
 	ErrTruncated        = errors.New("response of the backend server is truncated")
 	ErrResponseTooLarge = errors.New("response of the backend server exceeds the limit")
+	ErrHeadTooLarge     = errors.New("backend server sent no end of a response header")
+	ErrResponseMemory   = errors.New("too much memory is used by responses that are being received")
 	ErrBadResponse      = errors.New("backend server sent no valid HTTP response")
 	ErrForeignResponse  = errors.New("backend server answered another request")
 	ErrNoStamp          = errors.New("answer of the backend server has no stamp")
 )
 
-// maxResponseBytes limits the bytes read for one response, including header and chunk framing.
-const maxResponseBytes = call.MaxResponseBodyBytes + 1<<20
+const (
+	// maxHeadBytes limits the bytes read for one exchange up to the header of its response, including
+	// informational responses and responses to other requests.
+	maxHeadBytes = 256 << 10
+	// maxFramingBytes is the allowance for the chunk framing of a body.
+	maxFramingBytes = 1 << 20
+	// preallocatedBytes is the largest body for which memory is allocated on its declared length alone;
+	// memory for a longer one is allocated as it arrives.
+	preallocatedBytes = 1 << 20
+)
 
 // Do sends r to the backend server and reads the whole response in the calling goroutine. When ctx
 // ends, the connection is closed, which cancels the request on the backend server. started is
@@ -82,7 +92,8 @@
 		}()
 	}
 	c.out = appendRequest(c.out[:0], r, d, c.reservation.serverID, timeLeft(ctx, r))
-	c.readLimit.N = maxResponseBytes
+	c.readLimit.N = maxHeadBytes
+	defer c.body.release()
 	if n, err := c.write(r.Body); err != nil {
 		v := verdict.MayHaveRun
 		if n == 0 {
@@ -103,9 +114,15 @@
 	for range maxForeignResponses {
 		head, err := c.readHead(r.Method)
 		if err != nil {
+			if c.readLimit.N <= 0 {
+				err = ErrHeadTooLarge
+			}
 			return nil, false, verdict.Wrap(verdict.MayHaveRun, errors.Wrap(call.ContextError(ctx, err), "receive from backend server"))
 		}
-		body, err := readBody(head, d)
+		headLeft := c.readLimit.N
+		c.readLimit.N = call.MaxResponseBodyBytes + maxFramingBytes
+		body, err := readBody(head, d, &c.body)
+		c.readLimit.N = headLeft
 		if !isResponseTo(head, r, d) {
 			if err != nil || head.Close {
 				break
@@ -148,19 +165,20 @@
 }
 
 // readBody reads the whole body, up to call.MaxResponseBodyBytes.
-func readBody(head *http.Response, d *dialect.Dialect) ([]byte, error) {
+func readBody(head *http.Response, d *dialect.Dialect, memory *bodyMemory) ([]byte, error) {
 	defer func() { _ = head.Body.Close() }()
 	if head.ContentLength > call.MaxResponseBodyBytes && head.Request.Method != http.MethodHead {
 		return nil, ErrResponseTooLarge
 	}
+	memory.source = head.Body
 	if head.ContentLength >= 0 {
-		return readSized(head)
+		return readSized(head, memory)
 	}
 	if !slices.Contains(head.TransferEncoding, "chunked") && !d.UnsizedAnswers {
 		// The body would end with the connection, so that a truncated body could not be detected.
 		return nil, errors.Wrap(ErrTruncated, "length is not declared")
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, call.MaxResponseBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(memory, call.MaxResponseBodyBytes+1))
 	if err != nil {
 		return nil, truncationError(err)
 	}
@@ -171,19 +189,26 @@
 }
 
 // readSized reads a body of known length into a slice of exactly that length.
-func readSized(head *http.Response) ([]byte, error) {
+func readSized(head *http.Response, memory *bodyMemory) ([]byte, error) {
 	if head.Body == http.NoBody || head.ContentLength == 0 {
 		return nil, nil
 	}
+	if head.ContentLength > preallocatedBytes {
+		body, err := io.ReadAll(memory)
+		if err != nil {
+			return nil, truncationError(err)
+		}
+		return body, nil
+	}
 	body := make([]byte, head.ContentLength)
-	if _, err := io.ReadFull(head.Body, body); err != nil {
+	if _, err := io.ReadFull(memory, body); err != nil {
 		return nil, truncationError(err)
 	}
 	return body, nil
 }
 
 func truncationError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, ErrResponseMemory) {
 		return err
 	}
 	return errors.Wrap(ErrTruncated, err.Error())
--- a/agent/backend/pool.go
+++ b/agent/backend/pool.go
@@ -72,17 +72,18 @@
 	readLimit   *io.LimitedReader // source of in
 	in          *bufio.Reader
 	out         []byte
+	body        bodyMemory
 	check       *call.IdleCheck
 	// abort interrupts the exchange on the connection.
 	abort func()
 }
 
-func newConn(raw net.Conn, r reservation) *conn {
+func newConn(raw net.Conn, r reservation, memory *responseMemory) *conn {
 	socket.DetectDeadPeer(raw)
 	raw = socket.Wrap(raw)
 	limit := &io.LimitedReader{R: raw}
 	return &conn{
-		Conn: raw, reservation: r, readLimit: limit, in: bufio.NewReaderSize(limit, readBufferBytes),
+		Conn: raw, reservation: r, readLimit: limit, body: bodyMemory{shared: memory}, in: bufio.NewReaderSize(limit, readBufferBytes),
 		check: call.NewIdleCheck(raw),
 		abort: func() { _ = raw.SetDeadline(aLongTimeAgo) },
 	}
@@ -172,7 +173,7 @@
 	if err != nil {
 		return nil, b.dialFailed(r, err)
 	}
-	c := newConn(raw, r)
+	c := newConn(raw, r, &b.memory)
 	deadline, _ := ctx.Deadline()
 	if err := c.SetDeadline(deadline); err != nil {
 		b.discard(c)
--- a/agent/peer/call/frame.go
+++ b/agent/peer/call/frame.go
@@ -24,6 +24,9 @@
 	// copyBodyBytes is the largest body that is copied behind the header to send both in one write;
 	// larger bodies are passed to writev without a copy.
 	copyBodyBytes = 16 << 10
+	// preallocatedBytes is the largest body for which memory is allocated on its declared length alone;
+	// memory for a longer one is allocated as it arrives.
+	preallocatedBytes = 1 << 20
 )
 
 type frameType uint8
@@ -129,8 +132,15 @@
 	if p.body == 0 {
 		return nil, nil
 	}
-	body := make([]byte, p.body)
-	_, err := io.ReadFull(c.in, body)
+	if p.body <= preallocatedBytes {
+		body := make([]byte, p.body)
+		_, err := io.ReadFull(c.in, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(c.in, int64(p.body)))
+	if err == nil && len(body) < p.body {
+		err = io.ErrUnexpectedEOF
+	}
 	return body, err
 }
 
