--- a/agent/backend/endless_test.go
+++ b/agent/backend/endless_test.go
@@ -25,7 +25,7 @@
 // behind until the next collection. Read to the limit of a body, the headers alone would take 6.5 GB.
 const maxHeapBytes = 8 * call.MaxResponseBodyBytes
 
-// endlessTimeout is the deadline of these exchanges. It ends those whose bytes are too few to reach a
+// endlessTimeout is the deadline of the exchanges with endless bodies. It ends those whose bytes are too few to reach a
 // limit, such as bodies in chunks of one byte.
 const endlessTimeout = 2 * time.Second
 
@@ -66,6 +66,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			timeout := testTimeout // a header ends the exchange by its size
+			if c.err == nil {
+				timeout = endlessTimeout
+			}
 			var closed atomic.Int32
 			s := startFake(t, writeEndlessly(c.start, c.unit, &closed))
 			b := newBackend(t, Config{}, s, 1, endlessExchanges)
@@ -75,7 +79,7 @@
 			failures := make(chan error, endlessExchanges)
 			for range endlessExchanges {
 				wg.Go(func() {
-					if _, err := b.Do(testCtx(t, endlessTimeout), request(), startOK); err != nil {
+					if _, err := b.Do(testCtx(t, timeout), request(), startOK); err != nil {
 						failures <- err
 					}
 				})
--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -128,6 +128,7 @@
 // attempt sends e once to the picked endpoint.
 func (h *Handler) attempt(ctx context.Context, e *exchange, res *result, pick *selection.Pick, left time.Duration) attemptResult {
 	record := pick.Record()
+	defer pick.Done(selection.Result{Verdict: verdict.MayHaveRun, Load: unknownLoad}) // after a panic
 	req := e.request
 	req.Attempt = h.nextAttempt()
 	req.Timeout = left
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -212,7 +212,7 @@
 		Stopping: func() bool { return d.gate.draining.Load() },
 		Dialect:  d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
 	})
-	d.gate = &gate{next: d.callers}
+	d.gate = &gate{next: d.callers, log: d.log}
 }
 
 func (d *Daemon) buildRPC() error {
@@ -220,7 +220,7 @@
 	if err := d.calls.RegisterRPC(d.rpc); err != nil {
 		return err
 	}
-	return keys.Register(d.rpc, d.callers)
+	return keys.Register(d.rpc, d.callers, d.log)
 }
 
 // snapshot returns the snapshot in force, or nil while this daemon is not ready to serve.
--- a/agent/peer/call/call_test.go
+++ b/agent/peer/call/call_test.go
@@ -280,3 +280,25 @@
 	is.Equal(idle(), 0)
 	is.NoErr(call("/fast", testTimeout))
 }
+
+// Guards against one request that ends the whole daemon because its handler panics, against a verdict
+// other than may have run for it, and against a fence that then takes it for one that can still run.
+func TestPanicAffectsOneRequest(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t, func(ctx context.Context, r *Request) *Response {
+		if r.Attempt.Seq == 1 {
+			_ = r.Start()
+			panic("unexpected")
+		}
+		return echo(ctx, r)
+	})
+	c := newTestClient(t)
+	resp, err := c.Do(testCtx(t, testTimeout), d.addr, request(1))
+	is.NoErr(err)
+	is.Equal(resp.Verdict, verdict.MayHaveRun)
+	is.Equal(resp.Status, http.StatusBadGateway)
+	is.Equal(d.server.Table().Lookup(request(1).Attempt), fence.HasStarted)
+	resp, err = c.Do(testCtx(t, testTimeout), d.addr, request(2))
+	is.NoErr(err)
+	is.Equal(resp.Verdict, verdict.Ran)
+}
--- a/agent/peer/call/fence.go
+++ b/agent/peer/call/fence.go
@@ -32,10 +32,12 @@
 type FenceService struct {
 	table       *fence.Table
 	incarnation uint64
+	log         *event.Logger
 }
 
 // Settle is the net/rpc method that fences an attempt and returns its state.
-func (f *FenceService) Settle(args FenceArgs, reply *FenceReply) error {
+func (f *FenceService) Settle(args FenceArgs, reply *FenceReply) (err error) {
+	defer f.log.ContainError("fence", &err)
 	if args.Incarnation == f.incarnation {
 		reply.Answer = f.table.Fence(args.Attempt)
 	}
@@ -44,7 +46,7 @@
 
 // RegisterRPC registers the fence service with the net/rpc server of the daemon.
 func (s *Server) RegisterRPC(r *rpc.Server) error {
-	return r.RegisterName(fenceService, &FenceService{table: s.table, incarnation: s.incarnation})
+	return r.RegisterName(fenceService, &FenceService{table: s.table, incarnation: s.incarnation, log: s.log})
 }
 
 // Fence determines whether an attempt for which Do returned may have run has started, and prevents
--- a/agent/peer/call/server.go
+++ b/agent/peer/call/server.go
@@ -149,7 +149,7 @@
 	defer s.table.Finish(r.Attempt)
 	c.beginRun(func() { s.cancelAbandoned(r, cancel) })
 	defer c.endRun()
-	resp := s.handler.ServeCall(ctx, r)
+	resp := s.handle(ctx, r)
 	if resp == nil {
 		resp = ErrorResponse(r.Attempt, errors.New("handler gave no response"))
 	}
@@ -157,6 +157,12 @@
 	return resp
 }
 
+// handle passes r to the handler. If the handler panics, there is no response, and r may have run.
+func (s *Server) handle(ctx context.Context, r *Request) (resp *Response) {
+	defer s.log.ContainPanic("call", nil)
+	return s.handler.ServeCall(ctx, r)
+}
+
 // refuseAttempt returns the response to an attempt that must not run. Only an attempt that was
 // fenced before it started is reported as not run; the first delivery of a duplicate may have run.
 func (s *Server) refuseAttempt(id fence.AttemptID) *Response {
--- a/agent/peer/call/withheld.go
+++ b/agent/peer/call/withheld.go
@@ -8,7 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/transfer"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
 // MinWithheldBytes is the size from which a body should be withheld until the receiver grants it.
@@ -131,9 +133,17 @@
 	if !ok {
 		return 1<<32 - 1, nil
 	}
-	rate, refused := admitter.AdmitBody(ctx, r, bytes)
+	rate, refused := s.askAdmitter(ctx, admitter, r, bytes)
 	if refused != nil {
 		refused.Attempt = r.Attempt
 	}
 	return rate, refused
 }
+
+// askAdmitter passes r to admitter. If it panics, r is refused; without its body it cannot have run.
+func (s *Server) askAdmitter(ctx context.Context, admitter BodyAdmitter, r *Request, bytes int) (rate int, refused *Response) {
+	defer s.log.ContainPanic("body", func() {
+		refused = ErrorResponse(r.Attempt, verdict.Wrap(verdict.NotRun, event.ErrPanic))
+	})
+	return admitter.AdmitBody(ctx, r, bytes)
+}
--- a/agent/peer/call/withheld_test.go
+++ b/agent/peer/call/withheld_test.go
@@ -181,3 +181,13 @@
 	cancel()
 	is.Equal(verdict.Of(<-uploaded), verdict.NotRun)
 }
+
+// Guards against a decision on a body that ends the whole daemon because it panics.
+func TestPanicInDecisionRefusesBody(t *testing.T) {
+	is := is.New(t)
+	addr, processed := startBodyDaemon(t, func(context.Context, *Request, int) (int, *Response) { panic("unexpected") })
+	resp, err := newTestClient(t).Do(testCtx(t, testTimeout), addr, withheldRequest(1))
+	is.NoErr(err)
+	is.Equal(resp.Verdict, verdict.NotRun)
+	is.Equal(processed.Load(), int32(0))
+}
--- a/agent/peer/keys/keys.go
+++ b/agent/peer/keys/keys.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/caller"
+	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
@@ -37,10 +38,14 @@
 }
 
 // Service is the net/rpc service of the receiving daemon.
-type Service struct{ holder Holder }
+type Service struct {
+	holder Holder
+	log    *event.Logger
+}
 
 // HandOver imports the outcomes in args.
-func (s *Service) HandOver(args Args, reply *Reply) error {
+func (s *Service) HandOver(args Args, reply *Reply) (err error) {
+	defer s.log.ContainError("keys", &err)
 	added, err := s.holder.ImportKeys(args.Records)
 	reply.Added = added
 	return err
@@ -50,7 +55,8 @@
 const maxQueryWait = time.Minute
 
 // Ask returns the state of a key at this daemon.
-func (s *Service) Ask(q caller.KeyQuery, reply *caller.KeyAnswer) error {
+func (s *Service) Ask(q caller.KeyQuery, reply *caller.KeyAnswer) (err error) {
+	defer s.log.ContainError("key question", &err)
 	q.Wait = min(q.Wait, maxQueryWait)
 	answer, err := s.holder.AnswerKey(context.Background(), q)
 	*reply = answer
@@ -58,8 +64,8 @@
 }
 
 // Register adds the service to the net/rpc server of a daemon.
-func Register(server *rpc.Server, holder Holder) error {
-	return server.RegisterName(serviceName, &Service{holder: holder})
+func Register(server *rpc.Server, holder Holder, log *event.Logger) error {
+	return server.RegisterName(serviceName, &Service{holder: holder, log: log})
 }
 
 // Dialer opens a connection to another daemon; it has the signature of net.Dialer.DialContext.
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -80,7 +80,7 @@
 // serve registers h on a net/rpc server that stops accepting connections when the test ends.
 func serve(t testing.TB, listener net.Listener, h Holder) {
 	server := rpc.NewServer()
-	if err := Register(server, h); err != nil {
+	if err := Register(server, h, event.Nop()); err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan struct{})
@@ -289,7 +289,7 @@
 	f.Add([]byte("!\xff\x81\x03\x01\x01\aRequest\x01\xff\x82\x00\x01\x02\x01\rServiceMethod\x01\f\x00\x01\x03Seq\x01\x06\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		server := rpc.NewServer()
-		if err := Register(server, emptyHolder{}); err != nil {
+		if err := Register(server, emptyHolder{}, event.Nop()); err != nil {
 			t.Fatal(err)
 		}
 		ours, theirs := net.Pipe()
--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -183,6 +183,7 @@
 }
 
 func (p *Prober) handle(from netip.AddrPort, data []byte) []membership.Packet {
+	defer p.log.ContainPanic("probe", nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.state.Receive(time.Now(), from, data)
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -44,6 +45,7 @@
 	store     *Store
 	follower  *Follower
 	fullSyncs chan struct{}
+	log       *event.Logger
 	// patchMu guards lastDelta, which caches the result of patchDelta.
 	patchMu   sync.Mutex
 	lastDelta cachedDelta
@@ -51,7 +53,7 @@
 
 // NewServer returns a Server for the membership and the snapshot store of f.
 func NewServer(f *Follower) *Server {
-	return &Server{members: f.cfg.Members, store: f.cfg.Store, follower: f, fullSyncs: make(chan struct{}, maxFullSyncs)}
+	return &Server{members: f.cfg.Members, store: f.cfg.Store, follower: f, fullSyncs: make(chan struct{}, maxFullSyncs), log: f.cfg.Log}
 }
 
 // Register adds the methods of s to r under ServiceName. Polls end early when ctx is done. It
@@ -67,7 +69,8 @@
 }
 
 // Poll returns a delta to a higher version, waiting for one up to args.Wait.
-func (s *service) Poll(args PollArgs, reply *PollReply) error {
+func (s *service) Poll(args PollArgs, reply *PollReply) (err error) {
+	defer s.log.ContainError("sync", &err)
 	s.awaitVersionAbove(args.Have, min(args.Wait, maxWait))
 	s.members.Do(func(_ time.Time, m *membership.State) {
 		m.RaiseHighest(args.Have)
@@ -153,7 +156,8 @@
 }
 
 // Exchange merges the entries of a joining daemon and returns all entries.
-func (s *service) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
+func (s *service) Exchange(args ExchangeArgs, reply *ExchangeReply) (err error) {
+	defer s.log.ContainError("sync", &err)
 	entries, err := s.follower.entries.decode(args.Entries)
 	if err != nil {
 		return err
@@ -191,7 +195,8 @@
 
 // Digests compares the digests of the records and returns the bucket digests of the domains that
 // differ.
-func (s *service) Digests(args DigestArgs, reply *DigestReply) error {
+func (s *service) Digests(args DigestArgs, reply *DigestReply) (err error) {
+	defer s.log.ContainError("sync", &err)
 	if len(args.Digests) > maxDomains {
 		return errors.Errorf("request has digests of %d domains, at most %d are allowed", len(args.Digests), maxDomains)
 	}
@@ -219,7 +224,8 @@
 
 // Buckets merges the entries of the requesting daemon and returns the local entries of the same
 // buckets.
-func (s *service) Buckets(args BucketArgs, reply *BucketReply) error {
+func (s *service) Buckets(args BucketArgs, reply *BucketReply) (err error) {
+	defer s.log.ContainError("sync", &err)
 	entries, err := s.follower.entries.decode(args.Entries)
 	if err != nil {
 		return err
@@ -235,7 +241,8 @@
 
 // Highest returns the highest version known to this daemon, and the version of the head if
 // requested.
-func (s *service) Highest(args HighestArgs, reply *HighestReply) error {
+func (s *service) Highest(args HighestArgs, reply *HighestReply) (err error) {
+	defer s.log.ContainError("sync", &err)
 	if args.Fresh {
 		reply.Head, reply.Fresh = s.follower.freshHead(s.ctx)
 	}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -112,6 +112,7 @@
 func (r *receiver) forward(ctx context.Context, req *call.Request, ticket *admission.Ticket) *call.Response {
 	started := time.Now()
 	defer r.running.remove(req.Attempt)
+	defer ticket.Done(admission.Outcome{}) // after a panic
 	resp, err := r.backend.Do(ctx, req, func() bool {
 		r.running.add(req.Attempt, req.Repeat)
 		return req.Start()
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -28,6 +28,7 @@
 type gate struct {
 	next     http.Handler
 	draining atomic.Bool
+	log      *event.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -35,6 +36,11 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer g.log.ContainPanic("caller", func() {
+		// The request may have run. If a response was already begun, its connection must close early.
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusBadGateway)
+	})
 	g.next.ServeHTTP(w, r)
 }
 
--- a/lib/event/daemon.go
+++ b/lib/event/daemon.go
@@ -9,6 +9,9 @@
 	KeysMoved       = Event{1007, zapcore.InfoLevel, "idempotency keys moved to another daemon"}
 )
 
+// PanicContained reports a programming error that affected one message only.
+var PanicContained = Event{1014, zapcore.ErrorLevel, "panic contained"}
+
 // Events of the authentication between daemons and of the reload of its settings.
 var (
 	Unauthenticated     = Event{1008, zapcore.WarnLevel, "daemons are not authenticated to each other"}
