--- a/agent/backend/endless_test.go
+++ b/agent/backend/endless_test.go
@@ -54,7 +54,7 @@
 		"one header value":      {okHead + "A: ", "b", ErrHeadTooLarge, verdict.MayHaveRun},
 		"no HTTP":               {"", "\x00\xff", ErrHeadTooLarge, verdict.MayHaveRun},
 		"informational":         {"", "HTTP/1.1 103 x\r\n\r\n", ErrHeadTooLarge, verdict.MayHaveRun},
-		"chunks":                {okHead + "Transfer-Encoding: chunked\r\n\r\n", "100\r\n" + strings.Repeat("x", 1<<8) + "\r\n", nil, verdict.Ran},
+		"chunks":                {okHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 1<<12) + "\r\n", nil, verdict.Ran},
 		"large chunks":          {okHead + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + strings.Repeat("x", 1<<16) + "\r\n", nil, verdict.Ran},
 		"chunk extension":       {okHead + "Transfer-Encoding: chunked\r\n\r\n1;", "x", nil, verdict.Ran},
 		"trailer":               {okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", nil, verdict.Ran},
