--- a/agent/peer/call/withheld.go
+++ b/agent/peer/call/withheld.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,9 @@
 // Smaller ones cost less time on a link than the round trip for the grant.
 const MinWithheldBytes = 16 << 10
 
+// unlimitedRate is the rate, in bytes per second, of a grant without a limit.
+const unlimitedRate = math.MaxUint32
+
 // grantSlack extends the time within which a granted body must arrive, relative to its rate.
 const grantSlack = 4
 
@@ -34,7 +38,7 @@
 
 func (c *codec) writeGrant(bytesPerSecond int) error {
 	frame := [prefixBytes]byte{byte(frameGrant)}
-	binary.BigEndian.PutUint32(frame[8:], uint32(min(bytesPerSecond, 1<<32-1)))
+	binary.BigEndian.PutUint32(frame[8:], uint32(min(bytesPerSecond, unlimitedRate)))
 	_, err := c.conn.Write(frame[:])
 	return err
 }
@@ -131,7 +135,7 @@
 	defer c.endRun()
 	admitter, ok := s.handler.(BodyAdmitter)
 	if !ok {
-		return 1<<32 - 1, nil
+		return unlimitedRate, nil
 	}
 	rate, refused := s.askAdmitter(ctx, admitter, r, bytes)
 	if refused != nil {
--- a/lib/event/panic.go
+++ b/lib/event/panic.go
@@ -18,7 +18,7 @@
 	if value == nil {
 		return
 	}
-	l.Log(PanicContained, zap.String("part", part), zap.Any("value", value), zap.ByteString("stack", debug.Stack()))
+	l.logPanic(part, value)
 	if failed != nil {
 		failed()
 	}
@@ -30,6 +30,10 @@
 	if value == nil {
 		return
 	}
-	l.Log(PanicContained, zap.String("part", part), zap.Any("value", value), zap.ByteString("stack", debug.Stack()))
+	l.logPanic(part, value)
 	*err = ErrPanic
 }
+
+func (l *Logger) logPanic(part string, value any) {
+	l.Log(PanicContained, zap.String("part", part), zap.Any("value", value), zap.ByteString("stack", debug.Stack()))
+}
--- a/pkg/transfer/transfer.go
+++ b/pkg/transfer/transfer.go
@@ -96,16 +96,6 @@
 	s.granted = s.granted.Add(-g.length)
 }
 
-// Used accounts for bytes that arrived without a grant, for example a body sent by a caller.
-func (s *Scheduler) Used(bytes int, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.granted.Before(now) {
-		s.granted = now
-	}
-	s.granted = s.granted.Add(duration(float64(bytes), s.bytesPerSecond))
-}
-
 func duration(bytes, bytesPerSecond float64) time.Duration {
 	return time.Duration(bytes / bytesPerSecond * float64(time.Second))
 }
--- a/pkg/transfer/transfer_test.go
+++ b/pkg/transfer/transfer_test.go
@@ -73,10 +73,6 @@
 	grant, err = s.Reserve(body(75*kilobyte, time.Second, start), start)
 	is.NoErr(err)
 	is.Equal(grant.Wait, time.Duration(0))
-	s.Used(100*kilobyte, start)
-	grant, err = s.Reserve(body(75*kilobyte, time.Second, start), start)
-	is.NoErr(err)
-	is.Equal(grant.Wait, 200*time.Millisecond)
 }
 
 // Guards against a sender that exceeds its rate after it was delayed, and against a body that is
