Bound one read of a body

One read of many chunks fills the whole buffer of the reader, which grows by megabytes, so each connection exceeded the limit by that. Change: a read takes 64 KiB at most. The check is unchanged.

--- a/agent/backend/memory.go
+++ b/agent/backend/memory.go
@@ -15,6 +15,9 @@
 	// freeBodyBytes is the part of each body that does not count, so that usual responses neither share
 	// a counter nor fail while others use up the memory.
 	freeBodyBytes = 256 << 10
+	// maxReadBytes limits one read of a body. A read of chunks can fill a buffer of any size, by which
+	// each connection would exceed the limit of the memory.
+	maxReadBytes = 64 << 10
 )
 
 // responseMemory counts the bytes of the bodies that are being received from the backend server.
@@ -30,7 +33,7 @@
 
 // Read implements io.Reader. It fails with ErrResponseMemory at the limit of the shared memory.
 func (m *bodyMemory) Read(p []byte) (int, error) {
-	n, err := m.source.Read(p)
+	n, err := m.source.Read(p[:min(len(p), maxReadBytes)])
 	m.read += int64(n)
 	if excess := m.read - freeBodyBytes - m.counted; excess > 0 {
 		m.counted += excess
