Log from whom a daemon expects new versions and how old its last answers are

No decision is changed: events 5111 and 5112 with the ages of the last answers of the source and a parent, fields of Status, gauges in the configuration metrics. Lines about failed questions are bounded to one a second.

--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -63,13 +63,22 @@
 	Ready   bool   `json:"ready"`
 	Leading bool   `json:"holds_lease"`
 	Refused int    `json:"refused_versions"`
+	// Reader and SourceAway are always false without an adapter.
+	Reader     bool `json:"reads_source"`
+	SourceAway bool `json:"source_away"`
+	// The ages are in seconds, -1 without an answer.
+	SourceAnswer float64 `json:"source_answer_age_seconds"`
+	ParentAnswer float64 `json:"parent_answer_age_seconds"`
 }
 
 func (d *Daemon) configurationMetrics() any {
 	floor, _ := d.follower.Floor() // 0 if unknown
+	source := d.follower.SourceStatus()
 	return configurationMetrics{
 		Version: uint64(d.store.Version()), Floor: uint64(floor), Ready: d.follower.Ready(),
 		Leading: d.follower.Leading(), Refused: len(d.follower.Refusals()),
+		Reader: source.Reader, SourceAway: source.Away,
+		SourceAnswer: source.SourceAnswer.Seconds(), ParentAnswer: source.ParentAnswer.Seconds(),
 	}
 }
 
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -103,6 +103,9 @@
 	// cachedPosition caches the result of position.
 	cachedPosition atomic.Pointer[treePosition]
 
+	// answers records when the source and the parents last answered.
+	answers answers
+
 	// objects limits the reads of the object store.
 	objects *rate.Limiter
 
@@ -123,7 +126,7 @@
 func NewFollower(cfg Config) *Follower {
 	return &Follower{
 		cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		objects: rate.NewLimiter(objectRate, objectBurst),
+		objects: rate.NewLimiter(objectRate, objectBurst), answers: newAnswers(),
 	}
 }
 
@@ -185,13 +188,14 @@
 	Parents     []endpoint.InstanceID
 	Unreachable []string
 	Refusals    []Refusal
+	Source      SourceStatus
 }
 
 // Status returns the current state of the distribution.
 func (f *Follower) Status() Status {
 	s := Status{
 		Version: f.cfg.Store.Version(), FloorExact: f.floor.Exact(), Ready: f.Ready(), Leading: f.Leading(),
-		Parents: slices.Clone(f.parents()), Refusals: f.Refusals(),
+		Parents: slices.Clone(f.parents()), Refusals: f.Refusals(), Source: f.SourceStatus(),
 		Unreachable: slices.Sorted(maps.Keys(f.cfg.Members.View().Unreachable)),
 	}
 	s.Floor, s.FloorKnown = f.floor.Value()
--- a/agent/peer/sync/poll.go
+++ b/agent/peer/sync/poll.go
@@ -71,6 +71,7 @@
 		s = nil
 		next++
 		f.cfg.Log.Log(event.ParentFailed, zap.String("parent", string(id)), zap.Error(err))
+		f.logFailedQuestion(ctx, string(id), err)
 		if next >= len(parents) || !isConnectionError(err) {
 			pause(ctx, f.retryDelay(&backoff, err))
 		}
@@ -117,6 +118,9 @@
 	go f.watchParent(ctx, cancel, id)
 	began, have := time.Now(), f.cfg.Store.Version()
 	err := f.poll(ctx, s, pollWait)
+	if err == nil {
+		answeredNow(&f.answers.parent)
+	}
 	if err == nil && f.cfg.Store.Version() == have && time.Since(began) < pollWait/2 {
 		// A daemon that is stopping answers polls immediately; the pause avoids a busy loop.
 		pause(ctx, retryBase)
--- a/agent/peer/sync/position.go
+++ b/agent/peer/sync/position.go
@@ -29,8 +29,9 @@
 	} else {
 		f.cfg.Members.Do(func(_ time.Time, s *membership.State) { holders = s.HolderInstances() })
 	}
-	if p := f.cachedPosition.Load(); p != nil && p.members == members && p.holders == holders {
-		return p
+	before := f.cachedPosition.Load()
+	if before != nil && before.members == members && before.holders == holders {
+		return before
 	}
 	var live []endpoint.InstanceID
 	if members != nil {
@@ -38,7 +39,9 @@
 	}
 	p := &treePosition{members: members, holders: holders}
 	p.Position = distribution.PositionOf(f.cfg.Self.Instance, f.cfg.Self.Domain, holders[:], live)
-	f.cachedPosition.Store(p)
+	if f.cachedPosition.CompareAndSwap(before, p) {
+		f.logProviders(before, p)
+	}
 	return p
 }
 
--- a/agent/peer/sync/source.go
+++ b/agent/peer/sync/source.go
@@ -69,16 +69,18 @@
 		lastReadOK = err == nil
 		if err == nil {
 			if failures >= sourceLostThreshold {
-				f.cfg.Log.Log(event.SourceRegained, zap.Int("failed_reads", failures))
+				f.cfg.Log.Log(event.SourceRegained, append(f.ages(), zap.Int("failed_reads", failures))...)
 			}
+			answeredNow(&f.answers.source)
 			failures = 0
 			backoff.Reset()
 			f.setSourceUnreachable(false)
 			pause(ctx, sourceReadInterval)
 			continue
 		}
+		f.logFailedQuestion(ctx, originSource, err)
 		if failures++; failures == sourceLostThreshold {
-			f.cfg.Log.Log(event.SourceLost, zap.Error(err))
+			f.cfg.Log.Log(event.SourceLost, append(f.ages(), zap.Error(err))...)
 			f.setSourceUnreachable(true)
 		}
 		pause(ctx, backoff.Next(f.random))
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -20,6 +20,8 @@
 	ParentFailed        = Event{5107, zapcore.DebugLevel, "long poll at the parent failed, trying the next one"}
 	SourceLost          = Event{5109, zapcore.WarnLevel, "source of the configuration does not answer"}
 	SourceRegained      = Event{5110, zapcore.InfoLevel, "source of the configuration answers again"}
+	ProvidersChanged    = Event{5111, zapcore.InfoLevel, "daemons from which new versions are expected have changed"}
+	QuestionFailed      = Event{5112, zapcore.WarnLevel, "question for a new version failed"}
 	DirectoryFailed     = Event{4204, zapcore.WarnLevel, "directory of the daemons does not answer, will be retried"}
 	HeadReadFailed      = Event{5108, zapcore.WarnLevel, "reading the head from the platform failed"}
 )
