--- a/agent/peer/sync/cluster_test.go
+++ b/agent/peer/sync/cluster_test.go
@@ -32,6 +32,8 @@
 	// known holds the records with which daemons start instead of a join. If it is set, they also
 	// start at the version of the head.
 	known []membership.Entry
+	// source replaces the platform if it is set.
+	source *sharedSource
 }
 
 type daemon struct {
@@ -76,16 +78,24 @@
 	if c.known != nil {
 		r, seeds = c.known[i].Record, nil
 	}
-	d := &daemon{c: c, record: r, store: NewStore(c.codec)}
+	codec := Codec(c.codec)
+	if c.source != nil {
+		codec = &realCodec{}
+	}
+	d := &daemon{c: c, record: r, store: NewStore(codec)}
 	d.ln = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	d.state = membership.New(membership.Config{Local: r}, time.Now(), uint64(i)+1)
 	if c.known != nil {
 		d.prepare()
 	}
-	d.Follower = NewFollower(Config{
+	config := Config{
 		Self: r, Seeds: seeds, Members: d, Store: d.store,
 		Platform: platformOf{c.platform, r.Instance, d.wait}, Dial: d.connect, Log: event.Nop(), Seed: uint64(i) + 1, OnApply: d.onApply,
-	})
+	}
+	if c.source != nil {
+		config.Platform, config.Source = nil, &sourceOf{sharedSource: c.source, d: d}
+	}
+	d.Follower = NewFollower(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	server := rpc.NewServer()
@@ -109,6 +119,9 @@
 // prepare sets the records and the version with which d starts if the records are known.
 func (d *daemon) prepare() {
 	d.state.Merge(time.Now(), d.c.known)
+	if d.c.source != nil {
+		return // the daemon reads the version
+	}
 	if _, err := d.store.Apply(mustComplete(d.c.codec, d.c.head())); err != nil {
 		d.c.t.Fatal(err)
 	}
--- /dev/null
+++ b/agent/peer/sync/source_cluster_test.go
@@ -0,0 +1,202 @@
+package sync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// applyLimit is the time within which a change must be in force on the deployments with the
+	// shortest one.
+	applyLimit = 2 * time.Second
+	// sourceDomainSize gives the tree of the domain two levels below the readers.
+	sourceDomainSize = 12
+)
+
+// sharedSource is a source of configurations for a cluster. It can go silent for some daemons:
+// their calls, also those that are waiting, get neither an answer nor an error.
+type sharedSource struct {
+	mu      sync.Mutex
+	version snapshot.Version
+	changed chan struct{}
+	silent  map[endpoint.InstanceID]bool
+	calls   int
+}
+
+func newSharedSource() *sharedSource {
+	return &sharedSource{version: 3, changed: make(chan struct{}), silent: map[endpoint.InstanceID]bool{}}
+}
+
+func (s *sharedSource) publish(v snapshot.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = v
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *sharedSource) setSilent(silent bool, list ...*daemon) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range list {
+		s.silent[d.record.Instance] = silent
+	}
+}
+
+// sourceOf is sharedSource as one daemon reaches it.
+type sourceOf struct {
+	*sharedSource
+	d *daemon
+	// seen is the version that the last call returned.
+	seen snapshot.Version
+}
+
+// answer delays the answer to a call and returns the version, or an error if none arrives.
+func (s *sourceOf) answer(ctx context.Context) (snapshot.Version, <-chan struct{}, error) {
+	s.d.wait()
+	time.Sleep(2 * time.Millisecond)
+	s.d.wait()
+	s.mu.Lock()
+	version, changed, silent := s.version, s.changed, s.silent[s.d.record.Instance]
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return version, changed, ctx.Err()
+}
+
+func (s *sourceOf) count() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+}
+
+// Current implements Source.
+func (s *sourceOf) Current(ctx context.Context) (*snapshot.Snapshot, error) {
+	s.count()
+	version, _, err := s.answer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.seen = version
+	return assembledOf(version)
+}
+
+// Changed implements Source.
+func (s *sourceOf) Changed(ctx context.Context) (bool, error) {
+	s.count()
+	const wait, grace = 2500 * time.Millisecond, 700 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
+	defer cancel()
+	version, changed, err := s.answer(ctx)
+	if err != nil || version != s.seen {
+		return version != s.seen, err
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	}
+	version, _, err = s.answer(ctx)
+	return version != s.seen, err
+}
+
+// runSourceDomain starts the daemons of one failure domain that follow a source and runs f in
+// virtual time.
+func runSourceDomain(t *testing.T, f func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.source = newSharedSource()
+		defer c.stop()
+		for i := range sourceDomainSize {
+			c.known = append(c.known, membership.Entry{Record: recordOf(i, "domain-0")})
+		}
+		for i := range sourceDomainSize {
+			time.Sleep(time.Millisecond) // the timers of real daemons are not synchronized
+			c.start(i, "domain-0")
+		}
+		time.Sleep(10 * time.Second) // for the readers to be selected, and polls to be open
+		f(c)
+	})
+}
+
+func (c *cluster) readers() []*daemon {
+	var list []*daemon
+	for _, d := range c.daemons {
+		if !d.isStopped() && d.isReader() {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+func (c *cluster) without(list []*daemon) []*daemon {
+	return slices.DeleteFunc(slices.Clone(c.daemons), func(d *daemon) bool { return slices.Contains(list, d) })
+}
+
+// Guards against silence that is taken for "no change": daemons that reach the source miss a change
+// because those that read it for them are silently cut off from it, frozen or dead.
+func TestChangeWithoutReaders(t *testing.T) {
+	for name, fail := range map[string]func(c *cluster, readers []*daemon){
+		"nothing": func(*cluster, []*daemon) {},
+		"source silent for the readers": func(c *cluster, readers []*daemon) { c.source.setSilent(true, readers...) },
+		"source silent for the readers and half of the others": func(c *cluster, readers []*daemon) {
+			c.source.setSilent(true, readers...)
+			others := c.without(readers)
+			c.source.setSilent(true, others[:len(others)/2]...)
+		},
+		"readers frozen": func(_ *cluster, readers []*daemon) {
+			for _, d := range readers {
+				d.frozen.Store(true)
+			}
+		},
+		"readers dead": func(_ *cluster, readers []*daemon) {
+			for _, d := range readers {
+				d.kill()
+			}
+		},
+	} {
+		for _, delay := range []time.Duration{10 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
+			t.Run(name+", change after "+delay.String(), func(t *testing.T) {
+				runSourceDomain(t, func(c *cluster) {
+					fail(c, c.readers())
+					time.Sleep(delay)
+					c.source.publish(4)
+					var reaching []*daemon
+					for _, d := range c.daemons {
+						if !c.source.silent[d.record.Instance] && !d.frozen.Load() {
+							reaching = append(reaching, d)
+						}
+					}
+					c.waitUntil("change", applyLimit, reaching, inForce(4))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a daemon that stays marked as cut off from the source for good because it was
+// replaced as a reader, which leaves a failure domain without candidates after a few cuts.
+func TestMarkIsWithdrawn(t *testing.T) {
+	runSourceDomain(t, func(c *cluster) {
+		const cutTime = 10 * time.Second
+		replaced := c.readers()
+		c.source.setSilent(true, replaced...)
+		time.Sleep(cutTime)
+		for _, d := range replaced {
+			if !slices.Contains(d.markedAway(), d.record.Instance) || d.isReader() {
+				t.Fatalf("%s is not replaced: %+v", d.record.Instance, d.Status())
+			}
+		}
+		c.source.setSilent(false, replaced...)
+		c.waitUntil("marks withdrawn", changeLimit, c.daemons, func(d *daemon) bool { return len(d.markedAway()) == 0 })
+	})
+}
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -62,7 +62,12 @@
 	if s.down || s.version == 0 {
 		return nil, map[bool]error{true: errDown}[s.down]
 	}
-	return snapshot.Assemble(s.version, []*snapshot.Service{{Name: "pages", Team: "ops", Connections: int(s.version)}}, nil)
+	return assembledOf(s.version)
+}
+
+// assembledOf returns version v of a configuration that changes with each version.
+func assembledOf(v snapshot.Version) (*snapshot.Snapshot, error) {
+	return snapshot.Assemble(v, []*snapshot.Service{{Name: "pages", Team: "ops", Connections: int(v)}}, nil)
 }
 
 func (s *fakeSource) Changed(ctx context.Context) (bool, error) {
