Ask the source when the knowledge of a daemon is no longer confirmed

Each daemon now knows the age of its knowledge: the first reader confirms it at least every quarter of apply-time, a new setting, polls pass it on with its age, and a daemon that is not confirmed in time asks the source itself, in a goroutine that no hanging poll or feed blocks. A poll without a byte of an answer is given up sooner. sync.Source gets feeds with a position of their own, since a feed and other reads now run at the same time. Only readers publish that they cannot reach the source. A configuration whose delta cannot be made is recorded as refused; before, it was passed over without a line.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -179,6 +179,7 @@
 	}
 	if d.adapter != nil {
 		config.Source, config.Directory = d.adapter.Source(), d.adapter.Directory()
+		config.ApplyTime = d.settings.Distribution.ApplyTime
 	} else {
 		config.Platform = &headSource{Client: d.platform, current: d.store.Load}
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -69,6 +69,7 @@
 	// The ages are in seconds, -1 without an answer.
 	SourceAnswer float64 `json:"source_answer_age_seconds"`
 	ParentAnswer float64 `json:"parent_answer_age_seconds"`
+	KnowledgeAge float64 `json:"knowledge_age_seconds"`
 }
 
 func (d *Daemon) configurationMetrics() any {
@@ -79,6 +80,7 @@
 		Leading: d.follower.Leading(), Refused: len(d.follower.Refusals()),
 		Reader: source.Reader, SourceAway: source.Away,
 		SourceAnswer: source.SourceAnswer.Seconds(), ParentAnswer: source.ParentAnswer.Seconds(),
+		KnowledgeAge: source.Age.Seconds(),
 	}
 }
 
--- a/agent/peer/sync/answers.go
+++ b/agent/peer/sync/answers.go
@@ -62,7 +62,9 @@
 
 // ages returns the ages of the last answers as fields of a log line.
 func (f *Follower) ages() []zap.Field {
+	age, _ := f.confirmationAge()
 	return []zap.Field{
+		zap.Duration("knowledge_age", age),
 		zap.Duration("source_answer_age", ageOf(&f.answers.source)),
 		zap.Duration("parent_answer_age", ageOf(&f.answers.parent)),
 	}
@@ -103,13 +105,17 @@
 	MarkedAway []endpoint.InstanceID
 	// SourceAnswer and ParentAnswer are the times since the last answer; below 0 without one.
 	SourceAnswer, ParentAnswer time.Duration
+	// Age is the age of the knowledge of this daemon: every version acknowledged before is in force.
+	// It is below 0 if that is unknown.
+	Age time.Duration
 }
 
 // SourceStatus returns how this daemon learns of new versions.
 func (f *Follower) SourceStatus() SourceStatus {
 	marked := f.markedAway()
+	age, _ := f.confirmationAge()
 	return SourceStatus{
 		Reader: f.cfg.Source != nil && f.isReader(), Away: slices.Contains(marked, f.cfg.Self.Instance), MarkedAway: marked,
-		SourceAnswer: ageOf(&f.answers.source), ParentAnswer: ageOf(&f.answers.parent),
+		SourceAnswer: ageOf(&f.answers.source), ParentAnswer: ageOf(&f.answers.parent), Age: age,
 	}
 }
--- a/agent/peer/sync/client.go
+++ b/agent/peer/sync/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,22 @@
 type session struct {
 	addr string
 	rpc  *rpc.Client
+	conn *receivingConn
+	// confirmation is the number of the last confirmation that a poll returned.
+	confirmation uint64
+}
+
+// receivingConn counts the received bytes.
+type receivingConn struct {
+	net.Conn
+	received atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c *receivingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(uint64(max(n, 0)))
+	return n, err
 }
 
 func openSession(ctx context.Context, dial Dialer, addr string) (*session, error) {
@@ -34,22 +51,38 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", addr)
 	}
-	return &session{addr: addr, rpc: rpc.NewClient(conn)}, nil
+	counted := &receivingConn{Conn: conn}
+	return &session{addr: addr, rpc: rpc.NewClient(counted), conn: counted}, nil
 }
 
 // call calls a method and waits at most timeout for the answer. After an error the session must be
 // closed and reply must not be read, as a late answer may still be written to it.
 func (s *session) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
+	return s.callUnlessSilent(ctx, timeout, timeout, method, args, reply)
+}
+
+// callUnlessSilent is call, but waits only for the time silence if no part of an answer has arrived
+// by then. A transfer that has begun continues.
+func (s *session) callUnlessSilent(ctx context.Context, silence, timeout time.Duration, method string, args, reply any) error {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	silent := time.NewTimer(silence)
+	defer silent.Stop()
+	before := s.conn.received.Load()
 	running := s.rpc.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case done := <-running.Done:
-		return errors.Wrapf(done.Error, "%s at %s", method, s.addr)
-	case <-timer.C:
-		return errors.Errorf("%s at %s: no answer within %v", method, s.addr, timeout)
-	case <-ctx.Done():
-		return errors.Wrapf(ctx.Err(), "%s at %s", method, s.addr)
+	for {
+		select {
+		case done := <-running.Done:
+			return errors.Wrapf(done.Error, "%s at %s", method, s.addr)
+		case <-silent.C:
+			if s.conn.received.Load() == before {
+				return errors.Errorf("%s at %s: no answer within %v", method, s.addr, silence)
+			}
+		case <-timer.C:
+			return errors.Errorf("%s at %s: no answer within %v", method, s.addr, timeout)
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s at %s", method, s.addr)
+		}
 	}
 }
 
--- a/agent/peer/sync/cluster_test.go
+++ b/agent/peer/sync/cluster_test.go
@@ -93,7 +93,7 @@
 		Platform: platformOf{c.platform, r.Instance, d.wait}, Dial: d.connect, Log: event.Nop(), Seed: uint64(i) + 1, OnApply: d.onApply,
 	}
 	if c.source != nil {
-		config.Platform, config.Source = nil, &sourceOf{sharedSource: c.source, d: d}
+		config.Platform, config.Source, config.ApplyTime = nil, &sourceOf{sharedSource: c.source, d: d}, applyLimit
 	}
 	d.Follower = NewFollower(config)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -67,6 +67,9 @@
 	Directory Directory
 	Dial      Dialer
 	Log       *event.Logger
+	// ApplyTime is the time within which a change of Source must be in force on all daemons that
+	// reach it; defaultApplyTime if it is 0.
+	ApplyTime time.Duration
 	// OnApply is called with each version after it was put in force, in order of version; it may be
 	// nil.
 	OnApply func(*snapshot.Snapshot)
@@ -105,6 +108,8 @@
 
 	// answers records when the source and the parents last answered.
 	answers answers
+	// confirmed tracks the age of the knowledge of the newest version; it is used with Source only.
+	confirmed *confirmation
 
 	// objects limits the reads of the object store.
 	objects *rate.Limiter
@@ -118,14 +123,22 @@
 	headWaiters []chan snapshot.Version
 	// headRequested wakes the reader of the head when a waiter is added.
 	headRequested chan struct{}
+	// sourceMu guards sourceFailures, the number of consecutive failed reads of the source, and
+	// sourceLost, which is set while this daemon is marked as unable to reach it.
+	sourceMu       sync.Mutex
+	sourceFailures int
+	sourceLost     bool
 	// applyMu serializes apply, so that OnApply is called in order of version.
 	applyMu sync.Mutex
 }
 
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
+	if cfg.ApplyTime == 0 {
+		cfg.ApplyTime = defaultApplyTime
+	}
 	return &Follower{
-		cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		confirmed: newConfirmation(), cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		objects: rate.NewLimiter(objectRate, objectBurst), answers: newAnswers(),
 	}
 }
@@ -152,7 +165,7 @@
 	if f.cfg.Source != nil {
 		floor, lead = f.determineFloorFromSource, f.readSource
 	}
-	return []func(context.Context){join, floor, lead, f.pollParents, f.pull, f.runAntiEntropy}
+	return []func(context.Context){join, floor, lead, f.refresh, f.pollParents, f.pull, f.runAntiEntropy}
 }
 
 // Ready reports whether this daemon may serve: it holds a snapshot at or above the version floor.
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -30,6 +30,10 @@
 	Domain string
 	// Patches is set if the requesting daemon can read objects that are encoded as patches.
 	Patches bool
+	// Confirm requests an answer also when there is a confirmation with another number than
+	// Confirmation, the last one that the requesting daemon got over this connection.
+	Confirm      bool
+	Confirmation uint64
 }
 
 // PollReply answers PollArgs.
@@ -43,6 +47,12 @@
 	Highest    snapshot.Version
 	// Holders is set if both daemons are in the same domain.
 	Holders []membership.Holder
+	// Confirmation is the number of the last confirmation, 0 if there is none. ConfirmationAge is its
+	// age when the answer was made, Held the time since the request arrived, and InForce a version
+	// that is at least the confirmed one.
+	Confirmation          uint64
+	ConfirmationAge, Held time.Duration
+	InForce               snapshot.Version
 }
 
 // ExchangeArgs carries the records of a daemon that joins.
--- a/agent/peer/sync/poll.go
+++ b/agent/peer/sync/poll.go
@@ -116,18 +116,28 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.watchParent(ctx, cancel, id)
-	began, have := time.Now(), f.cfg.Store.Version()
-	err := f.poll(ctx, s, pollWait)
+	wait := f.pollWait()
+	began, have, confirmation := time.Now(), f.cfg.Store.Version(), s.confirmation
+	err := f.poll(ctx, s, wait)
 	if err == nil {
 		answeredNow(&f.answers.parent)
 	}
-	if err == nil && f.cfg.Store.Version() == have && time.Since(began) < pollWait/2 {
+	if err == nil && f.cfg.Store.Version() == have && s.confirmation == confirmation && time.Since(began) < wait/2 {
 		// A daemon that is stopping answers polls immediately; the pause avoids a busy loop.
 		pause(ctx, retryBase)
 	}
 	return s, err
 }
 
+// pollWait returns the duration of a long poll at a parent. With a source, a parent answers with each
+// confirmation, so a longer wait only delays the move to another parent.
+func (f *Follower) pollWait() time.Duration {
+	if f.cfg.Source != nil {
+		return f.cfg.ApplyTime / staleParts
+	}
+	return pollWait
+}
+
 // watchParent cancels a poll when the parent is no longer a live member: a frozen daemon keeps its
 // connections open without answering.
 func (f *Follower) watchParent(ctx context.Context, cancel context.CancelFunc, id endpoint.InstanceID) {
@@ -158,8 +168,14 @@
 
 func (f *Follower) pollFor(ctx context.Context, s *session, args PollArgs) error {
 	args.Patches = true
+	silence, timeout := args.Wait+pollGrace, args.Wait+pollGrace
+	if f.cfg.Source != nil {
+		args.Confirm, args.Confirmation = true, s.confirmation
+		silence = args.Wait + f.readTimeout()
+	}
 	var reply PollReply
-	if err := s.call(ctx, args.Wait+pollGrace, "Poll", args, &reply); err != nil {
+	sent := time.Now()
+	if err := s.callUnlessSilent(ctx, silence, timeout, "Poll", args, &reply); err != nil {
 		return err
 	}
 	f.cfg.Members.Do(func(_ time.Time, m *membership.State) {
@@ -171,10 +187,19 @@
 	if reply.RetryAfter > 0 {
 		return &busyError{reply.RetryAfter}
 	}
-	if len(reply.Delta) == 0 {
-		return nil
+	if len(reply.Delta) > 0 {
+		if err := f.applyReply(s, &reply); err != nil {
+			return err
+		}
 	}
-	d, err := f.readDelta(&reply)
+	s.confirmation = reply.Confirmation
+	f.adoptConfirmation(sent, &reply)
+	return nil
+}
+
+// applyReply puts the version of a reply in force.
+func (f *Follower) applyReply(s *session, reply *PollReply) error {
+	d, err := f.readDelta(reply)
 	if errors.Is(err, ErrBaseMismatch) {
 		return err
 	}
--- /dev/null
+++ b/agent/peer/sync/refresh.go
@@ -0,0 +1,72 @@
+package sync
+
+import (
+	"context"
+	"time"
+
+	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
+)
+
+const (
+	// refreshRetryMax bounds the time between two questions of a daemon near the readers while the
+	// source does not answer.
+	refreshRetryMax = 4 * time.Second
+	// refreshLevels bounds the levels for which refreshRetryMax grows; a domain of the design size
+	// has 5.
+	refreshLevels = 5
+)
+
+// refresh asks the source whenever nobody has confirmed in time that the newest version is in
+// force: silence of the readers may also mean that they are cut off, frozen or dead. It does not
+// wait for the long poll of a reader, whose connection may have gone silent.
+func (f *Follower) refresh(ctx context.Context) {
+	if f.cfg.Source == nil || !f.awaitReadyAndJoined(ctx) {
+		return
+	}
+	backoff := f.refreshBackoff()
+	for ctx.Err() == nil {
+		if wait := f.untilStale(); wait > 0 {
+			backoff = f.refreshBackoff()
+			pause(ctx, wait)
+			continue
+		}
+		if err := f.askSource(ctx); err != nil {
+			f.logFailedQuestion(ctx, originSource, err)
+			pause(ctx, backoff.Next(f.random))
+		}
+	}
+}
+
+// refreshBackoff returns the delays after failed questions. Each level of the tree has as many
+// times more daemons as it waits longer, so that an outage of the source causes the same load from
+// each level; after it, the lower ones get the answer from the higher ones.
+func (f *Follower) refreshBackoff() distribution.Backoff {
+	longest := refreshRetryMax
+	for range min(f.position().Ancestors, refreshLevels) - 1 {
+		longest *= distribution.Fanout
+	}
+	return distribution.Backoff{Base: retryBase, Max: longest}
+}
+
+// askSource reads the source once and puts the newest version in force.
+func (f *Follower) askSource(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, f.readTimeout())
+	defer cancel()
+	began := time.Now()
+	next, err := f.cfg.Source.Current(ctx)
+	f.recordSourceResult(parent, err)
+	if err == nil {
+		f.confirmRead(next, began)
+	}
+	return err
+}
+
+// confirmRead puts what a read of the source returned in force, and records that no version
+// acknowledged before at is missing.
+func (f *Follower) confirmRead(next *snapshot.Snapshot, at time.Time) {
+	// apply logs a refusal. A refused version counts as known: the next one replaces it, and another
+	// read would return the same.
+	_ = f.applySnapshot(next, originSource)
+	f.confirmed.advance(at)
+}
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -71,7 +71,11 @@
 // Poll returns a delta to a higher version, waiting for one up to args.Wait.
 func (s *service) Poll(args PollArgs, reply *PollReply) (err error) {
 	defer s.log.ContainError("sync", &err)
-	s.awaitVersionAbove(args.Have, min(args.Wait, maxWait))
+	arrived := time.Now()
+	s.awaitNews(&args, min(args.Wait, maxWait))
+	if args.Confirm {
+		s.follower.addConfirmation(arrived, reply)
+	}
 	s.members.Do(func(_ time.Time, m *membership.State) {
 		m.RaiseHighest(args.Have)
 		reply.Highest = m.Highest()
@@ -117,9 +121,9 @@
 	return err
 }
 
-// awaitVersionAbove waits until the version in force is above have, wait has passed or the server
-// stops.
-func (s *service) awaitVersionAbove(have snapshot.Version, wait time.Duration) {
+// awaitNews waits until the version in force is above the requesting daemon's, there is a
+// confirmation that it does not have, wait has passed or the server stops.
+func (s *service) awaitNews(args *PollArgs, wait time.Duration) {
 	if wait <= 0 {
 		return
 	}
@@ -127,11 +131,16 @@
 	defer timer.Stop()
 	for {
 		changed := s.store.Changed()
-		if s.store.Version() > have {
+		_, number, confirmed := s.follower.confirmed.load()
+		if s.store.Version() > args.Have || (args.Confirm && number != args.Confirmation) {
 			return
 		}
+		if !args.Confirm {
+			confirmed = nil
+		}
 		select {
 		case <-changed:
+		case <-confirmed:
 		case <-timer.C:
 			return
 		case <-s.ctx.Done():
--- a/agent/peer/sync/source.go
+++ b/agent/peer/sync/source.go
@@ -21,9 +21,16 @@
 	// Current returns the newest configuration, nil if there is none yet. It returns an error if
 	// the newest one is not usable as a whole.
 	Current(ctx context.Context) (*snapshot.Snapshot, error)
-	// Changed waits until the configuration may have changed since the last call of Current, or
-	// until a few seconds have passed without a change, which is not an error.
-	Changed(ctx context.Context) (bool, error)
+	// NewFeed returns a feed of the changes.
+	NewFeed() Feed
+}
+
+// Feed returns the changes of a source to one caller at a time.
+type Feed interface {
+	// Next waits for a configuration that it has not returned yet, and returns the newest one. The
+	// first call, and the one after a failure, return the current one at once. Nil without an error
+	// means that there was no change until wait had passed since the call.
+	Next(ctx context.Context, wait time.Duration) (*snapshot.Snapshot, error)
 }
 
 const (
@@ -41,9 +48,11 @@
 	// sourceLostThreshold is the number of consecutive failed reads after which a reader publishes
 	// in its record that it cannot reach the source.
 	sourceLostThreshold = 2
-	// firstVersionTimeout bounds one wait for the first configuration of a deployment; the source
-	// is then read again.
-	firstVersionTimeout = 10 * time.Second
+	// feedWait is how long the second reader waits for a change in one question. It needs no shorter
+	// one, as the first reader confirms more often.
+	feedWait = 2500 * time.Millisecond
+	// minFeedWait keeps a reader whose confirmation is overdue from asking without a pause.
+	minFeedWait = 50 * time.Millisecond
 	// memberQueryDelay delays the queries to members when a daemon starts. The source gives the
 	// exact floor, usually within a few milliseconds.
 	memberQueryDelay = 400 * time.Millisecond
@@ -54,36 +63,78 @@
 	if !f.awaitReadyAndJoined(ctx) {
 		return
 	}
-	failures := 0
+	feed := f.cfg.Source.NewFeed()
 	backoff := distribution.Backoff{Base: retryBase, Max: retryMax}
-	lastReadOK := false // whether the last read succeeded, so that waiting for a change is safe
 	for ctx.Err() == nil {
 		if !f.isReader() {
-			lastReadOK = false
 			f.isLeading.Store(false)
 			pause(ctx, readerCheckInterval)
 			continue
 		}
 		f.isLeading.Store(true)
-		err := f.readSourceOnce(ctx, lastReadOK)
-		lastReadOK = err == nil
-		if err == nil {
-			if failures >= sourceLostThreshold {
-				f.cfg.Log.Log(event.SourceRegained, append(f.ages(), zap.Int("failed_reads", failures))...)
-			}
-			answeredNow(&f.answers.source)
-			failures = 0
-			backoff.Reset()
-			f.setSourceUnreachable(false)
-			pause(ctx, sourceReadInterval)
+		err := f.followFeed(ctx, feed)
+		f.recordSourceResult(ctx, err)
+		if err != nil {
+			f.logFailedQuestion(ctx, originSource, err)
+			pause(ctx, backoff.Next(f.random))
 			continue
 		}
-		f.logFailedQuestion(ctx, originSource, err)
-		if failures++; failures == sourceLostThreshold {
-			f.cfg.Log.Log(event.SourceLost, append(f.ages(), zap.Error(err))...)
-			f.setSourceUnreachable(true)
+		backoff.Reset()
+	}
+}
+
+// followFeed waits for the next change of the source and puts it in force.
+func (f *Follower) followFeed(parent context.Context, feed Feed) error {
+	wait := f.feedWait()
+	ctx, cancel := context.WithTimeout(parent, wait+sourceTimeout)
+	defer cancel()
+	began := time.Now()
+	next, err := feed.Next(ctx, wait)
+	if err != nil {
+		return err
+	}
+	if next == nil && time.Since(began) >= wait {
+		f.confirmRead(nil, began.Add(wait))
+		return nil
+	}
+	f.confirmRead(next, began)
+	pause(parent, sourceReadInterval)
+	return nil
+}
+
+// feedWait returns how long this daemon waits for a change in one question. The first reader of the
+// domain confirms its knowledge within confirmInterval.
+func (f *Follower) feedWait() time.Duration {
+	if f.position().holders[0] != f.cfg.Self.Instance {
+		return feedWait
+	}
+	age, _ := f.confirmationAge()
+	return max(minFeedWait, f.confirmInterval()-max(0, age))
+}
+
+// recordSourceResult records the outcome of a read of the source. Only a reader publishes that it
+// cannot reach the source: others are not relied on, and in an outage of the source all would.
+func (f *Follower) recordSourceResult(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return // this daemon is stopping
+	}
+	isReader := f.isReader()
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	if err == nil {
+		answeredNow(&f.answers.source)
+		if f.sourceLost {
+			f.cfg.Log.Log(event.SourceRegained, append(f.ages(), zap.Int("failed_reads", f.sourceFailures))...)
 		}
-		pause(ctx, backoff.Next(f.random))
+		f.sourceFailures, f.sourceLost = 0, false
+		f.setSourceUnreachable(false)
+		return
+	}
+	f.sourceFailures++
+	if isReader && f.sourceFailures >= sourceLostThreshold && !f.sourceLost {
+		f.cfg.Log.Log(event.SourceLost, append(f.ages(), zap.Error(err))...)
+		f.sourceLost = true
+		f.setSourceUnreachable(true)
 	}
 }
 
@@ -105,26 +156,6 @@
 	return pause(ctx, membership.PublishInterval)
 }
 
-// readSourceOnce waits for a change if the last read succeeded, and puts the newest version in
-// force.
-func (f *Follower) readSourceOnce(ctx context.Context, lastReadOK bool) error {
-	if lastReadOK {
-		changed, err := f.cfg.Source.Changed(ctx)
-		if err != nil || !changed {
-			return err
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
-	defer cancel()
-	next, err := f.cfg.Source.Current(ctx)
-	if err != nil {
-		return err
-	}
-	// apply logs a refusal. The next version replaces a refused one.
-	_ = f.applySnapshot(next, originSource)
-	return nil
-}
-
 // originSource is the origin of a version that this daemon has read from the source itself.
 const originSource = "source"
 
@@ -142,6 +173,7 @@
 		}
 		d, err := next.DeltaFrom(current)
 		if err != nil {
+			f.recordRefusal(next.Version, origin, err)
 			return err
 		}
 		if err = f.apply(d, origin); err != ErrBaseMismatch {
@@ -221,6 +253,7 @@
 func (f *Follower) readSourceFloor(parent context.Context, first bool) bool {
 	ctx, cancel := context.WithTimeout(parent, sourceTimeout)
 	defer cancel()
+	began := time.Now()
 	next, err := f.cfg.Source.Current(ctx)
 	if err != nil {
 		if first { // log only the first failure of a series
@@ -229,16 +262,31 @@
 		return false
 	}
 	if next == nil {
-		// There is no configuration yet. The next read reports an error of this wait.
-		wait, cancel := context.WithTimeout(parent, firstVersionTimeout)
-		defer cancel()
-		_, _ = f.cfg.Source.Changed(wait)
+		return f.awaitFirstVersion(parent)
+	}
+	f.recordFloor(next, began)
+	return true
+}
+
+// awaitFirstVersion waits for the first configuration of a deployment and reports whether it has
+// arrived. The next read reports an error of this wait.
+func (f *Follower) awaitFirstVersion(parent context.Context) bool {
+	ctx, cancel := context.WithTimeout(parent, feedWait+sourceTimeout)
+	defer cancel()
+	began := time.Now()
+	next, err := f.cfg.Source.NewFeed().Next(ctx, feedWait)
+	if err != nil || next == nil {
 		return false
 	}
+	f.recordFloor(next, began)
+	return true
+}
+
+// recordFloor takes the version floor from a read of the source that began at the given time.
+func (f *Follower) recordFloor(next *snapshot.Snapshot, began time.Time) {
 	f.floor.AddPlatform(next.Version)
 	f.cfg.Log.Log(event.VersionFloorKnown, zap.Uint64("floor", uint64(next.Version)), zap.Bool("exact", true))
-	_ = f.applySnapshot(next, originSource)
-	return true
+	f.confirmRead(next, began)
 }
 
 // queryMembers queries members until one of them gives a floor or exact is closed.
--- a/agent/peer/sync/source_cluster_test.go
+++ b/agent/peer/sync/source_cluster_test.go
@@ -55,8 +55,6 @@
 type sourceOf struct {
 	*sharedSource
 	d *daemon
-	// seen is the version that the last call returned.
-	seen snapshot.Version
 }
 
 // answer delays the answer to a call and returns the version, or an error if none arrives.
@@ -86,26 +84,33 @@
 	if err != nil {
 		return nil, err
 	}
-	s.seen = version
 	return assembledOf(version)
 }
 
-// Changed implements Source.
-func (s *sourceOf) Changed(ctx context.Context) (bool, error) {
-	s.count()
-	const wait, grace = 2500 * time.Millisecond, 700 * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+grace)
-	defer cancel()
-	version, changed, err := s.answer(ctx)
-	if err != nil || version != s.seen {
-		return version != s.seen, err
+// NewFeed implements Source.
+func (s *sourceOf) NewFeed() Feed { return &feedOf{sourceOf: s} }
+
+// feedOf implements Feed.
+type feedOf struct {
+	*sourceOf
+	seen snapshot.Version
+}
+
+func (f *feedOf) Next(ctx context.Context, wait time.Duration) (*snapshot.Snapshot, error) {
+	f.count()
+	version, changed, err := f.answer(ctx)
+	if err == nil && version == f.seen {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		}
+		version, _, err = f.answer(ctx)
 	}
-	select {
-	case <-changed:
-	case <-time.After(wait):
+	if err != nil || version == f.seen {
+		return nil, err
 	}
-	version, _, err = s.answer(ctx)
-	return version != s.seen, err
+	f.seen = version
+	return assembledOf(version)
 }
 
 // runSourceDomain starts the daemons of one failure domain that follow a source and runs f in
@@ -146,7 +151,7 @@
 // because those that read it for them are silently cut off from it, frozen or dead.
 func TestChangeWithoutReaders(t *testing.T) {
 	for name, fail := range map[string]func(c *cluster, readers []*daemon){
-		"nothing": func(*cluster, []*daemon) {},
+		"nothing":                       func(*cluster, []*daemon) {},
 		"source silent for the readers": func(c *cluster, readers []*daemon) { c.source.setSilent(true, readers...) },
 		"source silent for the readers and half of the others": func(c *cluster, readers []*daemon) {
 			c.source.setSilent(true, readers...)
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -41,7 +41,6 @@
 	mu      sync.Mutex
 	version snapshot.Version
 	down    bool
-	read    snapshot.Version // version returned by the last successful call of Current
 	changed chan struct{}
 }
 
@@ -56,9 +55,6 @@
 func (s *fakeSource) Current(context.Context) (*snapshot.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.down {
-		s.read = s.version
-	}
 	if s.down || s.version == 0 {
 		return nil, map[bool]error{true: errDown}[s.down]
 	}
@@ -70,21 +66,33 @@
 	return snapshot.Assemble(v, []*snapshot.Service{{Name: "pages", Team: "ops", Connections: int(v)}}, nil)
 }
 
-func (s *fakeSource) Changed(ctx context.Context) (bool, error) {
-	s.mu.Lock()
-	changed, down, missed := s.changed, s.down, s.version != s.read
-	s.mu.Unlock()
-	if down || missed {
-		return missed && !down, map[bool]error{true: errDown}[down]
+// NewFeed implements Source.
+func (s *fakeSource) NewFeed() Feed { return &fakeFeed{source: s} }
+
+// fakeFeed implements Feed. A wait ends early, so that a test does not take long.
+type fakeFeed struct {
+	source *fakeSource
+	read   snapshot.Version
+}
+
+func (f *fakeFeed) Next(ctx context.Context, wait time.Duration) (*snapshot.Snapshot, error) {
+	f.source.mu.Lock()
+	changed, down, missed := f.source.changed, f.source.down, f.source.version != f.read
+	f.source.mu.Unlock()
+	if !missed && !down {
+		select {
+		case <-changed:
+		case <-time.After(min(wait, 50*time.Millisecond)):
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
-	select {
-	case <-changed:
-		return true, nil
-	case <-time.After(50 * time.Millisecond):
-		return false, nil
-	case <-ctx.Done():
-		return false, ctx.Err()
+	next, err := f.source.Current(ctx)
+	if next != nil {
+		f.read = next.Version
 	}
+	return next, err
 }
 
 // realCodec applies and creates deltas as the daemon does.
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -85,6 +85,11 @@
 		Slack  int           `key:"slack" default:"30"`
 		Window time.Duration `key:"window" default:"10s"`
 	} `section:"retries"`
+	Distribution struct {
+		// ApplyTime is the time within which a change of the configuration must be in force on all
+		// daemons that reach the platform; it requires an adapter.
+		ApplyTime time.Duration `key:"apply-time" default:"5s"`
+	} `section:"distribution"`
 	Platform struct {
 		// Adapter names the adapter for a platform with its own protocols, and Address is the address of
 		// its store. The other keys apply to a platform with a table service and an object store.
@@ -104,6 +109,9 @@
 // size, about 40 MB; with a smaller limit the garbage collector would run constantly.
 const minMemoryLimitMB = 50
 
+// minApplyTime leaves a reader of the configuration time for the pause between two reads.
+const minApplyTime = 1500 * time.Millisecond
+
 // minRetryWindow keeps the subdivisions of the retry budget window above the timer resolution.
 const minRetryWindow = 100 * time.Millisecond
 
@@ -151,6 +159,9 @@
 	if _, err := s.logLevel(); err != nil {
 		fail("daemon", "log-level", err.Error())
 	}
+	if s.Distribution.ApplyTime < minApplyTime {
+		fail("distribution", "apply-time", "must be at least "+minApplyTime.String())
+	}
 	s.checkSecurity(fail)
 	s.checkPlatform(fail)
 	s.checkRetries(fail)
--- a/tests/soak/cluster_test.go
+++ b/tests/soak/cluster_test.go
@@ -180,7 +180,7 @@
 		"node": m.name, "zone": m.zone, "service": m.service, "ip": m.ip, "platform.address": m.store.address(),
 		"listen.outbound": m.outbound, "listen.control": m.control, "listen.ready": m.ready,
 		"listen.inbound": fmt.Sprintf("%s:%d", m.ip, portCalls), "portRange.0": fmt.Sprint(portPeer), "portRange.1": fmt.Sprint(portAdmin),
-		"limits.linkMbps": "11.0", "bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": slack, "bounds.budgetWindowS": "10",
+		"limits.linkMbps": "11.0", "bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": slack, "bounds.budgetWindowS": "10", "bounds.configApplyS": "2",
 	} {
 		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
 	}
