Withdraw the mark of a daemon that reaches the source again without being a reader

A marked daemon that is no reader now asks the source every few seconds, with backoff and jitter, and withdraws the mark when it answers.

--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -165,7 +165,7 @@
 	if f.cfg.Source != nil {
 		floor, lead = f.determineFloorFromSource, f.readSource
 	}
-	return []func(context.Context){join, floor, lead, f.refresh, f.pollParents, f.pull, f.runAntiEntropy}
+	return []func(context.Context){join, floor, lead, f.refresh, f.withdrawMark, f.pollParents, f.pull, f.runAntiEntropy}
 }
 
 // Ready reports whether this daemon may serve: it holds a snapshot at or above the version floor.
--- a/agent/peer/sync/refresh.go
+++ b/agent/peer/sync/refresh.go
@@ -12,6 +12,10 @@
 	// refreshRetryMax bounds the time between two questions of a daemon near the readers while the
 	// source does not answer.
 	refreshRetryMax = 4 * time.Second
+	// markCheckInterval is the time between two checks whether this daemon is marked as unable to
+	// reach the source. With refreshRetryMax and a read, a mark near the readers is withdrawn within
+	// 5 s after the source is reached again.
+	markCheckInterval = 500 * time.Millisecond
 	// refreshLevels bounds the levels for which refreshRetryMax grows; a domain of the design size
 	// has 5.
 	refreshLevels = 5
@@ -38,6 +42,32 @@
 	}
 }
 
+// withdrawMark asks the source while this daemon is marked as unable to reach it but is no reader,
+// so that it becomes a candidate again: readers withdraw the mark by their reads, and the knowledge
+// of others stays fresh without one.
+func (f *Follower) withdrawMark(ctx context.Context) {
+	if f.cfg.Source == nil || !f.awaitReadyAndJoined(ctx) {
+		return
+	}
+	backoff := f.refreshBackoff()
+	for pause(ctx, markCheckInterval) {
+		if !f.isMarked() || f.isReader() {
+			backoff = f.refreshBackoff()
+			continue
+		}
+		if err := f.askSource(ctx); err != nil {
+			f.logFailedQuestion(ctx, originSource, err)
+			pause(ctx, backoff.Next(f.random))
+		}
+	}
+}
+
+func (f *Follower) isMarked() bool {
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	return f.sourceLost
+}
+
 // refreshBackoff returns the delays after failed questions. Each level of the tree has as many
 // times more daemons as it waits longer, so that an outage of the source causes the same load from
 // each level; after it, the lower ones get the answer from the higher ones.
