--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -67,6 +67,9 @@
 	Directory Directory
 	Dial      Dialer
 	Log       *event.Logger
+	// ApplyTime is the time within which a change of Source must be in force on all daemons that
+	// reach it; defaultApplyTime if it is 0.
+	ApplyTime time.Duration
 	// OnApply is called with each version after it was put in force, in order of version; it may be
 	// nil.
 	OnApply func(*snapshot.Snapshot)
@@ -103,6 +106,11 @@
 	// cachedPosition caches the result of position.
 	cachedPosition atomic.Pointer[treePosition]
 
+	// answers records when the source and the parents last answered.
+	answers answers
+	// confirmed tracks the age of the knowledge of the newest version; it is used with Source only.
+	confirmed *confirmation
+
 	// objects limits the reads of the object store.
 	objects *rate.Limiter
 
@@ -115,15 +123,23 @@
 	headWaiters []chan snapshot.Version
 	// headRequested wakes the reader of the head when a waiter is added.
 	headRequested chan struct{}
+	// sourceMu guards sourceFailures, the number of consecutive failed reads of the source, and
+	// sourceLost, which is set while this daemon is marked as unable to reach it.
+	sourceMu       sync.Mutex
+	sourceFailures int
+	sourceLost     bool
 	// applyMu serializes apply, so that OnApply is called in order of version.
 	applyMu sync.Mutex
 }
 
 // NewFollower returns a Follower that does nothing until Run.
 func NewFollower(cfg Config) *Follower {
+	if cfg.ApplyTime == 0 {
+		cfg.ApplyTime = defaultApplyTime
+	}
 	return &Follower{
-		cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		objects: rate.NewLimiter(objectRate, objectBurst),
+		confirmed: newConfirmation(), cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		objects: rate.NewLimiter(objectRate, objectBurst), answers: newAnswers(),
 	}
 }
 
@@ -149,7 +165,7 @@
 	if f.cfg.Source != nil {
 		floor, lead = f.determineFloorFromSource, f.readSource
 	}
-	return []func(context.Context){join, floor, lead, f.pollParents, f.pull, f.runAntiEntropy}
+	return []func(context.Context){join, floor, lead, f.refresh, f.withdrawMark, f.pollParents, f.pull, f.runAntiEntropy}
 }
 
 // Ready reports whether this daemon may serve: it holds a snapshot at or above the version floor.
@@ -185,13 +201,14 @@
 	Parents     []endpoint.InstanceID
 	Unreachable []string
 	Refusals    []Refusal
+	Source      SourceStatus
 }
 
 // Status returns the current state of the distribution.
 func (f *Follower) Status() Status {
 	s := Status{
 		Version: f.cfg.Store.Version(), FloorExact: f.floor.Exact(), Ready: f.Ready(), Leading: f.Leading(),
-		Parents: slices.Clone(f.parents()), Refusals: f.Refusals(),
+		Parents: slices.Clone(f.parents()), Refusals: f.Refusals(), Source: f.SourceStatus(),
 		Unreachable: slices.Sorted(maps.Keys(f.cfg.Members.View().Unreachable)),
 	}
 	s.Floor, s.FloorKnown = f.floor.Value()
