Log and count each request that a check of a daemon rejects

What callers saw: a 4xx of a daemon's own. Only 404 and the other answers before a route left a line, without the check, its inputs and the version; a 413 or 422 after routing was sampled 1 in 200 like a success, an overload used up the limit of lines, and a request that the HTTP parser rejects left nothing. Change: events 2003 and 2004 with check, inputs and version, 2005 for the HTTP parser, under a limit of lines of their own; callers.refusals_by_status and unparsed_by_status in the metrics; kingcupwood explain prints the check, its inputs and the version.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -108,7 +108,7 @@
 // attemptRefusal converts a failed attempt to the refusal returned to the caller. A status set by
 // the receiving daemon is kept, since that daemon has the cause.
 func attemptRefusal(a *attemptResult) *refusal {
-	f := &refusal{status: http.StatusBadGateway, verdict: a.verdict, reason: a.err.Error()}
+	f := &refusal{check: checkAttempt, status: http.StatusBadGateway, verdict: a.verdict, reason: a.err.Error()}
 	switch {
 	case a.response != nil && a.response.Status != 0:
 		f.status = a.response.Status
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +95,8 @@
 
 type metrics struct {
 	requests, retries, refusals, fences, keyQueries expvar.Int
+	// refusalStatuses counts the refusals by status.
+	refusalStatuses expvar.Map
 	// sentOwnInstance, sentOwnDomain and sentOtherDomains count the transmissions to the backend
 	// server of this instance, to this failure domain and to other ones; bytesOtherDomains counts
 	// the body bytes of the latter, noFreeSlot the transmissions refused for lack of a slot.
@@ -130,6 +133,7 @@
 	m.Set("no_free_slot", &h.metrics.noFreeSlot)
 	m.Set("retries", &h.metrics.retries)
 	m.Set("refusals", &h.metrics.refusals)
+	m.Set("refusals_by_status", &h.metrics.refusalStatuses)
 	m.Set("fences", &h.metrics.fences)
 	m.Set("key_questions", &h.metrics.keyQueries)
 	m.Set("latency", expvar.Func(h.latencies.summaries))
@@ -143,16 +147,16 @@
 	arrived := h.config.Now()
 	snap := h.currentSnapshot(r, arrived)
 	if snap == nil {
-		f := refuse(http.StatusServiceUnavailable, "this daemon has no configuration yet")
+		f := refuse(http.StatusServiceUnavailable, "this daemon has no configuration yet").by(checkConfiguration)
 		f.retryAfter = time.Second
-		h.logUnrouted(r, f)
+		h.logUnrouted(r, nil, f)
 		h.refuse(w, f)
 		return
 	}
 	e, err := h.newExchange(snap, r, arrived)
 	if err != nil {
 		f := asRefusal(err)
-		h.logUnrouted(r, f)
+		h.logUnrouted(r, snap, f)
 		h.setCommon(w.Header(), snap, &result{refusal: f})
 		h.refuse(w, f)
 		return
@@ -167,6 +171,9 @@
 		h.writeResponse(w, e, res)
 		return
 	}
+	if res.refusal.isRejection() {
+		h.logRejected(r, snap, res.refusal)
+	}
 	h.setCommon(w.Header(), snap, res)
 	e.setRetryAfter(res.refusal)
 	h.refuse(w, res.refusal)
@@ -181,6 +188,7 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, f *refusal) {
 	h.metrics.refusals.Add(1)
+	h.metrics.refusalStatuses.Add(strconv.Itoa(f.status), 1)
 	f.write(w, h.config.Dialect)
 }
 
--- a/agent/caller/keys.go
+++ b/agent/caller/keys.go
@@ -127,7 +127,7 @@
 func keyRefusal(err error) *refusal {
 	switch {
 	case errors.Is(err, idempotency.ErrBodyMismatch):
-		return refuse(http.StatusUnprocessableEntity, "%v", err)
+		return refuse(http.StatusUnprocessableEntity, "%v", err).by(checkKey)
 	case errors.Is(err, idempotency.ErrTableFull), errors.Is(err, idempotency.ErrClosed):
 		f := refuse(http.StatusServiceUnavailable, "%v", err)
 		f.retryAfter = time.Second
--- a/agent/caller/refusal.go
+++ b/agent/caller/refusal.go
@@ -12,8 +12,23 @@
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
+// Names of the checks that reject a request with a status below 500, for the log.
+const (
+	checkConfiguration = "configuration"
+	checkRoute         = "route"
+	checkHeaderBytes   = "header-bytes"
+	checkBodyBytes     = "body-bytes"
+	checkBody          = "body"
+	checkTimeLeft      = "time-left"
+	checkDepth         = "depth"
+	checkKey           = "idempotency-key"
+	checkAttempt       = "attempt"
+)
+
 // refusal is a response of this daemon in place of one from a backend server.
 type refusal struct {
+	// check names what refused the request; empty for refusals that are no rejection.
+	check      string
 	status     int
 	verdict    verdict.Verdict
 	reason     string
@@ -28,6 +43,22 @@
 	return &refusal{status: status, verdict: verdict.NotRun, reason: fmt.Sprintf(format, args...)}
 }
 
+// by sets the check that refused the request.
+func (r *refusal) by(check string) *refusal {
+	r.check = check
+	return r
+}
+
+// isRejection reports whether r tells the caller that the request is wrong, so that it is not sent
+// again. 408, 421 and 429 only postpone a request.
+func (r *refusal) isRejection() bool {
+	switch r.status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return r.status < http.StatusInternalServerError
+}
+
 // asRefusal converts err to a refusal. For an error of another type the request may have run.
 func asRefusal(err error) *refusal {
 	var r *refusal
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -76,7 +76,7 @@
 func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
 	marks := h.config.Dialect
 	if limit := headerLimit(snap); headerBytes(r) > limit {
-		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit)
+		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit).by(checkHeaderBytes)
 	}
 	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now, fromOwnInstance: isFromOwnInstance(r)}
 	if err := h.route(e, r, now); err != nil {
@@ -93,7 +93,7 @@
 	}
 	key := r.Header.Get(HeaderIdempotencyKey)
 	if len(key) > MaxKeyBytes {
-		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
+		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes).by(checkKey)
 	}
 	body, err := readBody(r, bodyLimit(snap))
 	if err != nil {
@@ -122,14 +122,14 @@
 		name := serviceName(r)
 		service, kind, ok := e.snap.Match(name, r.Method, r.URL.Path)
 		if !ok {
-			return refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path)
+			return refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path).by(checkRoute)
 		}
 		e.service, e.kind = service, kind
 		return nil
 	}
 	found := e.snap.FindRoute(hostOf(r), pathOf(requestTarget(r)))
 	if found == nil {
-		return refuse(http.StatusNotFound, "no route for host %q and path %s", r.Host, r.URL.Path)
+		return refuse(http.StatusNotFound, "no route for host %q and path %s", r.Host, r.URL.Path).by(checkRoute)
 	}
 	e.service, e.kind = e.snap.Services[found.Destination(h.config.Random())], &found.Route.Kind
 	e.target = found.Route.Target
@@ -181,7 +181,7 @@
 	}
 	hops, err := strconv.Atoi(value)
 	if err != nil || hops < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", call.DepthHeader, value)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", call.DepthHeader, value).by(checkDepth)
 	}
 	if hops >= MaxDepth {
 		return 0, refuse(http.StatusLoopDetected, "the chain of calls is longer than %d", MaxDepth)
@@ -210,7 +210,7 @@
 	}
 	ms, err := strconv.ParseInt(value, 10, 32)
 	if err != nil || ms < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", name, value)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", name, value).by(checkTimeLeft)
 	}
 	return min(deadline, time.Duration(ms)*time.Millisecond), nil
 }
@@ -245,7 +245,7 @@
 
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit)
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit).by(checkBodyBytes)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -258,7 +258,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if int64(len(body)) > limit {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit)
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit).by(checkBodyBytes)
 	}
 	return body, bodyError(err)
 }
@@ -267,7 +267,7 @@
 	if err == nil {
 		return nil
 	}
-	return refuse(http.StatusBadRequest, "the request body ended early: %v", errors.Cause(err))
+	return refuse(http.StatusBadRequest, "the request body ended early: %v", errors.Cause(err)).by(checkBody)
 }
 
 // forwardHeader removes from header what must not reach the backend server, and returns header. The
--- a/agent/caller/trace.go
+++ b/agent/caller/trace.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -76,7 +77,8 @@
 		status, reason = res.refusal.status, res.refusal.reason
 	}
 	now := h.config.Now()
-	endedWell := status < http.StatusInternalServerError && (e.targetTime.IsZero() || !now.After(e.targetTime))
+	rejected := res.response == nil && res.refusal.isRejection()
+	endedWell := !rejected && status < http.StatusInternalServerError && (e.targetTime.IsZero() || !now.After(e.targetTime))
 	h.config.Log.LogRequest(event.RequestEnded, endedWell, func() []zap.Field {
 		return []zap.Field{
 			zap.String("request", e.id), zap.String("route", e.kind.Name), zap.String("service", e.service.Name),
@@ -88,12 +90,40 @@
 	})
 }
 
-// logUnrouted logs a request that was answered before it had a route.
-func (h *Handler) logUnrouted(r *http.Request, f *refusal) {
-	h.config.Log.LogRequest(event.RequestUnrouted, false, func() []zap.Field {
-		return []zap.Field{
-			zap.String("request", r.Header.Get(h.config.Dialect.RequestID)), zap.String("host", r.Host),
-			zap.Int("status", f.status), zap.String("reason", f.reason),
-		}
-	})
+// maxLoggedPathBytes limits the path of a request in a log line.
+const maxLoggedPathBytes = 200
+
+// logUnrouted logs a request that was answered before it had a route; snap is nil if there is no
+// configuration.
+func (h *Handler) logUnrouted(r *http.Request, snap *snapshot.Snapshot, f *refusal) {
+	if f.isRejection() {
+		h.logRejected(r, snap, f)
+		return
+	}
+	h.config.Log.LogRequest(event.RequestUnrouted, false, func() []zap.Field { return h.rejectionFields(r, snap, f) })
+}
+
+// logRejected logs a request that a check of this daemon rejected, with the inputs of the checks.
+func (h *Handler) logRejected(r *http.Request, snap *snapshot.Snapshot, f *refusal) {
+	e := event.RequestRejected
+	if f.check == checkRoute {
+		e = event.RequestUnrouted
+	}
+	h.config.Log.LogRejection(e, func() []zap.Field { return h.rejectionFields(r, snap, f) })
+}
+
+func (h *Handler) rejectionFields(r *http.Request, snap *snapshot.Snapshot, f *refusal) []zap.Field {
+	version, routed := uint64(0), snap.HasRoutes()
+	if snap != nil {
+		version = uint64(snap.Version)
+	}
+	path := pathOf(requestTarget(r))
+	marks := h.config.Dialect
+	return []zap.Field{
+		zap.String("request", r.Header.Get(marks.RequestID)), zap.String("check", f.check), zap.Int("status", f.status),
+		zap.Uint64("version", version), zap.Bool("routes", routed),
+		zap.String("method", r.Method), zap.String("host", r.Host), zap.String("path", path[:min(len(path), maxLoggedPathBytes)]),
+		zap.Int("header_bytes", headerBytes(r)), zap.Int64("body_bytes", r.ContentLength),
+		zap.String("reason", f.reason),
+	}
 }
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -68,6 +68,7 @@
 	rpc      *rpc.Server
 	burn     *burn.Tracker
 	gate     *gate
+	unparsed unparsedRequests
 	// endRequests cancels the requests of callers that are in progress.
 	endRequests context.CancelFunc
 	record      recordKeeper
@@ -100,6 +101,7 @@
 	}
 	d := &Daemon{settings: s, network: network, log: log, started: time.Now(), listeners: l, security: security}
 	d.members.started = d.started
+	d.unparsed.log = log
 	if newAdapter != nil {
 		d.adapter = newAdapter(s.Platform.Address.String(), d.platformTraffic.Dial(network.DialContext))
 	}
@@ -246,7 +248,7 @@
 	metrics := &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	d.serve(parts, group, map[*http.Server]net.Listener{
 		admin: d.listeners.admin, announcements: d.listeners.announcements, readiness: d.listeners.readiness, metrics: d.listeners.metrics,
-		callers: limitedListener{socket.Listener{Listener: d.listeners.callers}, d.store.Load},
+		callers: observedListener{limitedListener{socket.Listener{Listener: d.listeners.callers}, d.store.Load}, &d.unparsed},
 	})
 	group.Go(func() error {
 		select {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -20,6 +20,7 @@
 func (d *Daemon) Metrics() expvar.Var {
 	m := new(expvar.Map).Init()
 	m.Set("callers", d.callers.Metrics())
+	m.Set("unparsed_by_status", &d.unparsed.statuses)
 	m.Set("uptime_seconds", expvar.Func(func() any { return int64(time.Since(d.started).Seconds()) }))
 	m.Set("log_lines", expvar.Func(func() any {
 		limited, blocked := d.log.Dropped()
--- a/lib/event/event.go
+++ b/lib/event/event.go
@@ -29,6 +29,11 @@
 	// process. A line has about 400 bytes, so a sustained rate of lines is at most 20 kB/s.
 	requestLinesPerSecond = 50
 	requestLinesBurst     = 200
+	// rejectionLinesPerSecond and rejectionLinesBurst limit the lines about requests that a check of the
+	// process rejected. They have a limit of their own because they are rare and final for the caller,
+	// and an overload would use up the limit above.
+	rejectionLinesPerSecond = 10
+	rejectionLinesBurst     = 50
 	// sampleInterval is the number of routine request events for each one that is logged.
 	sampleInterval = 200
 )
@@ -39,7 +44,9 @@
 	writer *writer
 	// requests limits the rate of lines about single requests.
 	requests *rate.Limiter
-	counts   *counts
+	// rejections limits the rate of lines about rejected requests.
+	rejections *rate.Limiter
+	counts     *counts
 }
 
 // counts has the lines about requests dropped by the rate limit, and the routine request events
@@ -75,6 +82,19 @@
 	}
 }
 
+// LogRejection writes an event about a single request that a check of this process rejected. It is
+// never sampled, and only the rate of such events is limited. Lines dropped by the limit are counted.
+func (l *Logger) LogRejection(e Event, fields func() []zap.Field) {
+	if !l.zap.Core().Enabled(e.Level) {
+		return
+	}
+	if !l.rejections.Allow() {
+		l.counts.limited.Add(1)
+		return
+	}
+	l.Log(e, fields()...)
+}
+
 // Dropped returns the numbers of dropped lines: limited counts lines about requests dropped by the
 // rate limit, and blocked counts lines of any kind dropped because the output was blocked or they
 // were too long.
@@ -96,7 +116,11 @@
 
 // Wrap returns a Logger that writes to base.
 func Wrap(base *zap.Logger) *Logger {
-	return &Logger{zap: base, requests: rate.NewLimiter(requestLinesPerSecond, requestLinesBurst), counts: &counts{}}
+	return &Logger{
+		zap: base, counts: &counts{},
+		requests:   rate.NewLimiter(requestLinesPerSecond, requestLinesBurst),
+		rejections: rate.NewLimiter(rejectionLinesPerSecond, rejectionLinesBurst),
+	}
 }
 
 // With returns a Logger that adds fields to every event.
--- a/lib/event/request.go
+++ b/lib/event/request.go
@@ -7,4 +7,6 @@
 	RequestEnded    = Event{2001, zapcore.InfoLevel, "request ended"}
 	RequestRefused  = Event{2002, zapcore.InfoLevel, "request refused by admission control"}
 	RequestUnrouted = Event{2003, zapcore.InfoLevel, "request without a route or a configuration"}
+	RequestRejected = Event{2004, zapcore.InfoLevel, "request rejected by a check of this daemon"}
+	RequestUnparsed = Event{2005, zapcore.InfoLevel, "request rejected by the HTTP parser"}
 )
--- a/lib/event/writer_test.go
+++ b/lib/event/writer_test.go
@@ -63,6 +63,26 @@
 	is.Equal(int(limited)+written, failed)
 }
 
+// Guards against an overload that crowds out the lines about rejected requests, and against a log
+// flooded by rejected requests.
+func TestRejectionLinesAreKeptInAnOverload(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := newLogger(zapcore.InfoLevel, &out)
+	const failed = 10_000
+	for range failed {
+		log.LogRequest(RequestEnded, false, func() []zap.Field { return nil })
+	}
+	for range failed {
+		log.LogRejection(RequestRejected, func() []zap.Field { return nil })
+	}
+	limited, _ := log.Dropped()
+	log.Sync()
+	written := strings.Count(out.String(), RequestRejected.Text)
+	is.True(written >= rejectionLinesBurst && written < 2*rejectionLinesBurst)
+	is.Equal(int(limited)+strings.Count(out.String(), "\n"), 2*failed)
+}
+
 // Guards against a log without any routine request, and against a log with all of them.
 func TestRoutineRequestsAreSampled(t *testing.T) {
 	is := is.New(t)
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -21,6 +21,7 @@
 	requestEnded    = 2001
 	requestRefused  = 2002
 	requestUnrouted = 2003
+	requestRejected = 2004
 )
 
 // Attempt is an attempt of a request, as logged by the daemon that made it.
@@ -57,6 +58,14 @@
 	Load      float64   `json:"load"`
 	Slots     int       `json:"slots"`
 	Attempts  []Attempt `json:"attempts"`
+	// The following fields are those of a rejected request. Routes reports whether the configuration in
+	// force routes by host and path.
+	Check       string `json:"check"`
+	Method      string `json:"method"`
+	Path        string `json:"path"`
+	HeaderBytes int    `json:"header_bytes"`
+	BodyBytes   int64  `json:"body_bytes"`
+	Routes      bool   `json:"routes"`
 
 	source string
 }
@@ -131,7 +140,10 @@
 		fmt.Fprintf(out, "the daemon of a backend server of %s did not admit it (route %s, rank %d, %d ms left, load %.2f of %d slots): %s\n",
 			l.Service, l.Route, l.Rank, l.LeftMS, l.Load, l.Slots, l.Error)
 	case requestUnrouted:
-		fmt.Fprintf(out, "answered with status %d before a route was found (host %s): %s\n", l.Status, l.Host, l.Reason)
+		fmt.Fprintf(out, "answered with status %d before a route was found (host %s, %s, %s): %s\n", l.Status, l.Host, l.requestText(), l.versionText(), l.Reason)
+	case requestRejected:
+		fmt.Fprintf(out, "rejected with status %d by the check %q (host %s, %s, header %d bytes, body %s, %s): %s\n",
+			l.Status, l.Check, l.Host, l.requestText(), l.HeaderBytes, bodyText(l.BodyBytes), l.versionText(), l.Reason)
 	case requestEnded:
 		l.formatEnd(out)
 	default:
@@ -139,6 +151,26 @@
 	}
 }
 
+func (l *line) requestText() string { return l.Method + " " + l.Path }
+
+// versionText describes the configuration by which a request was rejected.
+func (l *line) versionText() string {
+	switch {
+	case l.Version == 0:
+		return "no configuration"
+	case !l.Routes:
+		return fmt.Sprintf("version %d, which has no routes", l.Version)
+	}
+	return fmt.Sprintf("version %d", l.Version)
+}
+
+func bodyText(bytes int64) string {
+	if bytes < 0 {
+		return "of unknown length"
+	}
+	return fmt.Sprintf("%d bytes", bytes)
+}
+
 func (l *line) formatEnd(out *strings.Builder) {
 	fmt.Fprintf(out, "ended with status %d after %d of %d ms (route %s to %s, version %d, rank %d); it %s\n",
 		l.Status, l.TookMS, l.AllowedMS, l.Route, l.Service, l.Version, l.Rank, verdictText(l.Verdict))
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -38,3 +38,25 @@
 	is.NoErr(err)
 	is.True(!found && strings.Contains(out.String(), "no event for request q9"))
 }
+
+// Guards against a rejected request whose check, inputs or version are not told.
+func TestExplainRejection(t *testing.T) {
+	is := is.New(t)
+	const lines = `{"time":"2026-01-09T17:28:02.500Z","msg":"x","request":"q7","check":"body-bytes","status":413,"version":5,"routes":true,"method":"POST","host":"wiki.example","path":"/save/a","header_bytes":212,"body_bytes":1048577,"reason":"the request body is over 1048576 bytes","event":2004}
+{"time":"2026-01-09T17:28:02.600Z","msg":"x","request":"q7","check":"route","status":404,"version":6,"routes":false,"method":"GET","host":"wiki.example","path":"/a","body_bytes":-1,"reason":"no service","event":2003}
+{"time":"2026-01-09T17:28:02.700Z","msg":"x","request":"q7","check":"configuration","status":503,"version":0,"method":"GET","host":"wiki.example","path":"/a","reason":"none yet","event":2003}
+`
+	l := New("q7")
+	is.NoErr(l.Read("one", strings.NewReader(lines)))
+	var out strings.Builder
+	found, err := l.Write(&out)
+	is.NoErr(err)
+	is.True(found)
+	for _, want := range []string{
+		`one: rejected with status 413 by the check "body-bytes" (host wiki.example, POST /save/a, header 212 bytes, body 1048577 bytes, version 5): the request body is over 1048576 bytes`,
+		"answered with status 404 before a route was found (host wiki.example, GET /a, version 6, which has no routes): no service",
+		"answered with status 503 before a route was found (host wiki.example, GET /a, no configuration): none yet",
+	} {
+		is.True(strings.Contains(out.String(), want))
+	}
+}
