Answer 503 where a backend server rejects a valid request

What callers saw: a 4xx without a stamp, as if their request were wrong, although it had not run and could be sent again. Cause: the status of a response with the header for not run was passed on as it is. Evidence: TestStatusOfServerRefusals, before the change: 400 != 503. Change: 408, 421 and 429 say not run themselves and stay, 400 stays for a request without an ID, any other status becomes 503; the log names the status of the server.

--- a/agent/backend/dialect_test.go
+++ b/agent/backend/dialect_test.go
@@ -118,6 +118,34 @@
 	is.True(errors.Is(err, ErrGone))
 }
 
+// Guards against a rejection by the server that a daemon passes on as if the request were wrong: a
+// request with an ID has not run, and may be sent again, whatever the status. Only 421 and 429 say the
+// same themselves, and only a request without an ID is wrong.
+func TestStatusOfServerRefusals(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		sent, id string
+		want     int
+	}{
+		{"400 Bad Request", "q1", http.StatusServiceUnavailable},
+		{"413 Too Large", "q1", http.StatusServiceUnavailable},
+		{"302 Found", "q1", http.StatusServiceUnavailable},
+		{"503 Busy", "q1", http.StatusServiceUnavailable},
+		{"429 Slow Down", "q1", http.StatusTooManyRequests},
+		{"421 Misdirected", "q1", http.StatusMisdirectedRequest},
+		{"400 Bad Request", "", http.StatusBadRequest},
+	} {
+		b, _ := startWithStamps(t, func(_ int32, r *http.Request, w io.Writer) bool {
+			_, _ = io.WriteString(w, responseText(c.sent, r.Header.Get("Id"), "Not-Run: 1\r\n", ""))
+			return true
+		})
+		resp, err := get(b, c.id)
+		is.NoErr(err)
+		is.Equal(resp.Verdict, verdict.NotRun)
+		is.Equal(resp.Status, c.want)
+	}
+}
+
 // Guards against applying announcements that arrive out of order: of an earlier lifetime, of an
 // earlier state, or after Leave.
 func TestLateAnnouncements(t *testing.T) {
--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -219,7 +219,8 @@
 func newResponse(r *call.Request, d *dialect.Dialect, head *http.Response, body []byte) (*call.Response, error) {
 	resp := &call.Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: head.StatusCode, Body: body}
 	if d.NotRun != "" && (head.Header.Get(d.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest) {
-		resp.Verdict, resp.Reason = verdict.NotRun, "not run by the backend server"
+		resp.Verdict, resp.Status = verdict.NotRun, refusalStatus(r, d, head.StatusCode)
+		resp.Reason = "not run by the backend server, status " + strconv.Itoa(head.StatusCode)
 	} else if d.Stamp != "" && head.Header.Get(d.Stamp) == "" {
 		return nil, verdict.Wrap(verdict.MayHaveRun, ErrNoStamp)
 	}
@@ -236,6 +237,21 @@
 	return resp, nil
 }
 
+// refusalStatus returns the status for the sender of a request that the backend server rejected with
+// the given one. A server rejects a request as wrong only because it has no ID; any other status that
+// does not itself mean not run would tell the caller not to send a valid request again.
+func refusalStatus(r *call.Request, d *dialect.Dialect, status int) int {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return status
+	case http.StatusBadRequest:
+		if r.Header.Get(d.RequestID) == "" {
+			return status
+		}
+	}
+	return http.StatusServiceUnavailable
+}
+
 // timeLeft returns the remaining time for the exchange: that of ctx, or the timeout of r.
 func timeLeft(ctx context.Context, r *call.Request) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
