Treat a negative remaining time as a deadline that has passed

What callers saw: 400 for a valid request whose time was over, such as a call that a server makes after it was suspended, or whose timeout exceeds 2^31-1 ms. Cause: the parser of the timeout accepted 0 to 2^31-1 only. Evidence: TestExtremeTimeouts, before the change: 400 != 503. Change: a negative time is 0, which is not run and 504 or 503 by dialect; a time beyond the deadline of the kind is that deadline; text that is no number stays 400.

--- a/agent/caller/deadline_test.go
+++ b/agent/caller/deadline_test.go
@@ -130,3 +130,22 @@
 		is.True(time.Since(start) > viewDeadline/2) // the reserves leave most of the deadline
 	})
 }
+
+// Guards against rejecting as wrong a valid request whose caller has no time left, such as a nested call
+// that a server makes when it resumes, or a caller that allows more time than fits a number of 32 bits.
+func TestExtremeTimeouts(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	for _, left := range []string{"0", "-1", "-3600000", "-99999999999999999999"} {
+		w := b.serveHTTP(routedRequest("GET", "/view/a", "Left", left))
+		is.Equal(w.Code, http.StatusServiceUnavailable) // has not run, and may be sent again
+		is.Equal(len(b.remote.sent), 0)
+	}
+	for _, left := range []string{"2147483648", "99999999999999999999"} {
+		is.Equal(b.serveHTTP(routedRequest("GET", "/view/a", "Left", left)).Code, http.StatusOK)
+	}
+	for _, sent := range b.remote.sent {
+		is.True(sent.Timeout > 0 && sent.Timeout <= time.Second) // the deadline of the route
+	}
+	is.Equal(b.serveHTTP(routedRequest("GET", "/view/a", "Left", "1s")).Code, http.StatusBadRequest)
+}
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -202,17 +202,21 @@
 	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
 }
 
-// readTimeout returns the smaller of the deadline of the kind and the timeout set by the caller.
+// readTimeout returns the smaller of the deadline of the kind and the timeout set by the caller, 0 if
+// that is negative: the time of the caller is over, which is no fault of its request.
 func readTimeout(r *http.Request, name string, deadline time.Duration) (time.Duration, error) {
 	value := r.Header.Get(name)
 	if value == "" {
 		return deadline, nil
 	}
-	ms, err := strconv.ParseInt(value, 10, 32)
-	if err != nil || ms < 0 {
+	ms, err := strconv.ParseInt(value, 10, 64) // the nearest number if value is out of range
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", name, value).by(checkTimeLeft)
 	}
-	return min(deadline, time.Duration(ms)*time.Millisecond), nil
+	if ms > deadline.Milliseconds() {
+		return deadline, nil
+	}
+	return time.Duration(max(ms, 0)) * time.Millisecond, nil
 }
 
 // headerLimit returns the largest header of a request in bytes.
