Compare hosts without regard to case and a final dot

What callers saw: 404 for a valid request whose Host differs from that of the route in its letter case or has the dot of a fully qualified name. Cause: the host was compared byte by byte (RFC 3986, 3.2.2: a host is case-insensitive). Evidence: TestSpellingsOfTheHost, before the change: 404 != 200. Change: the route table and the check for duplicates use one spelling; the host is forwarded unchanged.

--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -88,6 +88,21 @@
 	is.Equal(b.serveHTTP(routedRequest("GET", "/other/")).Code, http.StatusServiceUnavailable)
 }
 
+// Guards against 404 for a host that differs from the one of the route in the case of its letters, has a
+// port or ends with the dot of a fully qualified name: all of them name the same host.
+func TestSpellingsOfTheHost(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	for _, host := range []string{"wiki.example", "WIKI.example", "Wiki.Example:8147", "wiki.example.", "wiki.example.:80"} {
+		r := routedRequest("GET", "/view/a")
+		r.Host = host
+		is.Equal(b.serveHTTP(r).Code, http.StatusOK)
+		is.Equal(b.remote.sent[len(b.remote.sent)-1].Host, host) // forwarded unchanged
+	}
+	r := routedRequest("GET", "/VIEW/a") // paths are compared exactly
+	is.Equal(b.serveHTTP(r).Code, http.StatusNotFound)
+}
+
 // busyReply is the refusal of a daemon whose backend server has no free slot.
 func busyReply(r *call.Request) *call.Response {
 	return &call.Response{
--- a/pkg/snapshot/routes.go
+++ b/pkg/snapshot/routes.go
@@ -80,10 +80,11 @@
 }
 
 func (t routeTable) add(service *Service, route *Route) {
-	prefixes := t[route.Host]
+	host := canonicalHost(route.Host)
+	prefixes := t[host]
 	if prefixes == nil {
 		prefixes = map[string]*RouteEntry{}
-		t[route.Host] = prefixes
+		t[host] = prefixes
 	}
 	entry := &RouteEntry{Route: route, Service: service}
 	for _, d := range route.Split {
@@ -92,13 +93,18 @@
 	prefixes[route.Kind.PathPrefix] = entry
 }
 
+// canonicalHost returns host in the spelling that is used for comparisons: letter case and the dot of a
+// fully qualified name do not distinguish hosts.
+func canonicalHost(host string) string { return strings.TrimSuffix(strings.ToLower(host), ".") }
+
 // HasRoutes reports whether the configuration routes requests by host and path.
 func (s *Snapshot) HasRoutes() bool { return s != nil && s.routesByHost != nil }
 
 // FindRoute returns the route of host with the longest prefix of path, or nil if none matches. path
-// is the path of the request target without the query. FindRoute does not allocate.
+// is the path of the request target without the query. FindRoute does not allocate if host is in lower
+// case.
 func (s *Snapshot) FindRoute(host, path string) *RouteEntry {
-	prefixes := s.routesByHost[host]
+	prefixes := s.routesByHost[canonicalHost(host)]
 	if prefixes == nil {
 		return nil
 	}
@@ -186,7 +192,7 @@
 		c.service, c.kind = c.services[name], nil
 		for i := range c.service.Routes {
 			r := &c.service.Routes[i]
-			key := [2]string{r.Host, r.Kind.PathPrefix}
+			key := [2]string{canonicalHost(r.Host), r.Kind.PathPrefix}
 			if other, used := seen[key]; used {
 				c.kind = &r.Kind
 				c.fail(KeyMatch, "a host and prefix that no other route has", "route %q has the same ones", other)
