Carry every header that the HTTP server accepts between daemons

What callers saw: 413 for a request whose header the configuration allows, if the encoded header was over 64 KiB and the server ran on another instance; the own instance took it. Cause: the frame of a call had a limit of its own, below that of the HTTP server for callers. Evidence: TestHeadersUpToTheLimitOfTheServer, before the change: request exceeds the limit. Change: the limit of a frame's header is that of the HTTP server and 64 KiB for encoding and other fields.

--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -19,8 +19,9 @@
 const (
 	MaxRequestBodyBytes  = 64 << 20
 	MaxResponseBodyBytes = 64 << 20
-	// MaxHeaderBytes limits the encoded header of a frame, including the HTTP header.
-	MaxHeaderBytes = 64 << 10
+	// MaxHeaderBytes limits the encoded header of a frame, including the HTTP header. Every header that
+	// the HTTP server for callers accepts fits, with its encoding and the other fields.
+	MaxHeaderBytes = http.DefaultMaxHeaderBytes + 64<<10
 )
 
 // Errors of the transport; Do returns them wrapped in a *verdict.Error.
