Carry header values in any encoding and any number between daemons

What callers saw: 502 for a valid request or response with a header value that is not UTF-8, or with more than 2,048 header fields, if the server ran on another instance; a request that is not idempotent could not be sent again. Cause: the decoder of the frame refused text that is not UTF-8 and arrays over 4,096 items, and the receiver closed the connection. Evidence: TestUnusualHeaders, before the change: receive response: EOF (may-have-run). Change: bytes of any encoding are taken, and the number of fields is limited by the bytes of the header.

--- a/agent/peer/call/header.go
+++ b/agent/peer/call/header.go
@@ -47,6 +47,10 @@
 	Offered          bool
 }
 
+// maxArrayElements limits the names and values of an HTTP header. Each one takes at least one byte of
+// the encoded header, whose length is checked before.
+const maxArrayElements = MaxHeaderBytes
+
 var encMode, decMode = newModes()
 
 func newModes() (cbor.UserBufferEncMode, cbor.DecMode) {
@@ -54,7 +58,10 @@
 	if err != nil {
 		panic(err) // the options are constant
 	}
-	dec, err := cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: 4096, MaxMapPairs: 16}.DecMode()
+	dec, err := cbor.DecOptions{
+		MaxNestedLevels: 4, MaxArrayElements: maxArrayElements, MaxMapPairs: 16,
+		UTF8: cbor.UTF8DecodeInvalid, // values of HTTP headers are bytes of any encoding
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
--- a/agent/peer/call/large_header_test.go
+++ b/agent/peer/call/large_header_test.go
@@ -37,3 +37,26 @@
 	is.NoErr(err)
 	is.Equal(resp.Header, header)
 }
+
+// Guards against a broken connection, which ends a request with 502, because a header has many fields or
+// values that are not UTF-8. HTTP allows both.
+func TestUnusualHeaders(t *testing.T) {
+	const fields = 16 << 10 / len("f12345: \r\n")
+	many := http.Header{}
+	for n := range fields {
+		many.Set(fmt.Sprintf("F%05d", n), "")
+	}
+	for name, header := range map[string]http.Header{
+		"many fields":    many,
+		"many values":    {"Same": make([]string, http.DefaultMaxHeaderBytes/len("Same: \r\n"))},
+		"ISO 8859-1":     {"Author": {"Jo\xe3o"}},
+		"obsolete bytes": {"Other": {"\xff\x80"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp, err := exchangeHeader(t, header)
+			is.NoErr(err)
+			is.Equal(resp.Header, header)
+		})
+	}
+}
