Read only the request headers that the dialect defines

What callers saw: for a request of a route that carries Idempotency-Key, a header that this deployment does not define: 400 if it is long, 422 if it was used with another request, the response to another request, or 503 always, as the owner of the key has no kinds; 400 or 508 for a Kingcupwood-Depth of its own. Cause: the names of the three headers of the product's own interface were used in every dialect. Evidence: TestHeadersOutsideTheDialect failed before the change. Change: the names come from the dialect, which has one for idempotency keys now; without a name the header is forwarded like any other. Tests use dialect.Default.IdempotencyKey for the constant that is gone.

--- a/agent/caller/handler_test.go
+++ b/agent/caller/handler_test.go
@@ -45,7 +45,7 @@
 		"timeout has passed":          {request("GET", "/pages/1", "", call.TimeoutHeader, "-5"), http.StatusGatewayTimeout},
 		"timeout is over":             {request("GET", "/pages/1", "", call.TimeoutHeader, "0"), http.StatusGatewayTimeout},
 		"timeout below the reserve":   {request("GET", "/pages/1", "", call.TimeoutHeader, "2"), http.StatusGatewayTimeout},
-		"idempotency key is too long": {request("POST", "/pages/1", "", HeaderIdempotencyKey, strings.Repeat("k", MaxKeyBytes+1)), http.StatusBadRequest},
+		"idempotency key is too long": {request("POST", "/pages/1", "", headerIdempotencyKey, strings.Repeat("k", MaxKeyBytes+1)), http.StatusBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -235,7 +235,7 @@
 	f.Fuzz(func(t *testing.T, depth, timeout, connection, key string) {
 		b := newBench("a")
 		r := request("GET", "/pages/1", "", call.DepthHeader, depth, call.TimeoutHeader, timeout, "Connection", connection,
-			HeaderIdempotencyKey, key, headerOwner, key)
+			headerIdempotencyKey, key, headerOwner, key)
 		w := b.serveHTTP(r)
 		if w.Code != http.StatusOK && verdictOf(w) != "not-run" {
 			t.Fatalf("status %d with verdict %s", w.Code, verdictOf(w))
--- a/agent/caller/harness_test.go
+++ b/agent/caller/harness_test.go
@@ -31,6 +31,9 @@
 	viewDeadline = 500 * time.Millisecond
 )
 
+// headerIdempotencyKey is the header of idempotency keys in the default dialect.
+var headerIdempotencyKey = dialect.Default.IdempotencyKey
+
 func testService() *snapshot.Service {
 	return &snapshot.Service{
 		Name: "pages", Team: "wiki", Slots: 12, Connections: 100, Servers: 4,
--- a/agent/caller/keys_test.go
+++ b/agent/caller/keys_test.go
@@ -58,7 +58,7 @@
 
 // save submits a save through the daemon by.
 func (c *trio) save(by, key, body string) *httptest.ResponseRecorder {
-	return c.daemons[by].serveHTTP(request("POST", "/pages/1", body, HeaderIdempotencyKey, key))
+	return c.daemons[by].serveHTTP(request("POST", "/pages/1", body, headerIdempotencyKey, key))
 }
 
 // notOwner returns a daemon that does not own key.
@@ -120,7 +120,7 @@
 		// A submission with a shorter timeout ends before the run does, and must not get not-run.
 		time.Sleep(10 * time.Millisecond)
 		for _, by := range []string{"a", "b", "c"} {
-			w := c.daemons[by].serveHTTP(request("POST", "/pages/1", "text", HeaderIdempotencyKey, "key", call.TimeoutHeader, "50"))
+			w := c.daemons[by].serveHTTP(request("POST", "/pages/1", "text", headerIdempotencyKey, "key", call.TimeoutHeader, "50"))
 			is.Equal(w.Code, http.StatusGatewayTimeout)
 			is.Equal(verdictOf(w), "may-have-run")
 		}
@@ -140,7 +140,7 @@
 		is.Equal(w.Code, http.StatusUnprocessableEntity)
 		is.Equal(verdictOf(w), "not-run")
 	}
-	w := c.daemons["b"].serveHTTP(request("POST", "/pages/2", "text", HeaderIdempotencyKey, "key"))
+	w := c.daemons["b"].serveHTTP(request("POST", "/pages/2", "text", headerIdempotencyKey, "key"))
 	is.Equal(w.Code, http.StatusUnprocessableEntity)
 	is.Equal(c.runs.Load(), int32(1))
 }
@@ -262,7 +262,7 @@
 	h := newBench("a")
 	h.config.Instance = "a" // the owner of all keys
 	for n := range 24_000 {
-		h.serveHTTP(request("POST", "/pages/1", "text", HeaderIdempotencyKey, fmt.Sprint("key-", n)))
+		h.serveHTTP(request("POST", "/pages/1", "text", headerIdempotencyKey, fmt.Sprint("key-", n)))
 	}
 	if got := len(h.ExportKeys()); got != 24_000 {
 		b.Fatalf("%d keys", got)
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -20,8 +20,6 @@
 const (
 	// HeaderService names the service when the Host header does not.
 	HeaderService = "Kingcupwood-Service"
-	// HeaderIdempotencyKey ensures that repeated submissions of a non-idempotent request run once.
-	HeaderIdempotencyKey = "Idempotency-Key"
 	// headerOwner marks a request that was forwarded to the owner of its idempotency key.
 	headerOwner = "Kingcupwood-Key-Owner"
 )
@@ -83,7 +81,7 @@
 		return nil, err
 	}
 	service, kind := e.service, e.kind
-	depth, err := readDepth(r)
+	depth, err := readDepth(r, marks.Depth)
 	if err != nil {
 		return nil, err
 	}
@@ -91,15 +89,15 @@
 	if err != nil {
 		return nil, err
 	}
-	key := r.Header.Get(HeaderIdempotencyKey)
+	key := headerValue(r, marks.IdempotencyKey)
 	if len(key) > MaxKeyBytes {
-		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes).by(checkKey)
+		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", marks.IdempotencyKey, MaxKeyBytes).by(checkKey)
 	}
 	body, err := readBody(r, bodyLimit(snap))
 	if err != nil {
 		return nil, err
 	}
-	nested := depth > 1 && isNested(r, h.config.Running)
+	nested := depth > 1 && isNested(r, marks.Attempt, h.config.Running)
 	e.deadline, e.key = now.Add(timeout), key
 	if allowed, ok := allowedTime(r, marks.TimeLeft); ok && e.routed() {
 		e.targetTime = e.targetTime.Add(-h.timeoutEstimates.waited(kind.Name, allowed, now))
@@ -174,14 +172,23 @@
 	return r.Host
 }
 
-func readDepth(r *http.Request) (int, error) {
-	value := r.Header.Get(call.DepthHeader)
+// headerValue returns the value of a header of the dialect, which is empty if the dialect does not define
+// the header.
+func headerValue(r *http.Request, name string) string {
+	if name == "" {
+		return ""
+	}
+	return r.Header.Get(name)
+}
+
+func readDepth(r *http.Request, name string) (int, error) {
+	value := headerValue(r, name)
 	if value == "" {
 		return 1, nil
 	}
 	hops, err := strconv.Atoi(value)
 	if err != nil || hops < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", call.DepthHeader, value).by(checkDepth)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", name, value).by(checkDepth)
 	}
 	if hops >= MaxDepth {
 		return 0, refuse(http.StatusLoopDetected, "the chain of calls is longer than %d", MaxDepth)
@@ -191,8 +198,8 @@
 
 // isNested reports whether r is a call of the backend server of this daemon on behalf of a request
 // that it is processing. An external caller cannot guess the ID of such an attempt.
-func isNested(r *http.Request, running func(fence.AttemptID) bool) bool {
-	id, ok := fence.ParseAttemptID(r.Header.Get(call.AttemptHeader))
+func isNested(r *http.Request, name string, running func(fence.AttemptID) bool) bool {
+	id, ok := fence.ParseAttemptID(headerValue(r, name))
 	return ok && running(id)
 }
 
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -103,6 +104,24 @@
 	is.Equal(b.serveHTTP(r).Code, http.StatusNotFound)
 }
 
+// Guards against interpreting, for a request of a route, headers that the dialect does not define: to its
+// callers they are headers like any other, so that they must neither reject a request nor return the
+// response to another one.
+func TestHeadersOutsideTheDialect(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	for n, value := range []string{"k", "k", strings.Repeat("k", MaxKeyBytes+1)} {
+		r := routedRequest("POST", "/save/"+strconv.Itoa(n), headerIdempotencyKey, value)
+		is.Equal(b.serveHTTP(r).Code, http.StatusOK)
+		is.Equal(len(b.remote.sent), n+1)
+		is.Equal(b.remote.sent[n].Header.Get(headerIdempotencyKey), value)
+	}
+	for _, depth := range []string{"deep", "-1", strconv.Itoa(MaxDepth)} {
+		w := b.serveHTTP(routedRequest("GET", "/view/a", call.DepthHeader, depth))
+		is.Equal(w.Code, http.StatusOK)
+	}
+}
+
 // busyReply is the refusal of a daemon whose backend server has no free slot.
 func busyReply(r *call.Request) *call.Response {
 	return &call.Response{
--- a/agent/peer/keys/keys_test.go
+++ b/agent/peer/keys/keys_test.go
@@ -19,6 +19,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/burn"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/retry"
@@ -128,7 +129,7 @@
 func (c *cluster) save(by endpoint.InstanceID, key string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest("POST", "/pages/1", strings.NewReader("text"))
 	r.Host = "pages"
-	r.Header.Set(caller.HeaderIdempotencyKey, key)
+	r.Header.Set(dialect.Default.IdempotencyKey, key)
 	w := httptest.NewRecorder()
 	c.daemons[by].ServeHTTP(w, r)
 	return w
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -13,6 +13,8 @@
 	TimeLeft string
 	// Depth counts the hops of a call chain. Attempt identifies a single attempt of a request.
 	Depth, Attempt string
+	// IdempotencyKey identifies the submissions of one request that is not idempotent, of which one runs.
+	IdempotencyKey string
 	// Expect identifies the incarnation of the backend server that is to run the request. Any other
 	// one responds with status 421 and does not run it.
 	Expect string
@@ -39,4 +41,6 @@
 	Depth:     "Kingcupwood-Depth",
 	Attempt:   "Kingcupwood-Attempt",
 	Annotated: true,
+
+	IdempotencyKey: "Idempotency-Key",
 }
