--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -20,8 +20,6 @@
 const (
 	// HeaderService names the service when the Host header does not.
 	HeaderService = "Kingcupwood-Service"
-	// HeaderIdempotencyKey ensures that repeated submissions of a non-idempotent request run once.
-	HeaderIdempotencyKey = "Idempotency-Key"
 	// headerOwner marks a request that was forwarded to the owner of its idempotency key.
 	headerOwner = "Kingcupwood-Key-Owner"
 )
@@ -76,14 +74,14 @@
 func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
 	marks := h.config.Dialect
 	if limit := headerLimit(snap); headerBytes(r) > limit {
-		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit)
+		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit).by(checkHeaderBytes)
 	}
 	e := &exchange{snap: snap, maxAttempts: defaultMaxAttempts, id: r.Header.Get(marks.RequestID), arrived: now, fromOwnInstance: isFromOwnInstance(r)}
 	if err := h.route(e, r, now); err != nil {
 		return nil, err
 	}
 	service, kind := e.service, e.kind
-	depth, err := readDepth(r)
+	depth, err := readDepth(r, marks.Depth)
 	if err != nil {
 		return nil, err
 	}
@@ -91,15 +89,15 @@
 	if err != nil {
 		return nil, err
 	}
-	key := r.Header.Get(HeaderIdempotencyKey)
+	key := headerValue(r, marks.IdempotencyKey)
 	if len(key) > MaxKeyBytes {
-		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
+		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", marks.IdempotencyKey, MaxKeyBytes).by(checkKey)
 	}
 	body, err := readBody(r, bodyLimit(snap))
 	if err != nil {
 		return nil, err
 	}
-	nested := depth > 1 && isNested(r, h.config.Running)
+	nested := depth > 1 && isNested(r, marks.Attempt, h.config.Running)
 	e.deadline, e.key = now.Add(timeout), key
 	if allowed, ok := allowedTime(r, marks.TimeLeft); ok && e.routed() {
 		e.targetTime = e.targetTime.Add(-h.timeoutEstimates.waited(kind.Name, allowed, now))
@@ -122,14 +120,14 @@
 		name := serviceName(r)
 		service, kind, ok := e.snap.Match(name, r.Method, r.URL.Path)
 		if !ok {
-			return refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path)
+			return refuse(http.StatusNotFound, "no service %q with a kind for %s %s", name, r.Method, r.URL.Path).by(checkRoute)
 		}
 		e.service, e.kind = service, kind
 		return nil
 	}
 	found := e.snap.FindRoute(hostOf(r), pathOf(requestTarget(r)))
 	if found == nil {
-		return refuse(http.StatusNotFound, "no route for host %q and path %s", r.Host, r.URL.Path)
+		return refuse(http.StatusNotFound, "no route for host %q and path %s", r.Host, r.URL.Path).by(checkRoute)
 	}
 	e.service, e.kind = e.snap.Services[found.Destination(h.config.Random())], &found.Route.Kind
 	e.target = found.Route.Target
@@ -174,14 +172,23 @@
 	return r.Host
 }
 
-func readDepth(r *http.Request) (int, error) {
-	value := r.Header.Get(call.DepthHeader)
+// headerValue returns the value of a header of the dialect, which is empty if the dialect does not define
+// the header.
+func headerValue(r *http.Request, name string) string {
+	if name == "" {
+		return ""
+	}
+	return r.Header.Get(name)
+}
+
+func readDepth(r *http.Request, name string) (int, error) {
+	value := headerValue(r, name)
 	if value == "" {
 		return 1, nil
 	}
 	hops, err := strconv.Atoi(value)
 	if err != nil || hops < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", call.DepthHeader, value)
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of hops", name, value).by(checkDepth)
 	}
 	if hops >= MaxDepth {
 		return 0, refuse(http.StatusLoopDetected, "the chain of calls is longer than %d", MaxDepth)
@@ -191,8 +198,8 @@
 
 // isNested reports whether r is a call of the backend server of this daemon on behalf of a request
 // that it is processing. An external caller cannot guess the ID of such an attempt.
-func isNested(r *http.Request, running func(fence.AttemptID) bool) bool {
-	id, ok := fence.ParseAttemptID(r.Header.Get(call.AttemptHeader))
+func isNested(r *http.Request, name string, running func(fence.AttemptID) bool) bool {
+	id, ok := fence.ParseAttemptID(headerValue(r, name))
 	return ok && running(id)
 }
 
@@ -202,17 +209,21 @@
 	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
 }
 
-// readTimeout returns the smaller of the deadline of the kind and the timeout set by the caller.
+// readTimeout returns the smaller of the deadline of the kind and the timeout set by the caller, 0 if
+// that is negative: the time of the caller is over, which is no fault of its request.
 func readTimeout(r *http.Request, name string, deadline time.Duration) (time.Duration, error) {
 	value := r.Header.Get(name)
 	if value == "" {
 		return deadline, nil
 	}
-	ms, err := strconv.ParseInt(value, 10, 32)
-	if err != nil || ms < 0 {
-		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", name, value)
+	ms, err := strconv.ParseInt(value, 10, 64) // the nearest number if value is out of range
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, refuse(http.StatusBadRequest, "%s %q is not a number of milliseconds", name, value).by(checkTimeLeft)
+	}
+	if ms > deadline.Milliseconds() {
+		return deadline, nil
 	}
-	return min(deadline, time.Duration(ms)*time.Millisecond), nil
+	return time.Duration(max(ms, 0)) * time.Millisecond, nil
 }
 
 // headerLimit returns the largest header of a request in bytes.
@@ -245,7 +256,7 @@
 
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit)
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit).by(checkBodyBytes)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -258,7 +269,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if int64(len(body)) > limit {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit)
+		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit).by(checkBodyBytes)
 	}
 	return body, bodyError(err)
 }
@@ -267,7 +278,7 @@
 	if err == nil {
 		return nil
 	}
-	return refuse(http.StatusBadRequest, "the request body ended early: %v", errors.Cause(err))
+	return refuse(http.StatusBadRequest, "the request body ended early: %v", errors.Cause(err)).by(checkBody)
 }
 
 // forwardHeader removes from header what must not reach the backend server, and returns header. The
--- a/agent/caller/routed_test.go
+++ b/agent/caller/routed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -88,6 +89,39 @@
 	is.Equal(b.serveHTTP(routedRequest("GET", "/other/")).Code, http.StatusServiceUnavailable)
 }
 
+// Guards against 404 for a host that differs from the one of the route in the case of its letters, has a
+// port or ends with the dot of a fully qualified name: all of them name the same host.
+func TestSpellingsOfTheHost(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	for _, host := range []string{"wiki.example", "WIKI.example", "Wiki.Example:8147", "wiki.example.", "wiki.example.:80"} {
+		r := routedRequest("GET", "/view/a")
+		r.Host = host
+		is.Equal(b.serveHTTP(r).Code, http.StatusOK)
+		is.Equal(b.remote.sent[len(b.remote.sent)-1].Host, host) // forwarded unchanged
+	}
+	r := routedRequest("GET", "/VIEW/a") // paths are compared exactly
+	is.Equal(b.serveHTTP(r).Code, http.StatusNotFound)
+}
+
+// Guards against interpreting, for a request of a route, headers that the dialect does not define: to its
+// callers they are headers like any other, so that they must neither reject a request nor return the
+// response to another one.
+func TestHeadersOutsideTheDialect(t *testing.T) {
+	is := is.New(t)
+	b := newRoutedBench(t, "i1")
+	for n, value := range []string{"k", "k", strings.Repeat("k", MaxKeyBytes+1)} {
+		r := routedRequest("POST", "/save/"+strconv.Itoa(n), headerIdempotencyKey, value)
+		is.Equal(b.serveHTTP(r).Code, http.StatusOK)
+		is.Equal(len(b.remote.sent), n+1)
+		is.Equal(b.remote.sent[n].Header.Get(headerIdempotencyKey), value)
+	}
+	for _, depth := range []string{"deep", "-1", strconv.Itoa(MaxDepth)} {
+		w := b.serveHTTP(routedRequest("GET", "/view/a", call.DepthHeader, depth))
+		is.Equal(w.Code, http.StatusOK)
+	}
+}
+
 // busyReply is the refusal of a daemon whose backend server has no free slot.
 func busyReply(r *call.Request) *call.Response {
 	return &call.Response{
