--- a/agent/peer/sync/source_cluster_test.go
+++ b/agent/peer/sync/source_cluster_test.go
@@ -28,11 +28,11 @@
 	version snapshot.Version
 	changed chan struct{}
 	silent  map[endpoint.InstanceID]bool
-	calls   int
+	calls   map[endpoint.InstanceID]int
 }
 
 func newSharedSource() *sharedSource {
-	return &sharedSource{version: 3, changed: make(chan struct{}), silent: map[endpoint.InstanceID]bool{}}
+	return &sharedSource{version: 3, changed: make(chan struct{}), silent: map[endpoint.InstanceID]bool{}, calls: map[endpoint.InstanceID]int{}}
 }
 
 func (s *sharedSource) publish(v snapshot.Version) {
@@ -51,6 +51,17 @@
 	}
 }
 
+// callsOf returns the number of calls of each daemon of list.
+func (s *sharedSource) callsOf(list []*daemon) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var calls []int
+	for _, d := range list {
+		calls = append(calls, s.calls[d.record.Instance])
+	}
+	return calls
+}
+
 // sourceOf is sharedSource as one daemon reaches it.
 type sourceOf struct {
 	*sharedSource
@@ -74,7 +85,7 @@
 func (s *sourceOf) count() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
+	s.calls[s.d.record.Instance]++
 }
 
 // Current implements Source.
