--- a/agent/peer/sync/fakes_test.go
+++ b/agent/peer/sync/fakes_test.go
@@ -92,10 +92,12 @@
 
 // fakePlatform fakes the table and the object store.
 type fakePlatform struct {
-	mu     sync.Mutex
-	head   snapshot.Version
-	down   bool
-	cut    map[endpoint.InstanceID]bool
+	mu   sync.Mutex
+	head snapshot.Version
+	down bool
+	cut  map[endpoint.InstanceID]bool
+	// silent holds the daemons that get no answer; their calls end with their timeout.
+	silent map[endpoint.InstanceID]bool
 	leases map[string]fakeLease
 	reads  int
 	heads  int
@@ -131,6 +133,11 @@
 	p.wait()
 	p.mu.Lock()
 	p.reads++
+	if p.silent[p.id] {
+		p.mu.Unlock()
+		time.Sleep(platformTimeout)
+		return errDown
+	}
 	if p.down || p.cut[p.id] {
 		p.mu.Unlock()
 		return errDown
--- a/agent/peer/sync/lease_holder_test.go
+++ b/agent/peer/sync/lease_holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"kingcupwood.example/kingcupwood/pkg/distribution"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
@@ -131,3 +133,28 @@
 		})
 	}
 }
+
+// Guards against silence of the lease holders that is taken for "no change": both are silently cut
+// off from the platform at the moment of a change, at different times after they renewed their
+// leases.
+func TestBothHoldersCutOff(t *testing.T) {
+	for _, delay := range []time.Duration{0, renewInterval / 3, 2 * renewInterval / 3} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runDomain(t, 12, func(c *cluster, _ *rand.Rand) {
+				time.Sleep(delay)
+				var reaching []*daemon
+				silent := map[endpoint.InstanceID]bool{}
+				for _, d := range c.daemons {
+					if d.Leading() {
+						silent[d.record.Instance] = true
+					} else {
+						reaching = append(reaching, d)
+					}
+				}
+				c.platform.do(func() { c.platform.silent = silent })
+				c.setHead(4)
+				c.waitUntil("change", changeLimit, reaching, inForce(4))
+			})
+		})
+	}
+}
