Reject announcements that hide all later ones of the server

What callers saw: a server is up, announces itself every second and gets 200 for it, but no request reaches it any more. Cause: an announcement of another writer with a sequence or a start time larger than those of the server will ever be was accepted, and every later one counted as outdated. Slots and connections had no upper bound, an address could be that of another host, have port 0 or be unspecified, and bodies that could not be read left no log line, while rejected announcements left one each. Bodies that are deeply nested, have numbers out of range or fields of another type were rejected before (TestOddHeartbeats, FuzzHeartbeat guard it). Change: bounds for sequence (2^53), start time (an hour ahead of the clock), slots and connections (those of the configuration); endpoint.CheckAddr; with an adapter, the host of the address must be this one or loopback. Event 3004 comes at most once in 10 s, with the ID and the count, for unreadable bodies too.

--- a/agent/adapter.go
+++ b/agent/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 
 	"kingcupwood.example/kingcupwood/agent/backend"
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
@@ -35,6 +36,8 @@
 type Servers interface {
 	// Announce applies an announcement, or returns an error if it is invalid. Connections may be zero.
 	Announce(a backend.Announcement) error
+	// Reject records that an announcement of the server with the given ID could not be read.
+	Reject(id string, err error)
 	// Leave records that the backend server with the given ID is stopping.
 	Leave(id string)
 }
@@ -57,6 +60,9 @@
 	return s.d.backend.Announce(a)
 }
 
+// Reject implements Servers.
+func (s servers) Reject(id string, err error) { s.d.backend.Reject(id, err) }
+
 // Leave implements Servers.
 func (s servers) Leave(id string) { s.d.backend.Leave(id) }
 
@@ -68,6 +74,16 @@
 	return d.adapter.Announcements(servers{d})
 }
 
+// hostIP returns the address at which the backend server of this instance must listen, unless it
+// listens on loopback. Only an adapter's platform promises that there is such an address.
+func (d *Daemon) hostIP() netip.Addr {
+	ip := d.settings.Listen.Callers.Addr()
+	if d.adapter == nil || ip.IsUnspecified() {
+		return netip.Addr{}
+	}
+	return ip.Unmap()
+}
+
 // dialect returns the header names used with callers and backend servers.
 func (d *Daemon) dialect() *dialect.Dialect {
 	if d.adapter == nil {
--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/snapshot"
 )
 
 // AnnouncePath is the path at which backend servers announce themselves with PUT.
@@ -19,6 +21,18 @@
 // maxAnnouncementBytes limits the body of an announcement.
 const maxAnnouncementBytes = 4 << 10
 
+const (
+	// maxSequence is the largest integer that every JSON implementation represents exactly. A larger
+	// sequence comes from another writer, and would hide all later announcements.
+	maxSequence = 1 << 53
+	// maxStartAhead is how far the start time of a server may lie ahead of the clock of the daemon,
+	// which may have been stepped back since. An announcement with a later start time would hide those
+	// of the real server.
+	maxStartAhead = time.Hour
+	// maxRejectionText limits the logged text of an error, which may quote the announcement.
+	maxRejectionText = 200
+)
+
 // Announcement is the JSON message in which a backend server reports its address, capacity and
 // state once a second.
 type Announcement struct {
@@ -55,38 +69,75 @@
 	return checkAnnouncement(a)
 }
 
+// checkAnnouncement checks the values that do not depend on the daemon.
 func checkAnnouncement(a Announcement) (checkedAnnouncement, error) {
 	checked := checkedAnnouncement{Announcement: a}
 	if a.Service == "" {
 		return checked, errors.New("service is missing")
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return checked, errors.Errorf("address %q is not ip:port", a.Address)
+	if err := endpoint.CheckAddr(a.Address); err != nil {
+		return checked, err
 	}
 	state, ok := endpoint.ParseState(a.State)
 	if !ok || state == endpoint.Gone {
 		return checked, errors.Errorf("state %q is not starting, ready or draining", a.State)
 	}
-	if a.Slots < 1 || a.Connections < 1 {
-		return checked, errors.Errorf("slots %d and connections %d must be at least 1", a.Slots, a.Connections)
+	if a.Slots < 1 || a.Slots > snapshot.MaxSlots || a.Connections < 1 || a.Connections > snapshot.MaxConnections {
+		return checked, errors.Errorf("slots %d must be 1 to %d and connections %d 1 to %d",
+			a.Slots, snapshot.MaxSlots, a.Connections, snapshot.MaxConnections)
+	}
+	if a.Sequence > maxSequence {
+		return checked, errors.Errorf("sequence %d is over %d", a.Sequence, maxSequence)
 	}
 	checked.state = state
 	return checked, nil
 }
 
+// checkForHost checks the values that depend on this daemon: its clock and its host.
+func (b *Backend) checkForHost(a *checkedAnnouncement) error {
+	if latest := b.cfg.Now().Add(maxStartAhead).UnixMilli(); a.StartedMS < 0 || a.StartedMS > latest {
+		return errors.Errorf("start time %d is not a time up to %d in milliseconds", a.StartedMS, latest)
+	}
+	ip := netip.MustParseAddrPort(a.Address).Addr().Unmap()
+	if b.cfg.HostIP.IsValid() && ip != b.cfg.HostIP && !ip.IsLoopback() {
+		return errors.Errorf("address %q is not on this host, %s", a.Address, b.cfg.HostIP)
+	}
+	return nil
+}
+
 // Announce applies an announcement. It ignores one that is older than the current announcement or
 // that arrives after Leave. It returns an error, and changes nothing, if the announcement is
 // invalid.
 func (b *Backend) Announce(a Announcement) error {
 	checked, err := checkAnnouncement(a)
+	return b.applyChecked(checked, err)
+}
+
+// applyChecked applies an announcement unless err or a check of its values rejects it.
+func (b *Backend) applyChecked(a checkedAnnouncement, err error) error {
+	if err == nil {
+		err = b.checkForHost(&a)
+	}
 	if err != nil {
-		b.log.Log(event.AnnounceRejected, zap.Error(err))
+		b.Reject(a.ID, err)
 		return err
 	}
-	b.apply(checked)
+	b.apply(a)
 	return nil
 }
 
+// Reject records that an announcement of the server with the given ID was invalid. Such
+// announcements may come from any process that reaches the listener, so the log lines are limited.
+func (b *Backend) Reject(id string, err error) {
+	rejected := b.rejected.Add(1)
+	b.rejectLog.Do(func() {
+		b.log.Log(event.AnnounceRejected, zap.String("id", truncate(id)), zap.String("error", truncate(err.Error())),
+			zap.Uint64("rejected", rejected))
+	})
+}
+
+func truncate(text string) string { return text[:min(len(text), maxRejectionText)] }
+
 // Leave records that the backend server with the given ID is stopping. No further requests are sent
 // to it; requests in flight finish. Later announcements of the same lifetime are ignored.
 func (b *Backend) Leave(id string) {
@@ -128,12 +179,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT "+AnnouncePath, func(w http.ResponseWriter, r *http.Request) {
 		a, err := parseAnnouncement(r.Body)
-		if err != nil {
-			b.log.Log(event.AnnounceRejected, zap.Error(err))
+		if err = b.applyChecked(a, err); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		b.apply(a)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -5,10 +5,13 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/dialect"
@@ -24,6 +27,8 @@
 	maintainInterval = 250 * time.Millisecond
 	// dialTimeout is the timeout for opening a connection in advance.
 	dialTimeout = time.Second
+	// rejectLogInterval is the minimum interval between log lines about rejected announcements.
+	rejectLogInterval = 10 * time.Second
 )
 
 // Config configures a Backend. The zero value is usable.
@@ -37,6 +42,9 @@
 	Dialect *dialect.Dialect
 	// Lifetime is the time after which an announcement that is not renewed expires; zero means 3 s.
 	Lifetime time.Duration
+	// HostIP is the address of this instance. If it is set, announcements with an address of another
+	// host are rejected; loopback addresses are accepted.
+	HostIP netip.Addr
 }
 
 // Status holds the announced values of the backend server and its current state.
@@ -52,8 +60,11 @@
 	log         *event.Logger
 	memory      responseMemory
 	maintainNow chan struct{}
-	stop        chan struct{}
-	done        chan struct{}
+	// rejected counts the invalid announcements; rejectLog limits the log lines about them.
+	rejected  atomic.Uint64
+	rejectLog rate.Sometimes
+	stop      chan struct{}
+	done      chan struct{}
 
 	// notify serializes the calls of Config.Changed; it is locked before mu.
 	notify   sync.Mutex
@@ -81,7 +92,7 @@
 		cfg.Lifetime = announcementLifetime
 	}
 	b := &Backend{
-		cfg: cfg, log: log,
+		cfg: cfg, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval},
 		maintainNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 		reported: Status{State: endpoint.Gone},
 	}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -190,6 +190,7 @@
 	d.record = recordKeeper{prober: d.prober}
 	d.backend = backend.New(backend.Config{
 		Changed: d.record.backendChanged, Dialect: d.dialect(), Lifetime: d.settings.Backend.AnnouncementLifetime,
+		HostIP: d.hostIP(),
 	}, d.log)
 	d.receiver = &receiver{
 		log: d.log, requestID: d.dialect().RequestID,
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -2,6 +2,25 @@
 // rule that decides between two records of one instance.
 package endpoint
 
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// CheckAddr returns an error unless addr has the form "ip:port" and names a single host and port to
+// which a connection can be opened.
+func CheckAddr(addr string) error {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return errors.Errorf("address %q is not ip:port", addr)
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return errors.Errorf("address %q names no host and port", addr)
+	}
+	return nil
+}
+
 // State is the state of a backend server.
 type State uint8
 
