Give TestLateAnnouncements a server that listens

The test announced 127.0.0.1:1, and the connections opened in advance were refused, which is the state Gone. The checks are unchanged.

--- a/agent/backend/dialect_test.go
+++ b/agent/backend/dialect_test.go
@@ -122,11 +122,12 @@
 // earlier state, or after Leave.
 func TestLateAnnouncements(t *testing.T) {
 	is := is.New(t)
+	s := startFake(t, reply(okResponse)) // an address that refuses connections would end the state Ready
 	b := New(Config{}, event.Nop())
 	defer b.Close()
 	announce := func(id string, started int64, sequence uint64, state string) {
 		is.NoErr(b.Announce(Announcement{
-			Service: "pages", Address: "127.0.0.1:1", State: state, Slots: 1, Connections: 1, ID: id, StartedMS: started, Sequence: sequence,
+			Service: "pages", Address: s.listener.Addr().String(), State: state, Slots: 1, Connections: 1, ID: id, StartedMS: started, Sequence: sequence,
 		}))
 	}
 	announce("i-1", 100, 5, "ready")
