Read past rows of the store that name no daemon

What callers saw: a daemon that starts, or is alone, finds no other daemon as long as the table has one row that cannot be decoded, or 64 rows of another writer in front of its own; the configuration is not followed past such a row either. Cause: a response was decoded as a whole, so one row with bytes that are not base64, a number out of range, a field of another type or too many levels made all rows unreadable. A list ended after 64 rows, whatever they held; addresses with port 0 and rows under another daemon's key counted.

--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -21,8 +21,24 @@
 	Register(ctx context.Context, instance endpoint.InstanceID, name string) error
 	// Remove deletes the entry of a daemon.
 	Remove(ctx context.Context, instance endpoint.InstanceID) error
-	// List returns the registered names, at most a few dozen.
-	List(ctx context.Context) ([]string, error)
+	// List returns the registered daemons, at most a few dozen.
+	List(ctx context.Context) (Listing, error)
+}
+
+// Listing is the content of a Directory.
+type Listing struct {
+	// Names are names as returned by HolderName.
+	Names []string
+	// Skipped is the number of entries that name no daemon, and Reason says why the first one does not.
+	Skipped int
+	Reason  error
+}
+
+// Skip counts n entries that name no daemon.
+func (l *Listing) Skip(n int, reason error) {
+	if l.Skipped += n; l.Reason == nil {
+		l.Reason = reason
+	}
 }
 
 const (
@@ -47,6 +63,8 @@
 	relistMax           = 5 * time.Minute
 	// removeTimeout bounds the removal of a daemon from the directory.
 	removeTimeout = 500 * time.Millisecond
+	// skippedLogInterval is the minimum interval between log lines about skipped entries.
+	skippedLogInterval = 10 * time.Second
 )
 
 // useDirectory registers this daemon and joins the listed daemons that are not members yet.
@@ -90,12 +108,22 @@
 func (f *Follower) listDirectory(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
-	names, err := f.cfg.Directory.List(ctx)
+	listing, err := f.cfg.Directory.List(ctx)
 	f.recordDirectoryResult(err)
 	if err == nil {
-		f.listed.Store(int64(len(names)))
+		f.listed.Store(int64(len(listing.Names)))
+	}
+	if listing.Skipped > 0 {
+		f.logSkipped("directory", listing.Skipped, listing.Reason)
 	}
-	return names, err
+	return listing.Names, err
+}
+
+// logSkipped logs that entries of others were passed over, at most once in skippedLogInterval.
+func (f *Follower) logSkipped(source string, entries int, reason error) {
+	f.skippedLog.Do(func() {
+		f.cfg.Log.Log(event.EntriesSkipped, zap.String("source", source), zap.Int("entries", entries), zap.Error(reason))
+	})
 }
 
 // registerInDirectory registers this daemon and reports whether that succeeded.
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -96,6 +96,8 @@
 	listed atomic.Int64
 	// directoryFailing is set if the last call of the Directory failed.
 	directoryFailing bool
+	// skippedLog limits the log lines about entries that name no daemon.
+	skippedLog rate.Sometimes
 	// isLeading is set while this daemon holds a lease and reads the head, or is a reader of the
 	// source.
 	isLeading atomic.Bool
@@ -123,7 +125,7 @@
 func NewFollower(cfg Config) *Follower {
 	return &Follower{
 		cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		objects: rate.NewLimiter(objectRate, objectBurst),
+		objects: rate.NewLimiter(objectRate, objectBurst), skippedLog: rate.Sometimes{Interval: skippedLogInterval},
 	}
 }
 
--- a/agent/peer/sync/seeds.go
+++ b/agent/peer/sync/seeds.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"strings"
 
@@ -15,6 +14,9 @@
 // so that a mass restart with live seeds causes no reads of the platform.
 const seedFailureThreshold = 3
 
+// maxHolderNameBytes bounds the name of a daemon; the parts of a record have at most 64 bytes each.
+const maxHolderNameBytes = 2*64 + 1
+
 // SeedSource is implemented by a Platform that can list the holders of all leases.
 type SeedSource interface {
 	// LeaseHolders returns the holders of the leases that have not expired, as given to
@@ -29,11 +31,11 @@
 // ParseHolderName returns the instance and the net/rpc address in a HolderName.
 func ParseHolderName(name string) (endpoint.InstanceID, string, error) {
 	instance, addr, ok := strings.Cut(name, " ")
-	if !ok || instance == "" {
-		return "", "", errors.Errorf("lease holder %q has no address", name)
+	if !ok || instance == "" || len(name) > maxHolderNameBytes {
+		return "", "", errors.Errorf("%.80q is not an instance and an address", name)
 	}
-	if _, err := netip.ParseAddrPort(addr); err != nil {
-		return "", "", errors.Wrapf(err, "lease holder %q", name)
+	if err := endpoint.CheckAddr(addr); err != nil {
+		return "", "", errors.Wrapf(err, "instance %q", instance)
 	}
 	return endpoint.InstanceID(instance), addr, nil
 }
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -184,10 +184,10 @@
 
 func (d *fakeDirectory) Remove(context.Context, endpoint.InstanceID) error { return nil }
 
-func (d *fakeDirectory) List(context.Context) ([]string, error) {
+func (d *fakeDirectory) List(context.Context) (Listing, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.Clone(d.names), nil
+	return Listing{Names: slices.Clone(d.names)}, nil
 }
 
 // Guards against daemons that take a second or more to discover each other when they start together
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -21,5 +21,6 @@
 	SourceLost          = Event{5109, zapcore.WarnLevel, "source of the configuration does not answer"}
 	SourceRegained      = Event{5110, zapcore.InfoLevel, "source of the configuration answers again"}
 	DirectoryFailed     = Event{4204, zapcore.WarnLevel, "directory of the daemons does not answer, will be retried"}
+	EntriesSkipped      = Event{4205, zapcore.WarnLevel, "entries that name no daemon were passed over"}
 	HeadReadFailed      = Event{5108, zapcore.WarnLevel, "reading the head from the platform failed"}
 )
