Ignore records and statuses with values out of range

What callers saw: a daemon that runs is missing for others, or requests go to an address that cannot be reached. Cause: a record, suspicion or death with the largest incarnation made the daemon answer with incarnation 0, which every other daemon refuses, or stayed in force until its record expired. Records with a port out of range, a name or port 0 in place of an address, or negative slots replaced those in use. One update that is nested more than 8 levels deep made its whole packet unreadable, with the acknowledgement in it. Change: bounds for incarnations, counters and tokens (2^53), slots and link rates; endpoint.CheckAddr for the addresses; a packet is decoded without its updates, which are decoded one by one.

--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -59,11 +59,13 @@
 	rejected                       [packetauth.Rejects]atomic.Uint64
 	// rejectLog limits the log events about rejected packets, as any host can send such packets.
 	rejectLog rate.Sometimes
+	// malformedLog limits the log events about packets and updates that are not usable.
+	malformedLog rate.Sometimes
 }
 
 // New returns a Prober that sends and receives over conn and closes it when Run ends.
 func New(conn Conn, state *membership.State, log *event.Logger) *Prober {
-	return &Prober{conn: conn, state: state, log: log, compressor: compact.New(membership.MaxPacketBytes), rejectLog: rate.Sometimes{Interval: rejectLogInterval}}
+	return &Prober{conn: conn, state: state, log: log, compressor: compact.New(membership.MaxPacketBytes), rejectLog: rate.Sometimes{Interval: rejectLogInterval}, malformedLog: rate.Sometimes{Interval: rejectLogInterval}}
 }
 
 // NewAuthenticated is like New, but packets are authenticated by auth. The state must reserve
@@ -184,9 +186,27 @@
 
 func (p *Prober) handle(from netip.AddrPort, data []byte) []membership.Packet {
 	defer p.log.ContainPanic("probe", nil)
+	packets, malformed, err := p.receiveLocked(from, data)
+	if err != nil {
+		p.malformedLog.Do(func() {
+			p.log.Log(event.ProbeMalformed, zap.Stringer("from", from), zap.Error(err), zap.Uint64("malformed", malformed))
+		})
+	}
+	return packets
+}
+
+// receiveLocked passes a message to the state. err is the reason if a part of it was ignored, and
+// malformed the number of such parts since the start.
+func (p *Prober) receiveLocked(from netip.AddrPort, data []byte) (packets []membership.Packet, malformed uint64, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.Receive(time.Now(), from, data)
+	before, _ := p.state.Malformed()
+	packets = p.state.Receive(time.Now(), from, data)
+	malformed, last := p.state.Malformed()
+	if malformed > before {
+		err = last
+	}
+	return packets, malformed, err
 }
 
 func (p *Prober) tick() []membership.Packet {
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -8,6 +8,7 @@
 	ProbeSendFailed     = Event{4102, zapcore.DebugLevel, "probe socket: sending failed"}
 	DomainReachability  = Event{4103, zapcore.WarnLevel, "reachability of a failure domain changed"}
 	ProbeRejected       = Event{4104, zapcore.WarnLevel, "probe refused by its authentication"}
+	ProbeMalformed      = Event{4105, zapcore.WarnLevel, "part of a probe is not usable and was ignored"}
 	PeerJoined          = Event{4201, zapcore.InfoLevel, "joined the membership"}
 	PeerJoinFailed      = Event{4202, zapcore.WarnLevel, "joining the membership failed, will be retried"}
 	AntiEntropyFailed   = Event{4203, zapcore.DebugLevel, "anti-entropy exchange with a member failed"}
--- a/pkg/membership/antientropy.go
+++ b/pkg/membership/antientropy.go
@@ -101,7 +101,8 @@
 	var changed []*member
 	deaths := 0
 	for _, e := range entries {
-		if Validate(e.Record) != nil {
+		if err := ValidateEntry(e); err != nil {
+			s.recordMalformed(err)
 			continue
 		}
 		if e.Dead {
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"net/netip"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -62,13 +60,20 @@
 	Slot        int                 `cbor:"6,keyasint,omitempty"`
 }
 
-var decMode = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+// decMode decodes an update. packetMode decodes a packet without its updates; its limits are those of
+// MaxPacketBytes, so that one update does not make the whole packet unreadable.
+var (
+	decMode    = mustDecMode(cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 64, MaxNestedLevels: 8})
+	packetMode = mustDecMode(cbor.DecOptions{MaxArrayElements: MaxPacketBytes, MaxMapPairs: MaxPacketBytes, MaxNestedLevels: MaxPacketBytes})
+)
+
+func mustDecMode(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
 	if err != nil {
-		panic(err) // the options above are constant
+		panic(err) // the options are constant
 	}
 	return mode
-}()
+}
 
 func mustEncode(v any) []byte {
 	data, err := cbor.Marshal(v)
@@ -83,7 +88,7 @@
 		return nil, errors.Errorf("packet of %d bytes exceeds %d", len(data), MaxPacketBytes)
 	}
 	var m message
-	if err := decMode.Unmarshal(data, &m); err != nil {
+	if err := packetMode.Unmarshal(data, &m); err != nil {
 		return nil, errors.Wrap(err, "decode packet")
 	}
 	if m.Kind < kindPing || m.Kind > kindPush || m.From == "" || len(m.From) > maxFieldBytes {
@@ -103,17 +108,41 @@
 		}
 		return u, Validate(*u.Record)
 	}
-	if len(u.Domain) > maxFieldBytes || len(u.Instance) > maxFieldBytes {
+	switch {
+	case u.Kind < updateRecord || u.Kind > updateHolder:
+		return u, errors.Errorf("update has unknown kind %d", u.Kind)
+	case len(u.Domain) > maxFieldBytes || len(u.Instance) > maxFieldBytes:
 		return u, errors.New("update has an oversized field")
+	case u.Incarnation > maxIncarnation:
+		return u, errors.Errorf("update of %q has incarnation %d", u.Instance, u.Incarnation)
 	}
 	return u, nil
 }
 
+// maxIncarnation bounds the incarnations and counters of records. Incarnations begin at the start time
+// of a daemon in milliseconds. With the largest integer, a daemon would have no larger one left to
+// override a record that it did not write.
+const maxIncarnation = 1 << 53
+
+// ValidateEntry returns an error if an entry from another daemon is not usable.
+func ValidateEntry(e Entry) error {
+	if e.DeadIncarnation > maxIncarnation {
+		return errors.Errorf("entry of %q has incarnation %d", e.Record.Instance, e.DeadIncarnation)
+	}
+	return Validate(e.Record)
+}
+
 // Validate returns an error if a record from another daemon is not usable.
 func Validate(r endpoint.Record) error {
 	if r.Instance == "" || r.Domain == "" || r.Incarnation == 0 {
 		return errors.Errorf("record of %q in domain %q lacks an instance, domain or incarnation", r.Instance, r.Domain)
 	}
+	if r.Incarnation > maxIncarnation || r.Counter > maxIncarnation {
+		return errors.Errorf("record of %q has incarnation %d and counter %d", r.Instance, r.Incarnation, r.Counter)
+	}
+	if r.Slots < 0 || r.Slots > snapshot.MaxSlots || r.LinkBytesPerSecond < 0 {
+		return errors.Errorf("record of %q has %d slots and a link of %d B/s", r.Instance, r.Slots, r.LinkBytesPerSecond)
+	}
 	if r.State < endpoint.Starting || r.State > endpoint.Gone {
 		return errors.Errorf("record of %q has unknown state %d", r.Instance, r.State)
 	}
@@ -122,8 +151,16 @@
 			return errors.Errorf("record of %q has a field of %d bytes", r.Instance, len(field))
 		}
 	}
-	if _, err := netip.ParseAddrPort(r.ProbeAddr); err != nil {
-		return errors.Wrapf(err, "record of %q", r.Instance)
+	if r.ProbeAddr == "" {
+		return errors.Errorf("record of %q has no address for probes", r.Instance)
+	}
+	for _, addr := range []string{r.ProbeAddr, r.CallAddr, r.RPCAddr, r.AdminAddr} {
+		if addr == "" {
+			continue // a daemon of another kind may not offer it
+		}
+		if err := endpoint.CheckAddr(addr); err != nil {
+			return errors.Wrapf(err, "record of %q", r.Instance)
+		}
 	}
 	return nil
 }
--- a/pkg/membership/reachability.go
+++ b/pkg/membership/reachability.go
@@ -114,7 +114,7 @@
 // SetHolder records the holder of a lease slot of the local domain and disseminates it there.
 // Tokens that are not higher than the known one are ignored.
 func (s *State) SetHolder(h Holder) {
-	if h.Slot < 0 || h.Slot >= MaxHolders || h.Instance == "" {
+	if h.Slot < 0 || h.Slot >= MaxHolders || h.Instance == "" || len(h.Instance) > maxFieldBytes || h.Token > maxIncarnation {
 		return
 	}
 	if old, ok := s.holders[h.Slot]; ok && old.Token >= h.Token {
--- a/pkg/membership/receive.go
+++ b/pkg/membership/receive.go
@@ -12,14 +12,21 @@
 // Receive handles a packet and returns the packets to send. Malformed packets are ignored.
 func (s *State) Receive(now time.Time, from netip.AddrPort, data []byte) []Packet {
 	m, err := decodeMessage(data)
-	if err != nil || m.From == s.self {
+	if err != nil {
+		s.recordMalformed(err)
+		return nil
+	}
+	if m.From == s.self {
 		return nil
 	}
 	s.recordPeerVersion(now, m)
 	for _, raw := range m.Updates {
-		if u, err := decodeUpdate(raw); err == nil {
-			s.apply(now, u)
+		u, err := decodeUpdate(raw)
+		if err != nil {
+			s.recordMalformed(err)
+			continue
 		}
+		s.apply(now, u)
 	}
 	sender := s.members[m.From]
 	if sender != nil && sender.status != Dead && sender.addr == from {
@@ -30,6 +37,12 @@
 	return s.take()
 }
 
+// Malformed returns the number of packets, updates and entries of other daemons that were ignored
+// because they are not usable, and the error of the last one.
+func (s *State) Malformed() (count uint64, last error) { return s.malformed, s.lastMalformed }
+
+func (s *State) recordMalformed(err error) { s.malformed, s.lastMalformed = s.malformed+1, err }
+
 func (s *State) handle(now time.Time, from netip.AddrPort, m *message, sender *member) {
 	want := s.needsRecord(m, sender)
 	switch m.Kind {
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -28,6 +28,9 @@
 	dead     []*member
 	suspects []*member
 	strings  map[string]string
+	// malformed counts what Malformed returns.
+	malformed     uint64
+	lastMalformed error
 
 	rng       *rand.Rand
 	queue     *queue
