Decode the entries of an exchange one by one

What callers saw: a daemon does not join, or does not compare its records any more, while another one has one entry that cannot be decoded; or it pauses for good. Cause: a list of entries was decoded as a whole. A time to come back of another daemon had no bound, and addresses of a redirect were not checked. A time to come back is at most that which this daemon gives itself; redirects need usable addresses.

--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -104,9 +104,9 @@
 		return nil, err
 	}
 	if reply.RetryAfter > 0 {
-		return reply.Peers, &busyError{reply.RetryAfter}
+		return usableAddrs(reply.Peers), &busyError{min(reply.RetryAfter, maxRetryAfter)}
 	}
-	entries, err := f.entries.decode(reply.Entries)
+	entries, err := f.decodeEntries(addr, reply.Entries)
 	if err != nil {
 		return nil, err
 	}
@@ -117,6 +117,12 @@
 	return nil, nil
 }
 
+// usableAddrs returns the addresses in a redirect to which a connection can be opened.
+func usableAddrs(peers []string) []string {
+	unusable := func(addr string) bool { return endpoint.CheckAddr(addr) != nil }
+	return slices.DeleteFunc(peers[:min(len(peers), redirectPeers)], unusable)
+}
+
 // memberVersion is the highest version known to one member.
 type memberVersion struct {
 	addr    string
@@ -371,7 +377,7 @@
 	if err := s.call(ctx, exchangeTimeout, "Buckets", args, &reply); err != nil {
 		return 0, err
 	}
-	entries, err := f.entries.decode(reply.Entries)
+	entries, err := f.decodeEntries(s.addr, reply.Entries)
 	if err != nil {
 		return 0, err
 	}
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -107,13 +107,20 @@
 // maxEntries bounds the entries accepted from a peer: twice the design size of 16,000 daemons.
 const maxEntries = 32_000
 
-var decMode = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxEntries, MaxMapPairs: 256, MaxNestedLevels: 8}.DecMode()
+// decMode decodes a message or an entry. listMode decodes a list without its entries; it allows the
+// deepest nesting, so that one entry does not make the whole list unreadable.
+var (
+	decMode  = mustDecMode(cbor.DecOptions{MaxArrayElements: maxEntries, MaxMapPairs: 256, MaxNestedLevels: 8})
+	listMode = mustDecMode(cbor.DecOptions{MaxArrayElements: maxEntries, MaxMapPairs: maxEntries, MaxNestedLevels: 65535})
+)
+
+func mustDecMode(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
 	if err != nil {
-		panic(err) // the options above are constant
+		panic(err) // the options are constant
 	}
 	return mode
-}()
+}
 
 // maxEntryBytes bounds the encoded entries accepted from a peer; a record has some 200 bytes.
 const maxEntryBytes = 16 << 20
@@ -129,16 +136,55 @@
 	return c.compressor.Compress(data), errors.Wrap(err, "encode entries")
 }
 
-func (c entryCodec) decode(data []byte) ([]membership.Entry, error) {
+// entryList is a decoded list of entries.
+type entryList struct {
+	entries []membership.Entry
+	// skipped is the number of entries that could not be decoded or are not usable, reason the error of
+	// the first one.
+	skipped int
+	reason  error
+}
+
+// decode decodes a list of entries. An entry that is not usable is left out: it must not hide the
+// others.
+func (c entryCodec) decode(data []byte) (entryList, error) {
+	var list entryList
 	if len(data) == 0 {
-		return nil, nil
+		return list, nil
 	}
 	plain, err := c.compressor.Decompress(data)
 	if err != nil {
-		return nil, errors.Wrap(err, "decode entries")
+		return list, errors.Wrap(err, "decode entries")
+	}
+	var encoded []cbor.RawMessage
+	if err := listMode.Unmarshal(plain, &encoded); err != nil {
+		return list, errors.Wrap(err, "decode entries")
+	}
+	list.entries = make([]membership.Entry, 0, len(encoded))
+	for _, one := range encoded {
+		var e membership.Entry
+		err := decMode.Unmarshal(one, &e)
+		if err == nil {
+			err = membership.ValidateEntry(e)
+		}
+		if err == nil {
+			list.entries = append(list.entries, e)
+			continue
+		}
+		if list.skipped++; list.reason == nil {
+			list.reason = err
+		}
+	}
+	return list, nil
+}
+
+// decodeEntries decodes the entries that source has sent, and logs how many are not usable.
+func (f *Follower) decodeEntries(source string, data []byte) ([]membership.Entry, error) {
+	list, err := f.entries.decode(data)
+	if list.skipped > 0 {
+		f.logSkipped(source, list.skipped, list.reason)
 	}
-	var entries []membership.Entry
-	return entries, errors.Wrap(decMode.Unmarshal(plain, &entries), "decode entries")
+	return list.entries, err
 }
 
 func encodeDelta(d *snapshot.Delta) ([]byte, error) {
--- a/agent/peer/sync/poll.go
+++ b/agent/peer/sync/poll.go
@@ -165,7 +165,7 @@
 		}
 	})
 	if reply.RetryAfter > 0 {
-		return &busyError{reply.RetryAfter}
+		return &busyError{min(reply.RetryAfter, maxRetryAfter)}
 	}
 	if len(reply.Delta) == 0 {
 		return nil
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -22,7 +22,7 @@
 	// megabytes and tens of milliseconds at the design size.
 	maxFullSyncs = 4
 	// minRetryAfter and maxRetryAfter bound the retry delay given to a daemon whose request is
-	// rejected.
+	// rejected, also by another daemon: a longer one would keep this daemon from following.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 800 * time.Millisecond
 	// maxWait bounds a long poll.
@@ -158,7 +158,7 @@
 // Exchange merges the entries of a joining daemon and returns all entries.
 func (s *service) Exchange(args ExchangeArgs, reply *ExchangeReply) (err error) {
 	defer s.log.ContainError("sync", &err)
-	entries, err := s.follower.entries.decode(args.Entries)
+	entries, err := s.follower.decodeEntries("a daemon that joins", args.Entries)
 	if err != nil {
 		return err
 	}
@@ -226,7 +226,7 @@
 // buckets.
 func (s *service) Buckets(args BucketArgs, reply *BucketReply) (err error) {
 	defer s.log.ContainError("sync", &err)
-	entries, err := s.follower.entries.decode(args.Entries)
+	entries, err := s.follower.decodeEntries("a member", args.Entries)
 	if err != nil {
 		return err
 	}
