Take a refusal only for the request that it proves not run

What callers saw: 'not run, try again' for a request that the server was running, or such a request running at a second server. Cause: in the users' dialect a request that comes to the same server twice has the same ID, so a refusal of the first transmission that the server writes once more passed for that of the second. A 503 with Kingcupwood-Verdict, and a 421 with a stamp, counted as refusals there, though only Not-Executed and an unstamped 421 are. In the default dialect nothing tied a refusal to its request. Refusals with another ID, without one, split, with a body, after 100 Continue or on an idle connection were told apart before; the tests guard that. Change: a connection remembers the IDs refused on it (32 at most, then it is closed) and carries no second request with one of them, nor a request without an ID after another. It is closed after a response to another request. In the default dialect a refusal without Kingcupwood-Attempt is believed for the first request of a connection only, later it means may-have-run; a response with another attempt is skipped. docs/protocol.md asks servers for the attempt; the stand-in returns it.

--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -27,6 +27,7 @@
 	ErrResponseMemory   = errors.New("too much memory is used by responses that are being received")
 	ErrBadResponse      = errors.New("backend server sent no valid HTTP response")
 	ErrForeignResponse  = errors.New("backend server answered another request")
+	ErrUnprovenRefusal  = errors.New("refusal of the backend server may belong to an earlier request")
 	ErrNoStamp          = errors.New("answer of the backend server has no stamp")
 )
 
@@ -57,7 +58,7 @@
 	if err := checkRequest(r); err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, err)
 	}
-	c, err := b.conn(ctx)
+	c, err := b.conn(ctx, r)
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, call.ContextError(ctx, err))
 	}
@@ -93,6 +94,8 @@
 	}
 	c.out = appendRequest(c.out[:0], r, d, c.reservation.serverID, timeLeft(ctx, r))
 	c.readLimit.N = maxHeadBytes
+	first := !c.used
+	c.used = true
 	defer c.body.release()
 	if n, err := c.write(r.Body); err != nil {
 		v := verdict.MayHaveRun
@@ -101,7 +104,7 @@
 		}
 		return nil, false, verdict.Wrap(v, errors.Wrap(call.ContextError(ctx, err), "send to backend server"))
 	}
-	return c.readResponse(ctx, r, d)
+	return c.readResponse(ctx, r, d, first)
 }
 
 // maxForeignResponses is the number of responses to other requests that readResponse skips before
@@ -109,9 +112,10 @@
 const maxForeignResponses = 4
 
 // readResponse reads the response to r. It skips responses to other requests, because a faulty
-// server may send a response twice.
-func (c *conn) readResponse(ctx context.Context, r *call.Request, d *dialect.Dialect) (*call.Response, bool, error) {
-	for range maxForeignResponses {
+// server may send a response twice; the connection is then not used again. first means that no
+// earlier request was sent on the connection.
+func (c *conn) readResponse(ctx context.Context, r *call.Request, d *dialect.Dialect, first bool) (*call.Response, bool, error) {
+	for skipped := range maxForeignResponses {
 		head, err := c.readHead(r.Method)
 		if err != nil {
 			if c.readLimit.N <= 0 {
@@ -132,19 +136,35 @@
 		if err != nil {
 			return nil, false, verdict.Wrap(verdict.Ran, call.ContextError(ctx, err))
 		}
+		proven := first || d.EchoesRequestID() || isAttempt(head, r, d)
 		resp, err := newResponse(r, d, head, body)
-		return resp, err == nil && !head.Close, err
+		if err != nil {
+			return nil, false, err
+		}
+		reusable := skipped == 0 && !head.Close
+		if resp.Verdict == verdict.NotRun {
+			if !proven {
+				return nil, false, verdict.Wrap(verdict.MayHaveRun, ErrUnprovenRefusal)
+			}
+			reusable = c.recordRefusal(r, d) && reusable
+		}
+		return resp, reusable, nil
 	}
 	return nil, false, verdict.Wrap(verdict.MayHaveRun, ErrForeignResponse)
 }
 
-// isResponseTo reports whether the response carries the request ID of r. In a dialect without
-// stamps it returns true, because backend servers need not return the ID.
+// isResponseTo reports whether the response carries the request ID of r. In a dialect in which
+// backend servers need not return an ID, it only checks that of the attempt, if there is one.
 func isResponseTo(head *http.Response, r *call.Request, d *dialect.Dialect) bool {
-	if d.Stamp == "" || d.RequestID == "" {
-		return true
+	if d.EchoesRequestID() {
+		return head.Header.Get(d.RequestID) == r.Header.Get(d.RequestID)
 	}
-	return head.Header.Get(d.RequestID) == r.Header.Get(d.RequestID)
+	return d.Attempt == "" || head.Header.Get(d.Attempt) == "" || isAttempt(head, r, d)
+}
+
+// isAttempt reports whether the response carries the ID of the attempt of r.
+func isAttempt(head *http.Response, r *call.Request, d *dialect.Dialect) bool {
+	return d.Attempt != "" && head.Header.Get(d.Attempt) == r.Attempt.String()
 }
 
 // readHead reads the status line and header of the final response; it skips informational
@@ -218,14 +238,14 @@
 // stamp is an error with verdict may have run, unless it reports that the request was not run.
 func newResponse(r *call.Request, d *dialect.Dialect, head *http.Response, body []byte) (*call.Response, error) {
 	resp := &call.Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: head.StatusCode, Body: body}
-	if d.NotRun != "" && (head.Header.Get(d.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest) {
+	stamped := d.Stamp != "" && head.Header.Get(d.Stamp) != ""
+	switch {
+	case d.NotRun != "" && (head.Header.Get(d.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest && !stamped):
 		resp.Verdict, resp.Reason = verdict.NotRun, "not run by the backend server"
-	} else if d.Stamp != "" && head.Header.Get(d.Stamp) == "" {
+	case d.Stamp != "" && !stamped:
 		return nil, verdict.Wrap(verdict.MayHaveRun, ErrNoStamp)
-	}
-	if head.StatusCode == http.StatusServiceUnavailable && head.Header.Get(verdict.Header) == verdict.NotRun.String() {
-		resp.Verdict = verdict.NotRun
-		resp.Reason = "shed by the backend server"
+	case d.NotRun == "" && head.StatusCode == http.StatusServiceUnavailable && head.Header.Get(verdict.Header) == verdict.NotRun.String():
+		resp.Verdict, resp.Reason = verdict.NotRun, "shed by the backend server"
 		if seconds, err := strconv.Atoi(head.Header.Get("Retry-After")); err == nil && seconds > 0 {
 			resp.RetryAfter = time.Duration(seconds) * time.Second
 		}
--- a/agent/backend/pool.go
+++ b/agent/backend/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/lib/socket"
+	"kingcupwood.example/kingcupwood/pkg/dialect"
 )
 
 // Errors of the connection pool; Do returns them wrapped in a *verdict.Error.
@@ -25,6 +27,10 @@
 // readBufferBytes is large enough to receive a typical response with one read system call.
 const readBufferBytes = 8 << 10
 
+// maxRefusals is the number of refusals after which a connection is closed. It bounds the memory of
+// the connection for the IDs of refused requests.
+const maxRefusals = 32
+
 // aLongTimeAgo is a past deadline that interrupts pending reads and writes.
 var aLongTimeAgo = time.Unix(1, 0)
 
@@ -74,6 +80,10 @@
 	out         []byte
 	body        bodyMemory
 	check       *call.IdleCheck
+	// used means that a request has been sent on the connection. refused holds the IDs of those that
+	// the backend server refused.
+	used    bool
+	refused []string
 	// abort interrupts the exchange on the connection.
 	abort func()
 }
@@ -94,6 +104,26 @@
 	return c.SetDeadline(deadline) == nil && c.in.Buffered() == 0 && c.check.OK()
 }
 
+// suits reports whether a response to r can be told apart from a second copy of an earlier response
+// on the connection. In a dialect in which responses carry the ID of their request, that requires
+// an ID, and that no request with the same one was refused on the connection.
+func (c *conn) suits(r *call.Request, d *dialect.Dialect) bool {
+	if !c.used || !d.EchoesRequestID() {
+		return true
+	}
+	id := r.Header.Get(d.RequestID)
+	return id != "" && !slices.Contains(c.refused, id)
+}
+
+// recordRefusal remembers that r was refused on the connection, and reports whether it may be used
+// further.
+func (c *conn) recordRefusal(r *call.Request, d *dialect.Dialect) bool {
+	if d.EchoesRequestID() {
+		c.refused = append(c.refused, r.Header.Get(d.RequestID))
+	}
+	return len(c.refused) < maxRefusals
+}
+
 func (p *pool) reset(addr, server string) {
 	p.closeIdle()
 	p.addr, p.serverID, p.open = addr, server, 0
@@ -125,9 +155,9 @@
 	return c
 }
 
-// conn returns an open connection with the deadline of ctx. At the connection limit it waits for a
-// free one.
-func (b *Backend) conn(ctx context.Context) (*conn, error) {
+// conn returns an open connection for r with the deadline of ctx. At the connection limit it waits
+// for a free one.
+func (b *Backend) conn(ctx context.Context, r *call.Request) (*conn, error) {
 	deadline, _ := ctx.Deadline()
 	for {
 		c, reserved, freed, err := b.takeOrReserve()
@@ -142,7 +172,7 @@
 			}
 		case c == nil:
 			return b.dial(ctx, reserved)
-		case c.ready(deadline):
+		case c.suits(r, b.cfg.Dialect) && c.ready(deadline):
 			return c, nil
 		default:
 			b.discard(c)
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -11,7 +11,8 @@
 	RequestID string
 	// TimeLeft is the time in milliseconds for which the sender still waits for the response.
 	TimeLeft string
-	// Depth counts the hops of a call chain. Attempt identifies a single attempt of a request.
+	// Depth counts the hops of a call chain. Attempt identifies a single attempt of a request; a
+	// backend server may repeat it in the response.
 	Depth, Attempt string
 	// Expect identifies the incarnation of the backend server that is to run the request. Any other
 	// one responds with status 421 and does not run it.
@@ -32,6 +33,9 @@
 	UnsizedAnswers bool
 }
 
+// EchoesRequestID reports whether backend servers repeat the request ID in every response.
+func (d *Dialect) EchoesRequestID() bool { return d.Stamp != "" && d.RequestID != "" }
+
 // Default is the dialect specified in docs/protocol.md.
 var Default = Dialect{
 	RequestID: "X-Request-Id",
--- a/standin/backend/work.go
+++ b/standin/backend/work.go
@@ -25,7 +25,7 @@
 // rule applies, waits for the service time and responds.
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	if s.state() == endpoint.Starting {
-		shed(w, "starting")
+		shed(w, r, "starting")
 		return
 	}
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
@@ -35,7 +35,7 @@
 	ctx, cancel := requestContext(r)
 	defer cancel()
 	if err := s.acquireSlot(ctx); err != nil {
-		shed(w, err.Error())
+		shed(w, r, err.Error())
 		return
 	}
 	defer func() { <-s.slots }()
@@ -57,9 +57,11 @@
 	return context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
 }
 
-// shed refuses a request with the verdict that it has not run.
-func shed(w http.ResponseWriter, reason string) {
+// shed refuses a request with the verdict that it has not run. The ID of the attempt proves to the
+// daemon that the refusal is not a copy of an earlier one.
+func shed(w http.ResponseWriter, r *http.Request, reason string) {
 	w.Header().Set(verdict.Header, verdict.NotRun.String())
+	w.Header().Set(call.AttemptHeader, r.Header.Get(call.AttemptHeader))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
