Bound the numbers in frames of other daemons

A load that is not a number stayed in the averages by which servers are chosen, for good; a time of work longer than the call entered the learned times; large times changed their sign in the conversion; a status below 200 or over 999 made the write of the response panic (contained, as 502). Evidence: TestOddNumbersInResponse (6 of 7 cases), TestOddStatusInResponse and TestOddNumbersInRequest fail on the code before. Change: such a load counts as not reported, work is at most the time of the call, times are limited, such a status is a violation of the protocol. Measured: the tests with -race -count=20; packages agent/peer/call and agent/caller green.

--- a/agent/peer/call/client.go
+++ b/agent/peer/call/client.go
@@ -83,6 +83,7 @@
 	}
 	resp, err := conn.roundTrip(ctx, r)
 	if err == nil {
+		resp.Work = min(resp.Work, time.Since(began)) // a longer time cannot be true
 		c.release(addr, conn)
 		return resp, nil
 	}
--- a/agent/peer/call/header.go
+++ b/agent/peer/call/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"time"
 
@@ -85,9 +86,8 @@
 	if err := decMode.Unmarshal(data, h); err != nil {
 		return nil, errors.Wrap(ErrProtocol, err.Error())
 	}
-	timeout := time.Duration(h.TimeoutMicros) * time.Microsecond
-	if h.TimeoutMicros < 0 || timeout < 0 || h.Depth < 0 {
-		return nil, errors.Wrap(ErrProtocol, "negative timeout or depth")
+	if h.TimeoutMicros < 0 || h.TimeoutMicros > maxMicros || h.Depth < 0 {
+		return nil, errors.Wrap(ErrProtocol, "timeout or depth out of range")
 	}
 	header, err := unflatten(h.Header)
 	if err != nil {
@@ -96,10 +96,10 @@
 	return &Request{
 		Attempt: fence.AttemptID{Sender: h.Sender, Seq: h.Seq},
 		Service: h.Service, Kind: h.Kind, Version: h.Version,
-		Timeout: timeout, Depth: h.Depth,
+		Timeout: fromMicros(h.TimeoutMicros), Depth: h.Depth,
 		Method: h.Method, Target: h.Target, Host: h.Host, Header: header, Nested: h.Nested,
-		Rank: h.Rank, TimeToTarget: time.Duration(h.AimMicros) * time.Microsecond,
-		MaxQueueTime: time.Duration(h.Patience) * time.Microsecond, Idempotent: h.Idempotent,
+		Rank: h.Rank, TimeToTarget: fromMicros(h.AimMicros),
+		MaxQueueTime: fromMicros(max(h.Patience, 0)), Idempotent: h.Idempotent,
 	}, nil
 }
 
@@ -122,6 +122,12 @@
 	if h.Verdict > uint8(verdict.Ran) || h.RetryAfterMicros < 0 {
 		return nil, errors.Wrap(ErrProtocol, "verdict or retry time out of range")
 	}
+	if h.Status != 0 && (h.Status < http.StatusOK || h.Status > maxStatus) {
+		return nil, errors.Wrapf(ErrProtocol, "status %d", h.Status)
+	}
+	if math.IsNaN(h.Load) || math.IsInf(h.Load, 0) {
+		h.Load = noLoad
+	}
 	header, err := unflatten(h.Header)
 	if err != nil {
 		return nil, err
@@ -129,12 +135,26 @@
 	return &Response{
 		Attempt: fence.AttemptID{Sender: h.Sender, Seq: h.Seq},
 		Verdict: verdict.Verdict(h.Verdict), Draining: h.Draining, Reason: h.Reason,
-		RetryAfter: time.Duration(h.RetryAfterMicros) * time.Microsecond, Load: h.Load,
+		RetryAfter: fromMicros(h.RetryAfterMicros), Load: h.Load,
 		Status: h.Status, Header: header,
-		Work: time.Duration(max(h.WorkMicros, 0)) * time.Microsecond, Offered: h.Offered,
+		Work: fromMicros(max(h.WorkMicros, 0)), Offered: h.Offered,
 	}, nil
 }
 
+const (
+	// maxMicros is the largest number of microseconds that a time.Duration holds.
+	maxMicros = math.MaxInt64 / int64(time.Microsecond)
+	// maxStatus is the largest status of three digits; net/http writes no other ones.
+	maxStatus = 999
+	// noLoad stands for a load that was not reported.
+	noLoad = -1
+)
+
+// fromMicros converts a number of another daemon, which is limited so that it does not overflow.
+func fromMicros(micros int64) time.Duration {
+	return time.Duration(max(min(micros, maxMicros), -maxMicros)) * time.Microsecond
+}
+
 // flatten appends the entries of h to list as alternating names and values.
 func flatten(list []string, h http.Header) []string {
 	for name, values := range h {
