Describe the types of net/rpc before connections are served

Found by TestGarbageOnRPC (random, cut and oversized gob on the net/rpc listener) with the race detector, 2 of 16 runs and more: encoding/gob reads its list of type descriptions without a lock for the text of an error about a malformed message, while another connection adds the description of a type at its first use. What callers saw: nothing yet; at worst a read beyond a list that is being replaced, in the first seconds of a process. The process and the listener survived the bytes themselves in all runs. Change: lib/gobtypes describes all types of the services when they are registered.

--- a/agent/backend/repeated_refusal_test.go
+++ b/agent/backend/repeated_refusal_test.go
@@ -111,7 +111,8 @@
 		is.NoErr(err)
 		is.Equal(string(resp.Body), "own")
 	}
-	is.True(<-conns != <-conns)
+	first, second := <-conns, <-conns
+	is.True(first != second)
 }
 
 // Guards against a repeated refusal that is taken for that of a second transmission of the same
@@ -136,7 +137,8 @@
 	resp, err = get(b, "q1")
 	is.NoErr(err)
 	is.Equal(string(resp.Body), "own")
-	is.True(<-conns != <-conns) // no byte for the first transmission can arrive on the second connection
+	first, second := <-conns, <-conns
+	is.True(first != second) // no byte for the first transmission can arrive on the second connection
 }
 
 // Guards against matching a response to a request without an ID on a connection that was in use
@@ -155,7 +157,8 @@
 		is.NoErr(err)
 		is.Equal(resp.Verdict, verdict.NotRun)
 	}
-	is.True(<-conns != <-conns)
+	first, second := <-conns, <-conns
+	is.True(first != second)
 }
 
 // Guards against a request on a connection on which the server has written while it was idle.
--- a/agent/peer/call/fence.go
+++ b/agent/peer/call/fence.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/gobtypes"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 )
 
@@ -46,6 +47,9 @@
 
 // RegisterRPC registers the fence service with the net/rpc server of the daemon.
 func (s *Server) RegisterRPC(r *rpc.Server) error {
+	if err := gobtypes.Register(FenceArgs{}, FenceReply{}); err != nil {
+		return err
+	}
 	return r.RegisterName(fenceService, &FenceService{table: s.table, incarnation: s.incarnation, log: s.log})
 }
 
--- a/agent/peer/keys/keys.go
+++ b/agent/peer/keys/keys.go
@@ -12,6 +12,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/caller"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/gobtypes"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
@@ -65,6 +66,9 @@
 
 // Register adds the service to the net/rpc server of a daemon.
 func Register(server *rpc.Server, holder Holder, log *event.Logger) error {
+	if err := gobtypes.Register(Args{}, Reply{}, caller.KeyQuery{}, caller.KeyAnswer{}); err != nil {
+		return err
+	}
 	return server.RegisterName(serviceName, &Service{holder: holder, log: log})
 }
 
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/gobtypes"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -59,6 +60,11 @@
 // Register adds the methods of s to r under ServiceName. Polls end early when ctx is done. It
 // should be the context of Serve, which waits for running calls.
 func (s *Server) Register(ctx context.Context, r *rpc.Server) error {
+	err := gobtypes.Register(PollArgs{}, PollReply{}, ExchangeArgs{}, ExchangeReply{}, DigestArgs{}, DigestReply{},
+		BucketArgs{}, BucketReply{}, HighestArgs{}, HighestReply{})
+	if err != nil {
+		return err
+	}
 	return errors.Wrap(r.RegisterName(ServiceName, &service{Server: s, ctx: ctx}), "register sync service")
 }
 
