--- a/agent/peer/sync/poll.go
+++ b/agent/peer/sync/poll.go
@@ -185,7 +185,7 @@
 		}
 	})
 	if reply.RetryAfter > 0 {
-		return &busyError{reply.RetryAfter}
+		return &busyError{min(reply.RetryAfter, maxRetryAfter)}
 	}
 	if len(reply.Delta) > 0 {
 		if err := f.applyReply(s, &reply); err != nil {
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/lib/gobtypes"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/membership"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -22,7 +23,7 @@
 	// megabytes and tens of milliseconds at the design size.
 	maxFullSyncs = 4
 	// minRetryAfter and maxRetryAfter bound the retry delay given to a daemon whose request is
-	// rejected.
+	// rejected, also by another daemon: a longer one would keep this daemon from following.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 800 * time.Millisecond
 	// maxWait bounds a long poll.
@@ -59,6 +60,11 @@
 // Register adds the methods of s to r under ServiceName. Polls end early when ctx is done. It
 // should be the context of Serve, which waits for running calls.
 func (s *Server) Register(ctx context.Context, r *rpc.Server) error {
+	err := gobtypes.Register(PollArgs{}, PollReply{}, ExchangeArgs{}, ExchangeReply{}, DigestArgs{}, DigestReply{},
+		BucketArgs{}, BucketReply{}, HighestArgs{}, HighestReply{})
+	if err != nil {
+		return err
+	}
 	return errors.Wrap(r.RegisterName(ServiceName, &service{Server: s, ctx: ctx}), "register sync service")
 }
 
@@ -167,7 +173,7 @@
 // Exchange merges the entries of a joining daemon and returns all entries.
 func (s *service) Exchange(args ExchangeArgs, reply *ExchangeReply) (err error) {
 	defer s.log.ContainError("sync", &err)
-	entries, err := s.follower.entries.decode(args.Entries)
+	entries, err := s.follower.decodeEntries("a daemon that joins", args.Entries)
 	if err != nil {
 		return err
 	}
@@ -235,7 +241,7 @@
 // buckets.
 func (s *service) Buckets(args BucketArgs, reply *BucketReply) (err error) {
 	defer s.log.ContainError("sync", &err)
-	entries, err := s.follower.entries.decode(args.Entries)
+	entries, err := s.follower.decodeEntries("a member", args.Entries)
 	if err != nil {
 		return err
 	}
