End the wait between failed questions when knowledge is fresh again

Callers would see a configuration that is older than allowed on daemons that reach the store, if the readers and the daemons below them are cut off from it soon after an outage. A daemon that waits after a failed question (4 s near the readers, up to 1,024 s at the lowest level) went on waiting although its readers had confirmed again, so it did not ask when they went silent next.

The wait now ends when the knowledge of the daemon is fresh. A confirmation that is itself too old does not end it, so that an outage causes no more questions than before.

--- a/agent/peer/sync/refresh.go
+++ b/agent/peer/sync/refresh.go
@@ -37,7 +37,27 @@
 		}
 		if err := f.askSource(ctx); err != nil {
 			f.logFailedQuestion(ctx, originSource, err)
-			pause(ctx, backoff.Next(f.random))
+			f.pauseWhileStale(ctx, backoff.Next(f.random))
+		}
+	}
+}
+
+// pauseWhileStale waits for d, or until the knowledge of this daemon is fresh: a delay chosen in an
+// outage of the source must not postpone the first question after the next silence.
+func (f *Follower) pauseWhileStale(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		_, _, confirmed := f.confirmed.load()
+		if f.untilStale() > 0 {
+			return
+		}
+		select {
+		case <-confirmed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
 }
