Read how long a poll was held before the age of its confirmation

A daemon whose process is paused between the two readings told its children that their knowledge was younger than it is, by the length of the pause: the reply added the pause to the time that the poll was held, but not to the age. A child would then ask the source that much later. Found by reading; the window is a few instructions, so there is no run or test that shows it. In the new order a pause makes the knowledge look older.

--- a/agent/peer/sync/confirmation.go
+++ b/agent/peer/sync/confirmation.go
@@ -94,9 +94,10 @@
 	if at.IsZero() {
 		return
 	}
-	reply.Confirmation, reply.ConfirmationAge = number, elapsed(at)
-	// Not by the time of day, as a longer time would make the confirmation more recent.
+	// Not by the time of day, as a longer time would make the confirmation more recent. It is read
+	// before the age for the same reason: this process may be paused between the two.
 	reply.Held = time.Since(arrived)
+	reply.Confirmation, reply.ConfirmationAge = number, elapsed(at)
 	reply.InForce = f.cfg.Store.Version()
 }
 
