Take a slow answer of the source for no sign that it cannot be reached

With apply-time 2 s, a store that answers in 0.6 to 0.9 s made each failure domain replace its readers again and again, and mark daemons that read every change as cut off. A daemon's own question waits for a fifth of apply-time, 0.4 s, and failures of such questions counted towards the mark like those of reads that wait for a second. A marked daemon asked with the same bound and so kept its mark.

TestSlowSource fails before the change.

An answer that exceeds a bound below sourceTimeout no longer counts. The second question in a row, on another connection, and those of a marked daemon wait for sourceTimeout.

--- a/agent/peer/sync/confirmation.go
+++ b/agent/peer/sync/confirmation.go
@@ -22,7 +22,7 @@
 	// levelParts: each level below the readers waits for another twentieth, so that a level gets the
 	// answer of the one above instead of asking too.
 	levelParts = 20
-	// readParts: one read of the source takes at most a fifth, before it is tried on another
+	// readParts: the first read of the source takes at most a fifth, before it is tried on another
 	// connection.
 	readParts = 5
 )
--- a/agent/peer/sync/refresh.go
+++ b/agent/peer/sync/refresh.go
@@ -28,14 +28,15 @@
 	if f.cfg.Source == nil || !f.awaitReadyAndJoined(ctx) {
 		return
 	}
-	backoff := f.refreshBackoff()
+	backoff, timeout := f.refreshBackoff(), f.readTimeout()
 	for ctx.Err() == nil {
 		if wait := f.untilStale(); wait > 0 {
-			backoff = f.refreshBackoff()
+			backoff, timeout = f.refreshBackoff(), f.readTimeout()
 			pause(ctx, wait)
 			continue
 		}
-		if err := f.askSource(ctx); err != nil {
+		if err := f.askSource(ctx, timeout); err != nil {
+			timeout = sourceTimeout // the connection is another one now: only a slow source needs more time
 			f.logFailedQuestion(ctx, originSource, err)
 			f.pauseWhileStale(ctx, backoff.Next(f.random))
 		}
@@ -75,7 +76,7 @@
 			backoff = f.refreshBackoff()
 			continue
 		}
-		if err := f.askSource(ctx); err != nil {
+		if err := f.askSource(ctx, sourceTimeout); err != nil {
 			f.logFailedQuestion(ctx, originSource, err)
 			pause(ctx, backoff.Next(f.random))
 		}
@@ -99,13 +100,17 @@
 	return distribution.Backoff{Base: retryBase, Max: longest}
 }
 
-// askSource reads the source once and puts the newest version in force.
-func (f *Follower) askSource(parent context.Context) error {
-	ctx, cancel := context.WithTimeout(parent, f.readTimeout())
+// askSource reads the source once, waits at most timeout for the answer, and puts the newest version
+// in force. An answer that takes longer than a timeout below sourceTimeout is no sign that the source
+// cannot be reached: with a slow source, all readers would be replaced in turn.
+func (f *Follower) askSource(parent context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	began := time.Now()
 	next, err := f.cfg.Source.Current(ctx)
-	f.recordSourceResult(parent, err)
+	if err == nil || timeout >= sourceTimeout || ctx.Err() == nil {
+		f.recordSourceResult(parent, err)
+	}
 	if err == nil {
 		f.confirmRead(next, began)
 	}
--- a/agent/peer/sync/refresh_test.go
+++ b/agent/peer/sync/refresh_test.go
@@ -1,6 +1,7 @@
 package sync
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -26,7 +27,7 @@
 		var near, far []*daemon
 		for _, d := range c.daemons {
 			if age, known := d.confirmationAge(); !known || age > applyLimit {
-				t.Fatalf("%s is not confirmed: %v", d.record.Instance, age)
+				c.t.Fatalf("%s is not confirmed: %v", d.record.Instance, age)
 			}
 			if d.position().Ancestors > 1 {
 				far = append(far, d)
@@ -35,10 +36,31 @@
 			}
 		}
 		if len(far) == 0 {
-			t.Fatal("the tree has one level below the readers")
+			c.t.Fatal("the tree has one level below the readers")
 		}
 		c.source.setSilent(true, near...)
 		c.source.publish(4)
 		c.waitUntil("change", applyLimit, far, inForce(4))
 	})
 }
+
+// Guards against readers that are replaced in turn, and daemons marked as unable to reach the source,
+// because it answers their own questions more slowly than a first question waits.
+func TestSlowSource(t *testing.T) {
+	for _, latency := range []time.Duration{600 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			runSourceDomain(t, func(c *cluster) {
+				readers := c.readers()
+				c.source.setLatency(latency)
+				for range 300 {
+					time.Sleep(100 * time.Millisecond)
+					if now := c.readers(); !slices.Equal(now, readers) {
+						c.t.Fatalf("%d readers, other ones than before; marked: %v", len(now), c.daemons[0].markedAway())
+					}
+				}
+				c.source.publish(4)
+				c.waitUntil("change", applyLimit, c.daemons, inForce(4))
+			})
+		})
+	}
+}
--- a/agent/peer/sync/source_cluster_test.go
+++ b/agent/peer/sync/source_cluster_test.go
@@ -17,6 +17,8 @@
 	// applyLimit is the time within which a change must be in force on the deployments with the
 	// shortest one.
 	applyLimit = 2 * time.Second
+	// sourceLatency is the usual time that a call of the source takes.
+	sourceLatency = 2 * time.Millisecond
 	// sourceDomainSize gives the tree of the domain two levels below the readers.
 	sourceDomainSize = 12
 )
@@ -29,10 +31,12 @@
 	changed chan struct{}
 	silent  map[endpoint.InstanceID]bool
 	calls   map[endpoint.InstanceID]int
+	// latency is the time that a call takes beside the wait of a feed.
+	latency time.Duration
 }
 
 func newSharedSource() *sharedSource {
-	return &sharedSource{version: 3, changed: make(chan struct{}), silent: map[endpoint.InstanceID]bool{}, calls: map[endpoint.InstanceID]int{}}
+	return &sharedSource{version: 3, latency: sourceLatency, changed: make(chan struct{}), silent: map[endpoint.InstanceID]bool{}, calls: map[endpoint.InstanceID]int{}}
 }
 
 func (s *sharedSource) publish(v snapshot.Version) {
@@ -69,9 +73,9 @@
 }
 
 // answer delays the answer to a call and returns the version, or an error if none arrives.
-func (s *sourceOf) answer(ctx context.Context) (snapshot.Version, <-chan struct{}, error) {
+func (s *sourceOf) answer(ctx context.Context, latency time.Duration) (snapshot.Version, <-chan struct{}, error) {
 	s.d.wait()
-	time.Sleep(2 * time.Millisecond)
+	pause(ctx, latency)
 	s.d.wait()
 	s.mu.Lock()
 	version, changed, silent := s.version, s.changed, s.silent[s.d.record.Instance]
@@ -82,16 +86,17 @@
 	return version, changed, ctx.Err()
 }
 
-func (s *sourceOf) count() {
+// count counts a call and returns the time that it takes.
+func (s *sourceOf) count() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[s.d.record.Instance]++
+	return s.latency
 }
 
 // Current implements Source.
 func (s *sourceOf) Current(ctx context.Context) (*snapshot.Snapshot, error) {
-	s.count()
-	version, _, err := s.answer(ctx)
+	version, _, err := s.answer(ctx, s.count())
 	if err != nil {
 		return nil, err
 	}
@@ -108,14 +113,13 @@
 }
 
 func (f *feedOf) Next(ctx context.Context, wait time.Duration) (*snapshot.Snapshot, error) {
-	f.count()
-	version, changed, err := f.answer(ctx)
+	version, changed, err := f.answer(ctx, f.count())
 	if err == nil && version == f.seen {
 		select {
 		case <-changed:
 		case <-time.After(wait):
 		}
-		version, _, err = f.answer(ctx)
+		version, _, err = f.answer(ctx, sourceLatency)
 	}
 	if err != nil || version == f.seen {
 		return nil, err
@@ -144,6 +148,12 @@
 	})
 }
 
+func (s *sharedSource) setLatency(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = latency
+}
+
 func (c *cluster) readers() []*daemon {
 	var list []*daemon
 	for _, d := range c.daemons {
