--- a/agent/peer/sync/confirmation.go
+++ b/agent/peer/sync/confirmation.go
@@ -22,7 +22,7 @@
 	// levelParts: each level below the readers waits for another twentieth, so that a level gets the
 	// answer of the one above instead of asking too.
 	levelParts = 20
-	// readParts: one read of the source takes at most a fifth, before it is tried on another
+	// readParts: the first read of the source takes at most a fifth, before it is tried on another
 	// connection.
 	readParts = 5
 )
@@ -94,9 +94,10 @@
 	if at.IsZero() {
 		return
 	}
-	reply.Confirmation, reply.ConfirmationAge = number, elapsed(at)
-	// Not by the time of day, as a longer time would make the confirmation more recent.
+	// Not by the time of day, as a longer time would make the confirmation more recent. It is read
+	// before the age for the same reason: this process may be paused between the two.
 	reply.Held = time.Since(arrived)
+	reply.Confirmation, reply.ConfirmationAge = number, elapsed(at)
 	reply.InForce = f.cfg.Store.Version()
 }
 
