Review: a rolling restart breaks off calls that have time left

Case 3 of the review, rule LOST: a script with three daemons as processes, two of which get SIGTERM one second apart.

--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -93,34 +92,54 @@
 	return n > 0
 }
 
-// oddHeartbeat: a heartbeat of another writer, in which a field is missing, arrives for a server that
-// has reported that it is draining.
-func oddHeartbeat(w *world, trouble bool) bool {
-	a, b, c := w.addMachine("sidecar-lj-a-1", "lj-a", "finder"), w.addMachine("sidecar-lj-b-1", "lj-b", "finder"), w.addMachine("sidecar-lj-c-1", "lj-c", "pages")
-	w.configure(7, []string{"finder", "pages"}, []route{attachList})
+// rollingStop: two machines get SIGTERM one second apart, the one with the server first, while requests
+// run that were taken by the other.
+func rollingStop(w *world, trouble bool) bool {
+	const (
+		work  = 5 * time.Second
+		gap   = time.Second
+		grace = 6 * time.Second
+	)
+	save := route{name: "long-save", prefix: "/save/", kind: "unsafe", service: "pages", timeoutS: 6, targetS: 6, priority: 1}
+	r1, r2, in := w.addMachine("sidecar-lj-a-1", "lj-a", "pages"), w.addMachine("sidecar-lj-b-1", "lj-b", "pages"), w.addMachine("sidecar-lj-c-1", "lj-c", "finder")
+	w.configure(7, []string{"finder", "pages"}, []route{save})
 	for _, m := range w.machines {
 		m.start()
-		m.startServer(12, 48, 100*time.Millisecond)
-	}
-	w.awaitReady(15*time.Second, a, b, c)
-	time.Sleep(4 * time.Second)
-	if !a.server.leave() {
-		check(fmt.Errorf("the leaving was not confirmed"))
-	}
-	time.Sleep(time.Second)
-	if trouble {
-		body := bytes.Replace(a.server.heartbeatWith("ready", 3), []byte(fmt.Sprintf(`"born":%d,`, a.server.born)), nil, 1)
-		w.logf("a heartbeat without the field born: %s", body)
-		w.logf("acknowledged: %v", a.server.beat(body))
+		m.startServer(12, 48, work)
 	}
-	next := func() *request { return w.newRequest("GET", "/attach/1", 6*time.Second) }
-	w.load(20, 6*time.Second, next, b, c)
-	late := a.server.lateArrivals(drainS)
-	for _, l := range late {
-		w.logf("DRAIN: %s reached %s %.3f s after the confirmation", l.id, a.server.id, l.at.Sub(a.server.leftAt).Seconds())
+	w.awaitReady(15*time.Second, r1, r2, in)
+	time.Sleep(stableS + time.Second)
+	var stopping time.Time // of the machine that takes the requests
+	go func() {
+		if !trouble {
+			return
+		}
+		for _, m := range []*machine{r1, in} {
+			m.stopAndStart(grace)
+			if m == in {
+				stopping = time.Now()
+				return
+			}
+			time.Sleep(gap)
+		}
+	}()
+	sent := w.load(16, 1200*time.Millisecond, func() *request { return w.newRequest("POST", "/save/1", 6*time.Second) }, in)
+	n := 0
+	for _, r := range sent {
+		if r.stamp != "" || r.brokenAt.IsZero() {
+			continue
+		}
+		end, cut := r.ranAt.Add(work).Sub(stopping), r.brokenAt.Sub(stopping)
+		w.logf("%s: sent %.3f s after the SIGTERM of %s, broken off at %.3f s, its run would have ended at %.3f s, status %d",
+			r.id, r.sent.Sub(stopping).Seconds(), in.name, cut.Seconds(), end.Seconds(), r.status)
+		// Runs that would have lasted into the last sixth of graceS don't count.
+		if end < grace*5/6 {
+			w.logf("LOST: %s", r.id)
+			n++
+		}
 	}
-	fmt.Printf("%d requests reached the server later than drainS after the confirmation\n", len(late))
-	return len(late) > 0
+	fmt.Printf("%d of %d requests were broken off and would have ended before the last sixth of graceS\n", n, len(sent))
+	return n > 0
 }
 
 // staleDirectory: machines are removed for good without SIGTERM and others come in their place; then
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -16,8 +16,8 @@
 var cases = map[string]func(w *world, trouble bool) bool{
 	"leave-forgotten": leaveForgotten,
 	"stale-directory": staleDirectory,
+	"rolling-stop":    rollingStop,
 	"large-bodies":    largeBodies,
-	"odd-heartbeat":   oddHeartbeat,
 }
 
 func main() {
--- a/review/_harness/server.go
+++ b/review/_harness/server.go
@@ -185,6 +185,8 @@
 	case <-time.After(s.work):
 	case <-ctx.Done():
 		if r.Context().Err() != nil {
+			s.m.w.logf("server %s (%s): the run of %s was BROKEN OFF by its caller after %.3f s", s.id, s.m.service, id, time.Since(at).Seconds())
+			s.noteBroken(id)
 			return
 		}
 		w.WriteHeader(http.StatusGatewayTimeout)
@@ -201,11 +203,21 @@
 		r := known.(*request)
 		r.mu.Lock()
 		r.runs = append(r.runs, s.id)
+		r.ranAt = at
 		r.mu.Unlock()
 	}
 	s.m.w.logf("server %s (%s): %s arrived, ran=%v", s.id, s.m.service, id, ran)
 }
 
+func (s *server) noteBroken(id string) {
+	if known, ok := s.m.w.requests.Load(id); ok {
+		r := known.(*request)
+		r.mu.Lock()
+		r.brokenAt = time.Now()
+		r.mu.Unlock()
+	}
+}
+
 // lateArrivals returns the requests that reached the server later than drainS after the confirmation.
 func (s *server) lateArrivals(drain time.Duration) (late []arrival) {
 	s.mu.Lock()
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -122,6 +122,7 @@
 	mu                       sync.Mutex
 	cmd                      *exec.Cmd
 	killed                   bool
+	ended                    chan struct{} // closed when the daemon has ended
 	server                   *server
 	outbound, control, ready string
 	// pool holds the kept connections of the clients on the machine.
@@ -203,10 +204,12 @@
 	check(cmd.Start())
 	_ = logFile.Close()
 	m.mu.Lock()
-	m.cmd, m.killed = cmd, false
+	ended := make(chan struct{})
+	m.cmd, m.killed, m.ended = cmd, false, ended
 	m.mu.Unlock()
 	m.w.logf("%s: daemon started, pid %d", m.name, cmd.Process.Pid)
 	go func() {
+		defer close(ended)
 		err := cmd.Wait()
 		m.mu.Lock()
 		own := !m.killed
@@ -228,6 +231,25 @@
 	}
 }
 
+// stopAndStart sends SIGTERM, and SIGKILL after grace, and starts the daemon again when it has ended.
+func (m *machine) stopAndStart(grace time.Duration) {
+	m.mu.Lock()
+	ended := m.ended
+	m.mu.Unlock()
+	m.w.logf("%s: SIGTERM", m.name)
+	m.signal(syscall.SIGTERM)
+	go func() {
+		select {
+		case <-ended:
+			m.w.logf("%s: daemon has ended", m.name)
+		case <-time.After(grace):
+			m.kill()
+			<-ended
+		}
+		m.start()
+	}()
+}
+
 func (m *machine) kill() { m.signal(syscall.SIGKILL) }
 
 // guardMemory does what the platform does: it kills a process that exceeds memoryMb and starts it again
@@ -301,14 +323,15 @@
 	size             int64
 	deadline         time.Duration
 
-	sent   time.Time
-	reused bool // sent on a connection that has served a request
-	status int  // 0: the connection ended without an answer
-	ended  bool // the connection ended without an answer
-	stamp  string
-	bytes  int
-	mu     sync.Mutex
-	runs   []string
+	sent            time.Time
+	reused          bool // sent on a connection that has served a request
+	status          int  // 0: the connection ended without an answer
+	ended           bool // the connection ended without an answer
+	stamp           string
+	bytes           int
+	mu              sync.Mutex
+	runs            []string
+	ranAt, brokenAt time.Time // of the last run
 }
 
 func (w *world) newRequest(method, path string, deadline time.Duration) *request {
