--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -214,7 +214,7 @@
 
 // largeBodies: clients send bodies within maxBodyBytes at the same time as others send small ones.
 func largeBodies(w *world, trouble bool) bool {
-	save := route{name: "page-save", prefix: "/save/", kind: "unsafe", service: "pages", timeoutS: 4, targetS: 2, priority: 1}
+	save := route{name: "page-save", prefix: "/save/", kind: "unsafe", service: "pages", timeoutS: 8, targetS: 2, priority: 1}
 	a, b, c := w.addMachine("sidecar-lj-a-1", "lj-a", "finder"), w.addMachine("sidecar-lj-b-1", "lj-b", "pages"), w.addMachine("sidecar-lj-c-1", "lj-c", "pages")
 	w.configure(7, []string{"finder", "pages"}, []route{save})
 	for _, m := range w.machines {
@@ -232,17 +232,18 @@
 	if trouble {
 		size = 60 << 20
 	}
-	const bodies = 4
+	// At most half of the link of 1,000 Mbit/s is used.
+	const bodies, bytesPerSecond = 5, 12 << 20
 	var large sync.WaitGroup
 	for range bodies {
 		large.Go(func() {
 			time.Sleep(4 * time.Second)
-			r := w.newRequest("POST", "/save/large", 4*time.Second)
-			r.body, r.size = io.LimitReader(zeros{}, size), size
+			r := w.newRequest("POST", "/save/large", 8*time.Second)
+			r.body, r.size = io.LimitReader(&paced{bytesPerSecond: bytesPerSecond}, size), size
 			w.send(a, r)
 		})
 	}
-	small := w.load(25, 8*time.Second, func() *request {
+	small := w.load(25, 10*time.Second, func() *request {
 		r := w.newRequest("POST", "/save/1", 2*time.Second)
 		r.kept, r.size = true, 4000
 		r.body = io.LimitReader(zeros{}, r.size)
@@ -265,6 +266,23 @@
 	return lost > 3
 }
 
+// paced is a body that is sent at a limited rate.
+type paced struct {
+	bytesPerSecond int
+	began          time.Time
+	sent           int
+}
+
+func (p *paced) Read(b []byte) (int, error) {
+	if p.began.IsZero() {
+		p.began = time.Now()
+	}
+	b = b[:min(len(b), 64<<10)]
+	p.sent += len(b)
+	time.Sleep(time.Until(p.began.Add(time.Duration(float64(p.sent) / float64(p.bytesPerSecond) * float64(time.Second)))))
+	return zeros{}.Read(b)
+}
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) {
