--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -9,7 +9,7 @@
 )
 
 // timeLimit is the longest time of a case.
-const timeLimit = 115 * time.Second
+const timeLimit = 110 * time.Second
 
 // cases maps the name of a case to the function that plays it, which reports whether the rule was
 // broken. trouble is false if the disruption is left out.
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -38,6 +38,7 @@
 	machines  []*machine
 	ids       atomic.Int64
 	requests  sync.Map // id to *request
+	jobs      sync.WaitGroup
 	http      *http.Client
 }
 
@@ -76,6 +77,7 @@
 
 // close ends all processes that the case has started.
 func (w *world) close() {
+	w.jobs.Wait()
 	for _, m := range w.machines {
 		m.kill()
 	}
@@ -238,7 +240,7 @@
 	m.mu.Unlock()
 	m.w.logf("%s: SIGTERM", m.name)
 	m.signal(syscall.SIGTERM)
-	go func() {
+	m.w.jobs.Go(func() {
 		select {
 		case <-ended:
 			m.w.logf("%s: daemon has ended", m.name)
@@ -247,7 +249,7 @@
 			<-ended
 		}
 		m.start()
-	}()
+	})
 }
 
 func (m *machine) kill() { m.signal(syscall.SIGKILL) }
