Review: let each run.sh read TROUBLE itself

The scripts left TROUBLE to the stand-ins, which read it from the environment. Now run.sh reads it and passes it as an argument.

--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -21,14 +21,14 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD, in the root of the repository")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "yes" && os.Args[3] != "no" {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD yes|no (with the disruption or without), in the root of the repository")
 		os.Exit(2)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3] == "yes"))
 }
 
-func play(name, record string) (code int) {
+func play(name, record string, trouble bool) (code int) {
 	w := newWorld(record)
 	defer w.close()
 	defer func() {
@@ -53,7 +53,6 @@
 		w.close()
 		os.Exit(2)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
 	w.logf("case %s, disruption %v", name, trouble)
 	if cases[name](w, trouble) {
 		w.logf("BROKEN")
