Refuse waiting requests when the backend server leaves

What callers saw: requests that waited for a slot were sent to a backend server up to 2.5 s after its daemon had confirmed that it leaves (DRAIN); the server ended with them, and callers got 502.

Cause: the state of the server was read once, at the arrival of a request, and acted upon after the waits for a slot and for a connection. The same decision was stale for a server of another service in its place and for a connection to an earlier process.

Change: backend.Do checks state, service and process when it takes a connection and right before the first byte. A change that ends the service of the server refuses what waits for a slot or a connection before the change is confirmed; a large body is checked again after its wait for the link.

The tests TestWaitingRequestsAreRefusedWhenTheServerLeaves and TestWaitForConnectionEndsWhenTheServerLeaves fail without it (the request is held until a slot is free).

TestExpiryAndRefusal sent a request to a draining server to reach the dial without a connection opened in advance; that is refused earlier now, so it uses the state starting, in which none is opened either. Requests in the tests of the package name their service.

--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -146,6 +146,7 @@
 		b.ended = lifetime{id, b.current.StartedMS}
 		b.current.state = endpoint.Draining
 		b.renewedAt = b.cfg.Now()
+		b.pool.wakeWaiters()
 	}
 	b.mu.Unlock()
 	b.report()
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -184,7 +184,7 @@
 	if status.State == endpoint.Gone {
 		e = event.BackendGone
 	}
-	b.log.Log(e, zap.String("service", status.Service), zap.String("address", status.Address), zap.Stringer("state", status.State))
+	b.log.Log(e, zap.String("service", status.Service), zap.String("id", status.ID), zap.String("address", status.Address), zap.Stringer("state", status.State))
 	if b.cfg.Changed != nil {
 		b.cfg.Changed(status)
 	}
--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -114,6 +114,7 @@
 
 func request() *call.Request {
 	return &call.Request{
+		Service: "pages",
 		Attempt: fence.AttemptID{Sender: 5, Seq: 1}, Depth: 3, Method: "POST", Target: "/pages/a?x=1", Host: "pages",
 		Header: http.Header{"Accept": {"a"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Content-Length": {"99"}}, Body: []byte("body"),
 	}
@@ -294,8 +295,8 @@
 	now.Add(int64(announcementLifetime) + 1)
 	is.Equal(b.State(), endpoint.Gone)
 	is.Equal(<-states, endpoint.Gone)
-	announceTo(t, b, s, "draining", 1, 2)
-	is.Equal(<-states, endpoint.Draining)
+	announceTo(t, b, s, "starting", 1, 2) // no connection is opened in advance in this state
+	is.Equal(<-states, endpoint.Starting)
 	_ = s.listener.Close()
 	b.mu.Lock()
 	b.pool.closeIdle()
@@ -306,6 +307,62 @@
 	is.Equal(<-states, endpoint.Gone)
 }
 
+// Guards against a request that is sent to a backend server which has said that it leaves, or to another
+// process in its place, while the request waited for a connection, and against holding it until one is free.
+func TestWaitForConnectionEndsWhenTheServerLeaves(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	s := startFake(t, func(_ int32, r *http.Request, w io.Writer) bool {
+		arrived <- struct{}{}
+		<-release
+		return reply(okResponse)(0, r, w)
+	})
+	b := newBackend(t, Config{}, s, 4, 1)
+	results := make(chan error, 2)
+	do := func() {
+		_, err := b.Do(testCtx(t, testTimeout), request(), startOK)
+		results <- err
+	}
+	go do()
+	<-arrived
+	go do()
+	for waiting := false; !waiting; {
+		b.mu.Lock()
+		waiting = b.pool.freed != nil
+		b.mu.Unlock()
+	}
+	b.Leave("")
+	err := <-results
+	is.True(errors.Is(err, ErrLeaving))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	close(release)
+	is.NoErr(<-results)
+	is.Equal(s.requests.Load(), int32(1))
+}
+
+// Guards against a connection that was opened or taken before the server left, or before another process
+// took its address, and that is used afterwards.
+func TestStateIsCheckedBeforeSending(t *testing.T) {
+	is := is.New(t)
+	s := startFake(t, reply(okResponse))
+	b := newBackend(t, Config{}, s, 1, 2)
+	old, err := b.conn(testCtx(t, testTimeout), request())
+	is.NoErr(err)
+	is.NoErr(b.checkSend(old, request()))
+	other := request()
+	other.Service = "finder"
+	is.True(errors.Is(b.checkSend(old, other), ErrOtherService))
+	restarted := b.Status().Announcement
+	restarted.ID = "i-2"
+	is.NoErr(b.Announce(restarted))
+	is.True(errors.Is(b.checkSend(old, request()), ErrGone))
+	b.discard(old)
+	b.Leave("i-2")
+	_, err = b.Do(testCtx(t, testTimeout), request(), startOK)
+	is.True(errors.Is(err, ErrLeaving))
+	is.Equal(s.requests.Load(), int32(0))
+}
+
 // Guards against accepting requests that break the HTTP framing, or invalid announcements.
 func TestInvalidInput(t *testing.T) {
 	is := is.New(t)
--- a/agent/backend/cut_response_test.go
+++ b/agent/backend/cut_response_test.go
@@ -121,7 +121,7 @@
 	whole := "HTTP/1.1 200 OK\r\nId: q1\r\nStamp: s\r\nContent-Length: 9\r\n\r\n"
 	for length := range len(whole) {
 		texts <- whole[:length]
-		r := &call.Request{Method: http.MethodHead, Target: "/a", Host: "h", Header: http.Header{"Id": {"q1"}}}
+		r := &call.Request{Service: "pages", Method: http.MethodHead, Target: "/a", Host: "h", Header: http.Header{"Id": {"q1"}}}
 		_, err := b.Do(testCtx(t, testTimeout), r, startOK)
 		is.True(err != nil)
 	}
--- a/agent/backend/dialect_test.go
+++ b/agent/backend/dialect_test.go
@@ -45,6 +45,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	return b.Do(ctx, &call.Request{
+		Service: "pages",
 		Attempt: fence.AttemptID{Sender: 1, Seq: 1}, Timeout: time.Second, Method: "GET", Target: "/a", Host: "h",
 		Header: http.Header{"Id": {id}},
 	}, func() bool { return true })
--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -44,7 +44,8 @@
 
 // Do sends r to the backend server and reads the whole response in the calling goroutine. When ctx
 // ends, the connection is closed, which cancels the request on the backend server. started is
-// called immediately before the first byte is sent; if it returns false, nothing is sent. The
+// called immediately before the first byte is sent; if it returns false, nothing is sent, as if the
+// backend server is leaving, is gone or serves another service by then. The
 // verdict of a response is not run if the backend server rejected the request, otherwise ran. An
 // error is a *verdict.Error: not run if nothing was sent, may have run until the status line has
 // been received, ran afterwards.
@@ -62,6 +63,10 @@
 	if err != nil {
 		return nil, verdict.Wrap(verdict.NotRun, call.ContextError(ctx, err))
 	}
+	if err := b.checkSend(c, r); err != nil {
+		b.release(c)
+		return nil, verdict.Wrap(verdict.NotRun, err)
+	}
 	if !started() {
 		b.release(c)
 		return nil, verdict.Wrap(verdict.NotRun, ErrFenced)
--- a/agent/backend/pool.go
+++ b/agent/backend/pool.go
@@ -16,12 +16,16 @@
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/lib/socket"
 	"kingcupwood.example/kingcupwood/pkg/dialect"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
 // Errors of the connection pool; Do returns them wrapped in a *verdict.Error.
 var (
 	ErrGone    = errors.New("backend server is gone")
 	ErrRefused = errors.New("backend server refused the connection")
+	ErrLeaving = errors.New("backend server is leaving")
+	// ErrOtherService means that another backend server has taken the place of the intended one.
+	ErrOtherService = errors.New("backend server serves another service")
 )
 
 // readBufferBytes is large enough to receive a typical response with one read system call.
@@ -160,7 +164,7 @@
 func (b *Backend) conn(ctx context.Context, r *call.Request) (*conn, error) {
 	deadline, _ := ctx.Deadline()
 	for {
-		c, reserved, freed, err := b.takeOrReserve()
+		c, reserved, freed, err := b.takeOrReserve(r.Service)
 		switch {
 		case err != nil:
 			return nil, err
@@ -182,11 +186,11 @@
 
 // takeOrReserve returns an idle connection, else a reservation for a new one, else, at the limit, a
 // channel that is closed when a connection or a reservation becomes free.
-func (b *Backend) takeOrReserve() (*conn, reservation, <-chan struct{}, error) {
+func (b *Backend) takeOrReserve(service string) (*conn, reservation, <-chan struct{}, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || b.pool.addr == "" || b.refused {
-		return nil, reservation{}, nil, ErrGone
+	if err := b.unavailable(service); err != nil {
+		return nil, reservation{}, nil, err
 	}
 	if c := b.pool.takeIdle(); c != nil {
 		return c, reservation{}, nil, nil
@@ -197,6 +201,34 @@
 	return nil, b.pool.reserve(), nil, nil
 }
 
+// unavailable returns why no request for service may be sent to the backend server, nil if it may; the
+// caller holds b.mu.
+func (b *Backend) unavailable(service string) error {
+	switch state := b.state(); {
+	case b.closed || state == endpoint.Gone:
+		return ErrGone
+	case state == endpoint.Draining:
+		return ErrLeaving
+	case b.current.Service != service:
+		return ErrOtherService
+	}
+	return nil
+}
+
+// checkSend returns why r must not be sent on c, nil if it may. The state may have changed since the
+// connection was requested, during a wait for it or while it was opened.
+func (b *Backend) checkSend(c *conn, r *call.Request) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.unavailable(r.Service); err != nil {
+		return err
+	}
+	if c.reservation.generation != b.pool.generation {
+		return errors.Wrap(ErrGone, "the connection is to an earlier process")
+	}
+	return nil
+}
+
 func (b *Backend) dial(ctx context.Context, r reservation) (*conn, error) {
 	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", r.addr)
--- a/agent/body.go
+++ b/agent/body.go
@@ -46,6 +46,10 @@
 		r.bodies.Cancel(grant)
 		return 0, r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, ctx.Err())))
 	}
+	if refused := r.refuseByState(req); refused != nil { // the state may have changed during the wait
+		r.bodies.Cancel(grant)
+		return 0, refused
+	}
 	return grant.BytesPerSecond, nil
 }
 
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -191,17 +191,17 @@
 func (d *Daemon) buildRequestPath(local endpoint.Record) {
 	incarnation := rand.Uint64()
 	d.record = recordKeeper{prober: d.prober}
-	d.backend = backend.New(backend.Config{
-		Changed: d.record.backendChanged, Dialect: d.dialect(), Lifetime: d.settings.Backend.AnnouncementLifetime,
-		HostIP: d.hostIP(),
-	}, d.log)
 	d.receiver = &receiver{
 		log: d.log, requestID: d.dialect().RequestID,
 		admission: admission.New(admission.Config{Slots: 1}, time.Now),
-		backend:   d.backend,
 		bodies:    newBodySchedule(local.LinkBytesPerSecond),
 		owned:     func(ctx context.Context, r *call.Request) *call.Response { return d.callers.ServeOwned(ctx, r) },
 	}
+	d.backend = backend.New(backend.Config{
+		Changed: d.backendChanged, Dialect: d.dialect(), Lifetime: d.settings.Backend.AnnouncementLifetime,
+		HostIP: d.hostIP(),
+	}, d.log)
+	d.receiver.backend = d.backend
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
 	d.client = call.NewClientWithDialer(d.dialDaemon, d.log)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
@@ -227,6 +227,12 @@
 	return keys.Register(d.rpc, d.callers, d.log)
 }
 
+// backendChanged applies a change of the backend server, before it is confirmed to the server.
+func (d *Daemon) backendChanged(status backend.Status) {
+	d.receiver.backendChanged(status)
+	d.record.backendChanged(status)
+}
+
 // snapshot returns the snapshot in force, or nil while this daemon is not ready to serve.
 func (d *Daemon) snapshot() *snapshot.Snapshot {
 	if !d.follower.Ready() {
--- /dev/null
+++ b/agent/leaving_test.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupwood.example/kingcupwood/agent/backend"
+	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/verdict"
+)
+
+// Guards against requests that wait for a slot and are sent to the backend server after it has said that
+// it leaves, or to one of another service in its place, and against holding them until a slot is free.
+func TestWaitingRequestsAreRefusedWhenTheServerLeaves(t *testing.T) {
+	const slots = 4
+	changes := map[string]struct {
+		change   func(b *backend.Backend, a backend.Announcement) error
+		draining bool
+	}{
+		"draining": {func(b *backend.Backend, a backend.Announcement) error { a.State = "draining"; return b.Announce(a) }, true},
+		"left":     {func(b *backend.Backend, a backend.Announcement) error { b.Leave(a.ID); return nil }, true},
+		"replaced": {func(b *backend.Backend, a backend.Announcement) error { a.Service = "finder"; return b.Announce(a) }, false},
+	}
+	for name, c := range changes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			arrived, release := make(chan struct{}, slots+1), make(chan struct{})
+			r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) {
+				arrived <- struct{}{}
+				<-release
+			})
+			responses := make(chan *call.Response, slots+1)
+			send := func(seq uint64) {
+				req := testRequest()
+				req.Attempt.Seq, req.Rank, req.Timeout, req.TimeToTarget = seq, 2, time.Minute, time.Minute
+				responses <- r.ServeCall(t.Context(), req)
+			}
+			for seq := range uint64(slots) {
+				go send(seq)
+				<-arrived
+			}
+			go send(slots)
+			for r.admission.Load() <= 1 { // until it waits
+				time.Sleep(time.Millisecond)
+			}
+			is.NoErr(c.change(r.backend, r.backend.Status().Announcement))
+			refused := <-responses // at once, while all slots are still taken
+			is.Equal(refused.Verdict, verdict.NotRun)
+			is.Equal(refused.Status, http.StatusServiceUnavailable)
+			is.True(!refused.Offered)
+			if c.draining {
+				is.True(refused.Draining)
+			}
+			close(release)
+			for range slots {
+				is.Equal((<-responses).Verdict, verdict.Ran) // those that had a slot finish
+			}
+			is.Equal(len(arrived), 0)
+		})
+	}
+}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -21,10 +21,7 @@
 	"kingcupwood.example/kingcupwood/lib/event"
 )
 
-var (
-	errFenced       = errors.New("the sender has given the request up")
-	errOtherService = errors.New("the backend server of this instance serves another service")
-)
+var errFenced = errors.New("the sender has given the request up")
 
 // receiver is the receiving side of a daemon. It applies admission control to requests for the
 // backend server on its instance and forwards them.
@@ -37,11 +34,27 @@
 	log      *event.Logger
 	// requestID is the name of the header with the request ID of the caller.
 	requestID string
-	running   runningAttempts
+	// service is the last announced service; only backendChanged uses it.
+	service string
+	running runningAttempts
 	// bodies schedules the large bodies of other daemons; nil if the rate of the link is unknown.
 	bodies *transfer.Scheduler
 }
 
+// backendChanged applies a change of the backend server to the requests that wait for a slot. It must not
+// be called concurrently. If the server takes no new requests or serves another service now, they are
+// refused at once: their senders may still reach another server.
+func (r *receiver) backendChanged(status backend.Status) {
+	open := status.State == endpoint.Starting || status.State == endpoint.Ready
+	refused := r.admission.SetOpen(open && status.Service == r.service)
+	refused += r.admission.SetOpen(open)
+	r.service = status.Service
+	if refused > 0 {
+		r.log.Log(event.WaitingRefused, zap.String("service", status.Service), zap.String("id", status.ID),
+			zap.Stringer("state", status.State), zap.Int("requests", refused))
+	}
+}
+
 // ServeCall implements call.Handler.
 func (r *receiver) ServeCall(ctx context.Context, req *call.Request) *call.Response {
 	if caller.IsOwned(req) {
@@ -67,7 +80,7 @@
 func (r *receiver) refuseByState(req *call.Request) *call.Response {
 	status := r.backend.Status()
 	if status.State == endpoint.Gone || status.Service != req.Service {
-		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, errOtherService)))
+		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, backend.ErrOtherService)))
 	}
 	if status.State == endpoint.Draining || r.draining.Load() {
 		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
@@ -119,6 +132,8 @@
 	})
 	outcome := admission.Outcome{}
 	switch {
+	case errors.Is(err, backend.ErrLeaving): // since the request got its slot
+		resp = refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining})
 	case err != nil:
 		resp = call.ErrorResponse(req.Attempt, err)
 	case resp.Verdict == verdict.NotRun:
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -29,15 +29,17 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	b := backend.New(backend.Config{}, event.Nop())
+	r := &receiver{log: event.Nop(), admission: admission.New(admission.Config{Slots: 4}, time.Now)}
+	b := backend.New(backend.Config{Changed: r.backendChanged}, event.Nop())
 	t.Cleanup(b.Close)
+	r.backend = b
 	body := fmt.Sprintf(`{"service":"pages","address":%q,"state":"ready","slots":4,"connections":8}`, server.Listener.Addr())
 	w := httptest.NewRecorder()
 	b.Announcements().ServeHTTP(w, httptest.NewRequest("PUT", backend.AnnouncePath, bytes.NewBufferString(body)))
 	if w.Code != http.StatusNoContent {
 		t.Fatalf("announcement: %d %s", w.Code, w.Body)
 	}
-	return &receiver{log: event.Nop(), admission: admission.New(admission.Config{Slots: 4}, time.Now), backend: b}
+	return r
 }
 
 // Guards against a body that is granted although the request would be refused on arrival: the server
--- a/lib/event/transport.go
+++ b/lib/event/transport.go
@@ -8,6 +8,7 @@
 	BackendGone        = Event{3002, zapcore.WarnLevel, "backend server is gone"}
 	BackendConnFailed  = Event{3003, zapcore.WarnLevel, "cannot open a connection to the backend server"}
 	AnnounceRejected   = Event{3004, zapcore.WarnLevel, "announcement rejected"}
+	WaitingRefused     = Event{3005, zapcore.InfoLevel, "waiting requests refused because the backend server takes no new ones"}
 	CallConnRejected   = Event{4301, zapcore.WarnLevel, "call connection closed because of a protocol error"}
 	CallConnLimit      = Event{4302, zapcore.WarnLevel, "call connection refused at the connection limit"}
 	CallAttemptRefused = Event{4303, zapcore.WarnLevel, "attempt refused because it is fenced or a duplicate"}
--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -111,7 +111,7 @@
 func (c *Controller) offer(w *Waiter, kind string) (*Ticket, *Refusal, deliveries) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining {
+	if c.draining || c.closed {
 		return nil, &Refusal{Reason: ReasonDraining}, nil
 	}
 	now := c.now()
@@ -199,7 +199,7 @@
 func (c *Controller) Preview(r Request) *Refusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining {
+	if c.draining || c.closed {
 		return &Refusal{Reason: ReasonDraining}
 	}
 	if r.Rank == 0 {
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -71,6 +71,8 @@
 	// finishRate is the expected number of running requests that finish per second.
 	finishRate float64
 	draining   bool
+	// closed means that the backend server takes no new requests at present.
+	closed bool
 }
 
 // New returns a Controller that reads the time from now.
@@ -127,6 +129,32 @@
 	c.draining = true
 }
 
+// SetOpen records whether the backend server takes new requests. While it does not, waiting and new
+// requests are refused with ReasonDraining; running requests finish. It returns the number of waiting
+// requests that it refused.
+func (c *Controller) SetOpen(open bool) int {
+	c.mu.Lock()
+	c.closed = !open
+	var out deliveries
+	if c.closed {
+		out = c.refuseWaiting()
+	}
+	c.mu.Unlock()
+	out.deliver()
+	return len(out)
+}
+
+// refuseWaiting empties the queue. The caller must deliver the result after releasing the lock.
+func (c *Controller) refuseWaiting() deliveries {
+	var out deliveries
+	for w := c.queue.first(true); w != nil; w = c.queue.first(true) {
+		c.queue.remove(w)
+		out = append(out, delivery{w: w, refusal: &Refusal{Reason: ReasonDraining}})
+	}
+	c.publish()
+	return out
+}
+
 // hasSlot reports whether a request of the class may start now.
 func (c *Controller) hasSlot(class int) bool {
 	if c.running >= c.limiter.limit {
