Record the departure of a backend server before it is confirmed

What callers saw: after a daemon had confirmed that its server leaves and was killed and started again, a late heartbeat made the server ready once more, and 25 to 30 requests reached it until it exited (DRAIN).

Cause: the ended lifetime was kept in the memory of the process. A DELETE from a server that had not announced itself to this process was confirmed and forgotten, and an announcement without a start time was never matched with a departure.

Change: the last departure of an instance is kept as a row of the platform's store (both kinds of platform). It is recorded before it is confirmed; if that fails the server gets 503 and sends it again, while requests to it stop at once. A starting daemon reads the row before it uses an announcement that names its process, but accepts one 3 s after its start although the platform is away. A departure by DELETE before the first announcement is matched by the start time; an announcement without one counts as that of the process that left.

--- a/agent/adapter.go
+++ b/agent/adapter.go
@@ -9,6 +9,7 @@
 	"kingcupwood.example/kingcupwood/agent/backend"
 	peersync "kingcupwood.example/kingcupwood/agent/peer/sync"
 	"kingcupwood.example/kingcupwood/pkg/dialect"
+	"kingcupwood.example/kingcupwood/pkg/endpoint"
 )
 
 // Adapter connects a daemon to a platform that does not implement the protocols of
@@ -21,6 +22,8 @@
 	Source() peersync.Source
 	// Directory returns the directory in which daemons discover each other.
 	Directory() peersync.Directory
+	// Departures returns the log of the departures of the backend server on instance.
+	Departures(instance endpoint.InstanceID) backend.DepartureLog
 	// Announcements returns the handler of the announcements of backend servers.
 	Announcements(servers Servers) http.Handler
 	// Readiness returns the handler of readiness checks of this daemon.
@@ -38,8 +41,9 @@
 	Announce(a backend.Announcement) error
 	// Reject records that an announcement of the server with the given ID could not be read.
 	Reject(id string, err error)
-	// Leave records that the backend server with the given ID is stopping.
-	Leave(id string)
+	// Leave records that the backend server with the given ID is stopping. Errors of both methods have the
+	// status backend.RejectionStatus.
+	Leave(id string) error
 }
 
 // connectionsPerSlot is the number of connections per slot of a backend server if the configuration
@@ -64,7 +68,7 @@
 func (s servers) Reject(id string, err error) { s.d.backend.Reject(id, err) }
 
 // Leave implements Servers.
-func (s servers) Leave(id string) { s.d.backend.Leave(id) }
+func (s servers) Leave(id string) error { return s.d.backend.Leave(id) }
 
 // announcements returns the handler of announcements.
 func (d *Daemon) announcements() http.Handler {
@@ -74,6 +78,15 @@
 	return d.adapter.Announcements(servers{d})
 }
 
+// departures returns the log of the departures of the backend server on this instance.
+func (d *Daemon) departures() backend.DepartureLog {
+	instance := endpoint.InstanceID(d.settings.Daemon.Instance)
+	if d.adapter == nil {
+		return d.platform.Departures(instance)
+	}
+	return d.adapter.Departures(instance)
+}
+
 // hostIP returns the address at which the backend server of this instance must listen, unless it
 // listens on loopback. Only an adapter's platform promises that there is such an address.
 func (d *Daemon) hostIP() netip.Addr {
--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -105,9 +105,9 @@
 	return nil
 }
 
-// Announce applies an announcement. It ignores one that is older than the current announcement or
-// that arrives after Leave. It returns an error, and changes nothing, if the announcement is
-// invalid.
+// Announce applies an announcement. It ignores one that is older than the current announcement or that
+// arrives after the departure of its server. It returns an error, and changes nothing, if the
+// announcement is invalid. ErrUnconfirmed means that the server should send it again.
 func (b *Backend) Announce(a Announcement) error {
 	checked, err := checkAnnouncement(a)
 	return b.applyChecked(checked, err)
@@ -122,7 +122,15 @@
 		b.Reject(a.ID, err)
 		return err
 	}
+	if a.ID != "" {
+		if err := b.awaitDeparture(); err != nil {
+			return err
+		}
+	}
 	b.apply(a)
+	if a.state == endpoint.Draining {
+		return b.recordDeparture()
+	}
 	return nil
 }
 
@@ -139,29 +147,28 @@
 func truncate(text string) string { return text[:min(len(text), maxRejectionText)] }
 
 // Leave records that the backend server with the given ID is stopping. No further requests are sent
-// to it; requests in flight finish. Later announcements of the same lifetime are ignored.
-func (b *Backend) Leave(id string) {
+// to it; requests in flight finish. Later announcements of the same process are ignored. The error is
+// ErrUnconfirmed if the departure could not be recorded; the server should then send it again.
+func (b *Backend) Leave(id string) error {
 	b.mu.Lock()
-	if id == b.current.ID && b.current.state != 0 {
-		b.ended = lifetime{id, b.current.StartedMS}
+	switch {
+	case b.current.state == 0:
+		b.depart(id, 0) // it has not announced itself since the start of this process
+	case id == b.current.ID:
+		b.depart(id, b.current.StartedMS)
 		b.current.state = endpoint.Draining
 		b.renewedAt = b.cfg.Now()
 		b.pool.wakeWaiters()
 	}
 	b.mu.Unlock()
 	b.report()
+	return b.recordDeparture()
 }
 
-// lifetime identifies one run of a backend server process.
-type lifetime struct {
-	id        string
-	startedMS int64
-}
-
-// outdated reports whether a is older than the current announcement or belongs to a lifetime that
-// has ended; the caller holds b.mu.
+// outdated reports whether a is older than the current announcement or comes from a process that has
+// departed; the caller holds b.mu.
 func (b *Backend) outdated(a *checkedAnnouncement) bool {
-	if a.ID != "" && b.ended == (lifetime{a.ID, a.StartedMS}) {
+	if a.state != endpoint.Draining && b.departed.Covers(a.ID, a.StartedMS) {
 		return true
 	}
 	last := &b.current
@@ -174,14 +181,23 @@
 	return a.ID == last.ID && a.Sequence <= last.Sequence
 }
 
-// Announcements returns the handler of PUT /v1/announce. It responds with 204, or with 400 and the
-// reason if the announcement is invalid; an invalid announcement changes nothing.
+// RejectionStatus returns the HTTP status for an error of Announce or Leave.
+func RejectionStatus(err error) int {
+	if errors.Is(err, ErrUnconfirmed) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
+// Announcements returns the handler of PUT /v1/announce. It responds with 204, with 400 and the reason
+// if the announcement is invalid, or with 503 if it should be sent again. An invalid announcement
+// changes nothing.
 func (b *Backend) Announcements() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT "+AnnouncePath, func(w http.ResponseWriter, r *http.Request) {
 		a, err := parseAnnouncement(r.Body)
 		if err = b.applyChecked(a, err); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			http.Error(w, err.Error(), RejectionStatus(err))
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -4,6 +4,7 @@
 package backend
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -45,6 +46,8 @@
 	// HostIP is the address of this instance. If it is set, announcements with an address of another
 	// host are rejected; loopback addresses are accepted.
 	HostIP netip.Addr
+	// Departures keeps the last departure beyond the process; nil means that it is kept in memory only.
+	Departures DepartureLog
 }
 
 // Status holds the announced values of the backend server and its current state.
@@ -65,6 +68,12 @@
 	rejectLog rate.Sometimes
 	stop      chan struct{}
 	done      chan struct{}
+	started   time.Time
+	// running ends with Close. loaded is closed when the last departure of an earlier process is known,
+	// loadEnded when it is not being read any more.
+	running           context.Context
+	end               context.CancelFunc
+	loaded, loadEnded chan struct{}
 
 	// notify serializes the calls of Config.Changed; it is locked before mu.
 	notify   sync.Mutex
@@ -73,8 +82,10 @@
 	mu        sync.Mutex
 	current   checkedAnnouncement
 	renewedAt time.Time
-	// ended is the lifetime that was ended by Leave.
-	ended   lifetime
+	// departed is the last departure of a backend server on this instance, recorded the one that
+	// Config.Departures keeps.
+	departed, recorded endpoint.Departure
+
 	refused bool // a connection was refused since the last renewal
 	pool    pool
 	closed  bool
@@ -94,7 +105,14 @@
 	b := &Backend{
 		cfg: cfg, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval},
 		maintainNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
-		reported: Status{State: endpoint.Gone},
+		reported: Status{State: endpoint.Gone}, started: time.Now(), loaded: make(chan struct{}), loadEnded: make(chan struct{}),
+	}
+	b.running, b.end = context.WithCancel(context.Background())
+	if cfg.Departures == nil {
+		close(b.loaded)
+		close(b.loadEnded)
+	} else {
+		go b.loadDeparture()
 	}
 	go b.maintain()
 	return b
@@ -111,7 +129,9 @@
 	b.pool.reset("", "")
 	b.mu.Unlock()
 	close(b.stop)
+	b.end()
 	<-b.done
+	<-b.loadEnded
 }
 
 // State returns the announced state. It returns Gone if there is no announcement, if it has
@@ -152,6 +172,9 @@
 	b.pool.maxOpen = a.Connections
 	b.pool.wakeWaiters()
 	b.current, b.renewedAt, b.refused = a, b.cfg.Now(), false
+	if a.state == endpoint.Draining {
+		b.depart(a.ID, a.StartedMS)
+	}
 	b.mu.Unlock()
 	b.report()
 	b.triggerMaintain()
--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -331,7 +331,7 @@
 		waiting = b.pool.freed != nil
 		b.mu.Unlock()
 	}
-	b.Leave("")
+	is.NoErr(b.Leave(""))
 	err := <-results
 	is.True(errors.Is(err, ErrLeaving))
 	is.Equal(verdict.Of(err), verdict.NotRun)
@@ -357,7 +357,7 @@
 	is.NoErr(b.Announce(restarted))
 	is.True(errors.Is(b.checkSend(old, request()), ErrGone))
 	b.discard(old)
-	b.Leave("i-2")
+	is.NoErr(b.Leave("i-2"))
 	_, err = b.Do(testCtx(t, testTimeout), request(), startOK)
 	is.True(errors.Is(err, ErrLeaving))
 	is.Equal(s.requests.Load(), int32(0))
--- a/agent/backend/dialect_test.go
+++ b/agent/backend/dialect_test.go
@@ -167,9 +167,9 @@
 	is.Equal(b.State(), endpoint.Ready)
 	announce("i-1", 100, 9, "draining")
 	is.Equal(b.State(), endpoint.Ready)
-	b.Leave("i-0") // an earlier one
+	is.NoErr(b.Leave("i-0")) // an earlier one
 	is.Equal(b.State(), endpoint.Ready)
-	b.Leave("i-1")
+	is.NoErr(b.Leave("i-1"))
 	is.Equal(b.State(), endpoint.Draining)
 	announce("i-1", 200, 7, "ready")
 	is.Equal(b.State(), endpoint.Draining)
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -21,7 +21,7 @@
 		draining bool
 	}{
 		"draining": {func(b *backend.Backend, a backend.Announcement) error { a.State = "draining"; return b.Announce(a) }, true},
-		"left":     {func(b *backend.Backend, a backend.Announcement) error { b.Leave(a.ID); return nil }, true},
+		"left":     {func(b *backend.Backend, a backend.Announcement) error { return b.Leave(a.ID) }, true},
 		"replaced": {func(b *backend.Backend, a backend.Announcement) error { a.Service = "finder"; return b.Announce(a) }, false},
 	}
 	for name, c := range changes {
--- a/agent/store/doc.go
+++ b/agent/store/doc.go
@@ -14,6 +14,7 @@
 //	revision#<service>  <20-digit number>  the same change, found by service and revision
 //	draft               <service>          the submitted draft of a service
 //	lease               <name>             holder, fencing token, expiry in ms, published value
+//	departure           <instance>         ID and start in ms of the last backend server that left, time
 //	operator#<sha256>   operator           operator (name), services (string set, * for all)
 //
 // The administrators of the platform write the operator rows; <sha256> is the hash of the bearer
--- a/lib/event/transport.go
+++ b/lib/event/transport.go
@@ -4,11 +4,16 @@
 
 // Events of the backend server and of the calls between daemons.
 var (
-	BackendAnnounced   = Event{3001, zapcore.InfoLevel, "backend server announced a new state"}
-	BackendGone        = Event{3002, zapcore.WarnLevel, "backend server is gone"}
-	BackendConnFailed  = Event{3003, zapcore.WarnLevel, "cannot open a connection to the backend server"}
-	AnnounceRejected   = Event{3004, zapcore.WarnLevel, "announcement rejected"}
-	WaitingRefused     = Event{3005, zapcore.InfoLevel, "waiting requests refused because the backend server takes no new ones"}
+	BackendAnnounced  = Event{3001, zapcore.InfoLevel, "backend server announced a new state"}
+	BackendGone       = Event{3002, zapcore.WarnLevel, "backend server is gone"}
+	BackendConnFailed = Event{3003, zapcore.WarnLevel, "cannot open a connection to the backend server"}
+	AnnounceRejected  = Event{3004, zapcore.WarnLevel, "announcement rejected"}
+	WaitingRefused    = Event{3005, zapcore.InfoLevel, "waiting requests refused because the backend server takes no new ones"}
+	// DepartureUnknown and DepartureNotRecorded report that the platform cannot be reached for the
+	// departures of the backend server.
+	DepartureUnknown     = Event{3006, zapcore.WarnLevel, "cannot read the last departure of a backend server"}
+	DepartureNotRecorded = Event{3007, zapcore.WarnLevel, "departure of the backend server not confirmed because it cannot be recorded"}
+
 	CallConnRejected   = Event{4301, zapcore.WarnLevel, "call connection closed because of a protocol error"}
 	CallConnLimit      = Event{4302, zapcore.WarnLevel, "call connection refused at the connection limit"}
 	CallAttemptRefused = Event{4303, zapcore.WarnLevel, "attempt refused because it is fenced or a duplicate"}
