--- a/agent/backend/departure.go
+++ b/agent/backend/departure.go
@@ -17,9 +17,10 @@
 const (
 	// recordTimeout limits the recording of a departure. Backend servers wait 1 s for a confirmation.
 	recordTimeout = 800 * time.Millisecond
-	// loadTimeout limits one attempt to read the last departure, loadPause is the pause after a failure.
+	// loadTimeout limits one attempt to read the last departure.
 	loadTimeout = time.Second
-	loadPause   = 200 * time.Millisecond
+	// logPause is the pause after a failed call of the DepartureLog.
+	logPause = 200 * time.Millisecond
 	// announceWait limits how long an announcement waits until the last departure is known.
 	announceWait = 500 * time.Millisecond
 	// loadGrace is the time after the start from which announcements are accepted although the last
@@ -55,7 +56,7 @@
 			failed = true
 		}
 		select {
-		case <-time.After(loadPause):
+		case <-time.After(logPause):
 		case <-ctx.Done():
 		}
 	}
@@ -115,11 +116,19 @@
 	if done || b.cfg.Departures == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	ctx, cancel := context.WithTimeout(b.running, recordTimeout)
 	defer cancel()
-	if err := b.cfg.Departures.Record(ctx, d); err != nil {
-		b.log.Log(event.DepartureNotRecorded, zap.String("id", d.ServerID), zap.Error(err))
-		return ErrUnconfirmed
+	for {
+		err := b.cfg.Departures.Record(ctx, d)
+		if err == nil {
+			break
+		}
+		select {
+		case <-time.After(logPause):
+		case <-ctx.Done():
+			b.log.Log(event.DepartureNotRecorded, zap.String("id", d.ServerID), zap.Error(err))
+			return ErrUnconfirmed
+		}
 	}
 	b.mu.Lock()
 	b.recorded = d
