Take only work that ends before a stopping daemon does

What callers saw: with two daemons stopping 1 s apart, calls running at the server of the first were broken off 5.5 s after its SIGTERM, and callers of the second got 502 for unsafe requests that had time left (LOST).

Cause: a stopping daemon took calls for 1.5 s and requests of callers for 2.5 s whatever time they had, up to 6 s, and ended 5.5 s after the SIGTERM.

Change: from the SIGTERM on a daemon compares the time of each call with its own end and refuses as not run what may outlast it; the time of a caller's request is cut to the daemon's.

--- a/agent/caller/deadline_test.go
+++ b/agent/caller/deadline_test.go
@@ -42,6 +42,21 @@
 	})
 }
 
+// Guards against a stopping daemon that passes on a request with more time than it has left itself: the
+// backend server would still be at work on it when the daemon breaks it off.
+func TestDeadlineEndsBeforeTheDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench("a", "b")
+		stopBy := time.Now().Add(200 * time.Millisecond)
+		b.config.StopBy = func() time.Time { return stopBy }
+		is.Equal(b.serveHTTP(request("GET", "/pages/1", "", call.TimeoutHeader, "300")).Code, http.StatusOK)
+		is.Equal(b.remote.sent[0].Timeout, 196*time.Millisecond)
+		is.Equal(b.serveHTTP(request("GET", "/pages/1", "", call.TimeoutHeader, "100")).Code, http.StatusOK)
+		is.Equal(b.remote.sent[1].Timeout, 98*time.Millisecond)
+	})
+}
+
 // Guards against a fence that delays the response to the caller, and against treating a late answer
 // as proof.
 func TestLateFenceAnswer(t *testing.T) {
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -73,6 +73,9 @@
 	Origin string
 	// Stopping reports whether this daemon is about to stop; nil means that it never is.
 	Stopping func() bool
+	// StopBy returns the time by which all requests must have ended because this daemon stops then, zero
+	// if it is not stopping; nil means that it never is.
+	StopBy func() time.Time
 	// Random returns a uniform random number and is called concurrently; nil selects math/rand.
 	Random func() uint64
 	Log    *event.Logger
@@ -117,6 +120,9 @@
 	if config.Stopping == nil {
 		config.Stopping = func() bool { return false }
 	}
+	if config.StopBy == nil {
+		config.StopBy = func() time.Time { return time.Time{} }
+	}
 	h := &Handler{config: config}
 	h.keys = newKeyOwner(h)
 	return h
@@ -179,6 +185,13 @@
 	h.refuse(w, res.refusal)
 }
 
+// RefuseStopping refuses a request that arrives when this daemon takes no more.
+func (h *Handler) RefuseStopping(w http.ResponseWriter, _ *http.Request) {
+	f := refuse(http.StatusServiceUnavailable, "this daemon is stopping")
+	f.retryAfter = minRetryAfter
+	h.refuse(w, f)
+}
+
 func (h *Handler) serve(ctx context.Context, e *exchange) *result {
 	if e.key != "" && !e.kind.Idempotent {
 		return h.keys.serve(ctx, e)
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -99,6 +99,9 @@
 	}
 	nested := depth > 1 && isNested(r, marks.Attempt, h.config.Running)
 	e.deadline, e.key = now.Add(timeout), key
+	if stopBy := h.config.StopBy(); !stopBy.IsZero() && stopBy.Before(e.deadline) {
+		e.deadline = stopBy
+	}
 	if allowed, ok := allowedTime(r, marks.TimeLeft); ok && e.routed() {
 		e.targetTime = e.targetTime.Add(-h.timeoutEstimates.waited(kind.Name, allowed, now))
 	}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -213,10 +213,10 @@
 		QueryKey: d.askKey, Running: d.receiver.running.contains, RepeatShare: d.receiver.running.repeatShare, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
 		Budgets: d.retries, Recorder: d.burn, Log: d.log, Now: time.Now,
-		Stopping: func() bool { return d.gate.draining.Load() },
-		Dialect:  d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
+		Stopping: func() bool { return d.gate.draining.Load() }, StopBy: d.callerStopBy,
+		Dialect: d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
 	})
-	d.gate = &gate{next: d.callers, log: d.log}
+	d.gate = &gate{next: d.callers, refuse: http.HandlerFunc(d.callers.RefuseStopping), log: d.log}
 }
 
 func (d *Daemon) buildRPC() error {
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -62,3 +62,21 @@
 		})
 	}
 }
+
+// Guards against a stopping daemon that takes a call of another daemon for its backend server although it
+// breaks it off at its own end: the caller has time left, and the request may not be repeatable.
+func TestStoppingDaemonTakesOnlyCallsThatEndInTime(t *testing.T) {
+	is := is.New(t)
+	r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) {})
+	stopBy := time.Now().Add(time.Minute)
+	r.stopBy.Store(&stopBy)
+	for timeout, want := range map[time.Duration]verdict.Verdict{time.Second: verdict.Ran, 2 * time.Minute: verdict.NotRun} {
+		req := testRequest()
+		req.Timeout = timeout
+		resp := r.ServeCall(t.Context(), req)
+		is.Equal(resp.Verdict, want)
+		is.Equal(resp.Draining, want == verdict.NotRun)
+		_, refused := r.AdmitBody(t.Context(), req, 1)
+		is.Equal(refused != nil, want == verdict.NotRun)
+	}
+}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -31,7 +31,9 @@
 	// owned processes requests whose idempotency key this daemon owns.
 	owned    func(ctx context.Context, r *call.Request) *call.Response
 	draining atomic.Bool
-	log      *event.Logger
+	// stopBy is when the daemon ends the requests that are still running; nil unless it is stopping.
+	stopBy atomic.Pointer[time.Time]
+	log    *event.Logger
 	// requestID is the name of the header with the request ID of the caller.
 	requestID string
 	// service is the last announced service; only backendChanged uses it.
@@ -76,13 +78,20 @@
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
-// refuseByState refuses req if the backend server does not serve its service or is draining.
+// outlasts reports whether req may still be running when this daemon, which is stopping, ends it.
+func (r *receiver) outlasts(req *call.Request) bool {
+	stopBy := r.stopBy.Load()
+	return stopBy != nil && time.Now().Add(retry.HopTimeout(req.Timeout)).After(*stopBy)
+}
+
+// refuseByState refuses req if the backend server does not serve its service or is draining, or if this
+// daemon may stop before the request ends.
 func (r *receiver) refuseByState(req *call.Request) *call.Response {
 	status := r.backend.Status()
 	if status.State == endpoint.Gone || status.Service != req.Service {
 		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, backend.ErrOtherService)))
 	}
-	if status.State == endpoint.Draining || r.draining.Load() {
+	if status.State == endpoint.Draining || r.draining.Load() || r.outlasts(req) {
 		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
 	}
 	return nil
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -20,15 +20,21 @@
 // cancels.
 const responseTime = 300 * time.Millisecond
 
+// endPollInterval is the interval between checks whether the requests of callers have ended.
+const endPollInterval = 10 * time.Millisecond
+
 // handoverTimeout is the timeout for transferring idempotency keys to their next owners.
 const handoverTimeout = 5 * time.Second
 
 // gate forwards requests of callers. While the daemon drains, it sends "Connection: close", so that
-// no request is in transit when the listener closes.
+// no request is in transit when the listener closes. Once closed, it refuses new requests at once: their
+// callers learn that they have not run, which a connection that closes does not tell.
 type gate struct {
-	next     http.Handler
-	draining atomic.Bool
-	log      *event.Logger
+	next, refuse     http.Handler
+	draining, closed atomic.Bool
+	// running is the number of requests that have not ended.
+	running atomic.Int64
+	log     *event.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -36,6 +42,12 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	if g.closed.Load() {
+		g.refuse.ServeHTTP(w, r)
+		return
+	}
 	defer g.log.ContainPanic("caller", func() {
 		// The request may have run. If a response was already begun, its connection must close early.
 		w.Header().Set("Connection", "close")
@@ -44,6 +56,14 @@
 	g.next.ServeHTTP(w, r)
 }
 
+// close refuses requests from now on and waits until the others have ended or ctx ends.
+func (g *gate) close(ctx context.Context) {
+	g.closed.Store(true)
+	for g.running.Load() > 0 && ctx.Err() == nil {
+		wait(ctx, endPollInterval)
+	}
+}
+
 // callerServer returns the server for callers. d.endRequests cancels its requests.
 func (d *Daemon) callerServer() *http.Server {
 	requests, end := context.WithCancel(context.Background())
@@ -64,9 +84,11 @@
 
 // drain announces that this instance is stopping, refuses new requests for its backend server after
 // ServeTime, continues to route requests of callers to other instances for DrainTime, and waits for
-// the requests in flight.
+// the requests in flight. From the start it takes only requests that end before it does.
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.log.Log(event.DaemonStopping)
+	stopBy := time.Now().Add(d.settings.Daemon.DrainTime + d.settings.Daemon.StopTime)
+	d.receiver.stopBy.Store(&stopBy)
 	d.gate.draining.Store(true)
 	wait(ctx, d.settings.Daemon.ServeTime)
 	d.receiver.draining.Store(true)
@@ -78,12 +100,13 @@
 	left := make(chan struct{})
 	go func() { defer close(left); d.follower.LeaveDirectory(ctx) }()
 	defer func() { <-left }()
-	limit, cancel := context.WithTimeout(ctx, d.settings.Daemon.StopTime)
+	limit, cancel := context.WithDeadline(ctx, stopBy)
 	defer cancel()
 	// Requests that have not finished by then are cancelled in time to send a response before their
 	// connection is closed.
-	cancelRequests := time.AfterFunc(d.settings.Daemon.StopTime-responseTime, d.endRequests)
+	cancelRequests := time.AfterFunc(time.Until(stopBy)-responseTime, d.endRequests)
 	defer cancelRequests.Stop()
+	d.gate.close(limit)
 	if err := callers.Shutdown(limit); err != nil {
 		d.log.Log(event.DrainIncomplete, zap.String("part", "callers"), zap.Error(err))
 	}
@@ -93,6 +116,16 @@
 	d.handOverKeys(ctx)
 }
 
+// callerStopBy returns the time by which requests of callers must have ended, zero unless this daemon is
+// stopping.
+func (d *Daemon) callerStopBy() time.Time {
+	stopBy := d.receiver.stopBy.Load()
+	if stopBy == nil {
+		return time.Time{}
+	}
+	return stopBy.Add(-responseTime)
+}
+
 // handOverKeys transfers the outcomes of the idempotency keys of this daemon to their next owners.
 // The other daemons regard this one as the owner until it leaves the membership, which happens
 // afterwards.
