Keep rows of lost daemons from hiding the living ones in the directory

Cause: the directory returned the first 64 rows in the order of the names, and nobody removed the row of a daemon that was lost.

A starting daemon asks unknown daemons in growing groups.

--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -11,6 +11,7 @@
 	"kingcupwood.example/kingcupwood/lib/event"
 	"kingcupwood.example/kingcupwood/pkg/distribution"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
+	"kingcupwood.example/kingcupwood/pkg/membership"
 )
 
 // Directory is a registry of daemons outside of the membership, through which daemons without seeds
@@ -21,8 +22,12 @@
 	Register(ctx context.Context, instance endpoint.InstanceID, name string) error
 	// Remove deletes the entry of a daemon.
 	Remove(ctx context.Context, instance endpoint.InstanceID) error
-	// List returns the registered daemons, at most a few dozen.
-	List(ctx context.Context) (Listing, error)
+	// RemoveStale deletes the entry with the given name if there still is one.
+	RemoveStale(ctx context.Context, name string) error
+	// List returns the registered daemons, at most a few dozen. If there are more, it returns a random
+	// selection, so that the entries of daemons that are gone do not hide the others. The entry of the
+	// instance self is always among them.
+	List(ctx context.Context, self endpoint.InstanceID) (Listing, error)
 }
 
 // Listing is the content of a Directory.
@@ -44,13 +49,13 @@
 const (
 	// maxJoinAll is the number of unknown daemons up to which a daemon exchanges its records with
 	// all of them. If there are more, it selects joinSample of them at random, as each answers with
-	// the records of all members.
+	// the records of all members, and twice as many in each further round, as they may be gone.
 	maxJoinAll = 10
 	joinSample = 4
 	// joinRounds bounds the number of rounds in which a starting daemon joins daemons that are
 	// still unknown after the previous round; joinRoundInterval is the pause between them. After a
 	// failure of all daemons each one knows only itself.
-	joinRounds        = 4
+	joinRounds        = 5
 	joinRoundInterval = 100 * time.Millisecond
 	// joinRoundTimeout bounds the wait for the answers of one round, as a machine that is down does
 	// not answer.
@@ -63,6 +68,13 @@
 	relistMax           = 5 * time.Minute
 	// removeTimeout bounds the removal of a daemon from the directory.
 	removeTimeout = 500 * time.Millisecond
+	// staleAfter is the time after which an entry is stale if its daemon is neither a member nor known
+	// to be dead. maxStaleRemovals bounds the entries that a daemon removes after one read of the
+	// directory.
+	staleAfter       = 30 * time.Second
+	maxStaleRemovals = 8
+	// maxAbsent bounds the entries of unknown daemons whose first sight is remembered.
+	maxAbsent = 1024
 	// skippedLogInterval is the minimum interval between log lines about skipped entries.
 	skippedLogInterval = 10 * time.Second
 )
@@ -77,8 +89,10 @@
 			continue
 		}
 		f.joinListed(ctx, names)
+		f.removeStale(ctx, names)
 		first := !registered
-		if registered = registered || f.isListed(names) || f.registerInDirectory(ctx); !registered {
+		// Another daemon may have removed the entry while this one could not be reached.
+		if registered = f.isListed(names) || f.registerInDirectory(ctx); !registered {
 			pause(ctx, failed.Next(f.random))
 			continue
 		}
@@ -108,7 +122,7 @@
 func (f *Follower) listDirectory(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
-	listing, err := f.cfg.Directory.List(ctx)
+	listing, err := f.cfg.Directory.List(ctx, f.cfg.Self.Instance)
 	f.recordDirectoryResult(err)
 	if err == nil {
 		f.listed.Store(int64(len(listing.Names)))
@@ -148,8 +162,8 @@
 // rounds, as daemons that start at the same time learn of others between the rounds.
 func (f *Follower) joinListed(ctx context.Context, names []string) {
 	var attempts joinAttempts
-	for range joinRounds {
-		addrs := f.unknownAddrs(names)
+	for n := range joinRounds {
+		addrs := f.unknownAddrs(names, &attempts, joinSample<<n)
 		if len(addrs) == 0 {
 			return
 		}
@@ -201,6 +215,13 @@
 	return true
 }
 
+// unanswered reports whether addr did not answer so far.
+func (j *joinAttempts) unanswered(addr string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.running[addr] || j.failed[addr]
+}
+
 // end finishes an attempt and reports whether err is the first failure of addr.
 func (j *joinAttempts) end(addr string, err error) bool {
 	j.mu.Lock()
@@ -212,8 +233,9 @@
 }
 
 // unknownAddrs returns the addresses of the listed daemons that are not members: all of them, or a
-// random sample if there are more than maxJoinAll.
-func (f *Follower) unknownAddrs(names []string) []string {
+// random sample of the given size if there are more than maxJoinAll. It contains those that did not
+// answer before only if there are no others.
+func (f *Follower) unknownAddrs(names []string, attempts *joinAttempts, sample int) []string {
 	records := f.cfg.Members.View().Records
 	var addrs []string
 	for _, name := range names {
@@ -227,11 +249,68 @@
 		addrs = append(addrs, addr)
 	}
 	if len(addrs) > maxJoinAll {
-		return f.shuffle(addrs)[:joinSample]
+		if untried := slices.DeleteFunc(slices.Clone(addrs), attempts.unanswered); len(untried) > 0 {
+			addrs = untried
+		}
+		addrs = f.shuffle(addrs)
+		return addrs[:min(sample, len(addrs))]
 	}
 	return addrs
 }
 
+// removeStale removes some of the listed entries whose daemons are gone: those known to be dead, and those
+// that have not been members for staleAfter. A daemon without other members may be the one that is cut
+// off, and removes none.
+func (f *Follower) removeStale(ctx context.Context, names []string) {
+	members := 0
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { members = s.Size() })
+	if members <= 1 {
+		return
+	}
+	removed := 0
+	for _, name := range names {
+		if removed == maxStaleRemovals || ctx.Err() != nil {
+			return
+		}
+		if !f.isStale(name, time.Now()) {
+			continue
+		}
+		removed++
+		limit, cancel := context.WithTimeout(ctx, sourceTimeout)
+		err := f.cfg.Directory.RemoveStale(limit, name)
+		cancel()
+		f.recordDirectoryResult(err)
+		if err != nil {
+			return
+		}
+		delete(f.absent, name)
+		f.cfg.Log.Log(event.StaleEntryRemoved, zap.String("name", name))
+	}
+}
+
+// isStale reports whether the daemon with this entry is gone. Only the goroutine of useDirectory calls it.
+func (f *Follower) isStale(name string, now time.Time) bool {
+	id, _, err := ParseHolderName(name)
+	if err != nil || id == f.cfg.Self.Instance {
+		return false
+	}
+	var status membership.Status
+	var known bool
+	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { status, known = s.StatusOf(id) })
+	switch {
+	case known && status == membership.Dead:
+		return true
+	case known:
+		delete(f.absent, name)
+		return false
+	}
+	since, seen := f.absent[name]
+	if !seen && len(f.absent) < maxAbsent {
+		f.absent[name] = now
+	}
+	return seen && now.Sub(since) >= staleAfter
+}
+
 // LeaveDirectory removes this daemon from the directory when it stops. If that fails, the entry is
 // replaced at the next start.
 func (f *Follower) LeaveDirectory(ctx context.Context) {
--- a/agent/peer/sync/follower.go
+++ b/agent/peer/sync/follower.go
@@ -99,6 +99,9 @@
 	listed atomic.Int64
 	// directoryFailing is set if the last call of the Directory failed.
 	directoryFailing bool
+	// absent holds when entries of the Directory whose daemons are unknown were first seen, by name. Only
+	// the goroutine of useDirectory uses it.
+	absent map[string]time.Time
 	// skippedLog limits the log lines about entries that name no daemon.
 	skippedLog rate.Sometimes
 	// isLeading is set while this daemon holds a lease and reads the head, or is a reader of the
@@ -141,7 +144,7 @@
 	}
 	return &Follower{
 		confirmed: newConfirmation(), cfg: cfg, dial: withWriteTimeout(cfg.Dial), entries: newEntryCodec(), joined: make(chan struct{}), headRequested: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		objects: rate.NewLimiter(objectRate, objectBurst), answers: newAnswers(), skippedLog: rate.Sometimes{Interval: skippedLogInterval},
+		objects: rate.NewLimiter(objectRate, objectBurst), answers: newAnswers(), skippedLog: rate.Sometimes{Interval: skippedLogInterval}, absent: map[string]time.Time{},
 	}
 }
 
--- a/agent/peer/sync/source_test.go
+++ b/agent/peer/sync/source_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -197,7 +198,14 @@
 
 func (d *fakeDirectory) Remove(context.Context, endpoint.InstanceID) error { return nil }
 
-func (d *fakeDirectory) List(context.Context) (Listing, error) {
+func (d *fakeDirectory) RemoveStale(_ context.Context, name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.names = slices.DeleteFunc(d.names, func(other string) bool { return other == name })
+	return nil
+}
+
+func (d *fakeDirectory) List(context.Context, endpoint.InstanceID) (Listing, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return Listing{Names: slices.Clone(d.names)}, nil
@@ -207,9 +215,21 @@
 // after a failure of all of them, against a stale entry that delays the others, and against an
 // entry that is rewritten at each start.
 func TestDirectoryAfterTotalFailure(t *testing.T) {
+	joinAfterTotalFailure(t, 12, &fakeDirectory{names: []string{"gone 192.0.2.1:7000"}}) // it does not answer
+}
+
+// Guards against daemons that do not find each other because most entries are of daemons that were lost
+// without a stop (RECOVER).
+func TestDirectoryOfLostDaemons(t *testing.T) {
+	directory := &fakeDirectory{}
+	for n := range 70 {
+		directory.names = append(directory.names, fmt.Sprintf("gone-%d 192.0.2.%d:7000", n, 1+n))
+	}
+	joinAfterTotalFailure(t, 8, directory)
+}
+
+func joinAfterTotalFailure(t *testing.T, daemons int, directory *fakeDirectory) {
 	is := is.New(t)
-	const daemons = 12
-	directory := &fakeDirectory{names: []string{"gone 192.0.2.1:7000"}} // a listed daemon that does not answer
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -224,7 +244,7 @@
 		}
 		directory.names = append(directory.names, HolderName(self))
 		dial := func(ctx context.Context, addr string) (net.Conn, error) {
-			if addr == "192.0.2.1:7000" {
+			if strings.HasPrefix(addr, "192.0.2.") {
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
@@ -250,6 +270,51 @@
 	is.Equal(directory.registered, 0)
 }
 
+// Guards against entries of lost daemons that stay in the directory for good, and against the removal of
+// the entry of a daemon that lives, is only unknown for a moment, or is listed by one that is cut off.
+func TestStaleEntriesAreRemoved(t *testing.T) {
+	is := is.New(t)
+	record := func(id string) endpoint.Record {
+		return endpoint.Record{Instance: endpoint.InstanceID(id), Domain: "a", Incarnation: 1, State: endpoint.Ready, RPCAddr: "127.0.0.1:1", ProbeAddr: "127.0.0.1:1", CallAddr: "127.0.0.1:1"}
+	}
+	names := []string{HolderName(record("self")), HolderName(record("alive")), HolderName(record("dead")), "unknown 127.0.0.1:2"}
+	directory := &fakeDirectory{names: slices.Clone(names)}
+	members := newLocalMembers(record("self"))
+	f := NewFollower(Config{Self: record("self"), Members: members, Store: NewStore(&realCodec{}), Directory: directory, Dial: DialTCP, Log: event.Nop(), Seed: 1})
+	now := time.Now()
+	f.absent["unknown 127.0.0.1:2"] = now.Add(-2 * staleAfter)
+	f.removeStale(t.Context(), names)
+	is.Equal(directory.names, names) // it knows no other daemon
+	members.Do(func(now time.Time, s *membership.State) {
+		s.Merge(now, []membership.Entry{{Record: record("alive")}, {Record: record("dead")}})
+		s.Merge(now, []membership.Entry{{Record: record("dead"), Dead: true, DeadIncarnation: 1}})
+	})
+	f.removeStale(t.Context(), append(names, "new 127.0.0.1:3"))
+	is.Equal(directory.names, names[:2])
+	is.True(!f.isStale("new 127.0.0.1:3", now.Add(staleAfter/2)))
+	is.True(f.isStale("new 127.0.0.1:3", now.Add(2*staleAfter)))
+}
+
+// Guards against a daemon that is not listed any more, because others could not reach it for a while.
+func TestRemovedEntryIsRegisteredAgain(t *testing.T) {
+	is := is.New(t)
+	directory := &fakeDirectory{}
+	self := endpoint.Record{Instance: "i1", Domain: "a", RPCAddr: "127.0.0.1:1"}
+	f := NewFollower(Config{Self: self, Members: newLocalMembers(self), Store: NewStore(&realCodec{}), Directory: directory, Dial: DialTCP, Log: event.Nop(), Seed: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { f.useDirectory(ctx) })
+	listed := func() bool {
+		listing, err := directory.List(ctx, "i1")
+		return err == nil && len(listing.Names) == 1
+	}
+	waitFor(t, "the entry", listed)
+	is.NoErr(directory.RemoveStale(ctx, HolderName(self)))
+	waitFor(t, "the entry once more", listed)
+	cancel()
+	running.Wait()
+}
+
 // Guards against a daemon that queries a directory without a pause while it rejects writes.
 func TestDirectoryWithoutWrites(t *testing.T) {
 	is := is.New(t)
--- a/lib/event/peer.go
+++ b/lib/event/peer.go
@@ -25,5 +25,6 @@
 	QuestionFailed      = Event{5112, zapcore.WarnLevel, "question for a new version failed"}
 	DirectoryFailed     = Event{4204, zapcore.WarnLevel, "directory of the daemons does not answer, will be retried"}
 	EntriesSkipped      = Event{4205, zapcore.WarnLevel, "entries that name no daemon were passed over"}
+	StaleEntryRemoved   = Event{4206, zapcore.InfoLevel, "entry of a daemon that is gone removed from the directory"}
 	HeadReadFailed      = Event{5108, zapcore.WarnLevel, "reading the head from the platform failed"}
 )
