Bound the memory for the bodies of all connections

What callers saw: five bodies of 60 MiB at once took a daemon over 284 MiB; it was killed, and 7 or 8 requests of its other callers ended with it (LOST).

Cause: bodies were bounded one by one. Their sum was not, for callers, for calls of other daemons and for the responses of daemons; a body of known length was copied to larger buffers as it arrived.

A body of known length reserves its memory before it is read. What does not fit is refused at once as not run; a body that is late is refused at the deadline of its request.

The new tests use the budget, which did not exist.

--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -101,6 +101,7 @@
 	c.readLimit.N = maxHeadBytes
 	first := !c.used
 	c.used = true
+	c.body.request = r.Memory
 	defer c.body.release()
 	if n, err := c.write(r.Body); err != nil {
 		v := verdict.MayHaveRun
--- a/agent/backend/memory.go
+++ b/agent/backend/memory.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 )
 
 const (
@@ -27,6 +28,8 @@
 type bodyMemory struct {
 	shared *responseMemory
 	source io.Reader
+	// request counts the bytes until the response has been passed on.
+	request *bodymemory.Hold
 	// read is the size of the body so far, counted the part of it that is counted in shared.
 	read, counted int64
 }
@@ -41,6 +44,9 @@
 			return n, ErrResponseMemory
 		}
 	}
+	if m.request.Grow(n) != nil {
+		return n, ErrResponseMemory
+	}
 	return n, err
 }
 
@@ -49,5 +55,5 @@
 	if m.counted > 0 {
 		m.shared.used.Add(-m.counted)
 	}
-	m.source, m.read, m.counted = nil, 0, 0
+	m.source, m.request, m.read, m.counted = nil, nil, 0, 0
 }
--- a/agent/caller/handler.go
+++ b/agent/caller/handler.go
@@ -14,6 +14,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/dialect"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
@@ -76,6 +77,8 @@
 	// StopBy returns the time by which all requests must have ended because this daemon stops then, zero
 	// if it is not stopping; nil means that it never is.
 	StopBy func() time.Time
+	// Memory bounds the bodies of requests in progress; nil means no bound.
+	Memory *bodymemory.Budget
 	// Random returns a uniform random number and is called concurrently; nil selects math/rand.
 	Random func() uint64
 	Log    *event.Logger
@@ -159,7 +162,9 @@
 		h.refuse(w, f)
 		return
 	}
-	e, err := h.newExchange(snap, r, arrived)
+	memory := h.config.Memory.Hold()
+	defer memory.Release()
+	e, err := h.newExchange(snap, w, r, arrived, memory)
 	if err != nil {
 		f := asRefusal(err)
 		h.logUnrouted(r, snap, f)
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/retry"
 	"kingcupwood.example/kingcupwood/pkg/snapshot"
@@ -69,9 +71,9 @@
 // routed reports whether e matched a route.
 func (e *exchange) routed() bool { return !e.targetTime.IsZero() }
 
-// newExchange matches r, which arrived at the time now, against snap and reads its body. Errors are
-// *refusal.
-func (h *Handler) newExchange(snap *snapshot.Snapshot, r *http.Request, now time.Time) (*exchange, error) {
+// newExchange matches r, which arrived at the time now, against snap and reads its body, which is counted
+// in memory. Errors are *refusal.
+func (h *Handler) newExchange(snap *snapshot.Snapshot, w http.ResponseWriter, r *http.Request, now time.Time, memory *bodymemory.Hold) (*exchange, error) {
 	marks := h.config.Dialect
 	if limit := headerLimit(snap); headerBytes(r) > limit {
 		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over %d bytes", limit).by(checkHeaderBytes)
@@ -93,22 +95,22 @@
 	if len(key) > MaxKeyBytes {
 		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", marks.IdempotencyKey, MaxKeyBytes).by(checkKey)
 	}
-	body, err := readBody(r, bodyLimit(snap))
-	if err != nil {
-		return nil, err
-	}
-	nested := depth > 1 && isNested(r, marks.Attempt, h.config.Running)
 	e.deadline, e.key = now.Add(timeout), key
 	if stopBy := h.config.StopBy(); !stopBy.IsZero() && stopBy.Before(e.deadline) {
 		e.deadline = stopBy
 	}
+	body, err := readBody(w, r, bodyLimit(snap), e.deadline, memory)
+	if err != nil {
+		return nil, err
+	}
+	nested := depth > 1 && isNested(r, marks.Attempt, h.config.Running)
 	if allowed, ok := allowedTime(r, marks.TimeLeft); ok && e.routed() {
 		e.targetTime = e.targetTime.Add(-h.timeoutEstimates.waited(kind.Name, allowed, now))
 	}
 	e.request = call.Request{
 		Service: service.Name, Kind: kind.Name, Version: uint64(snap.Version), Depth: depth, Nested: nested,
 		Method: r.Method, Target: requestTarget(r), Host: r.Host, Header: h.forwardHeader(r.Header), Body: body,
-		Idempotent: kind.Idempotent,
+		Idempotent: kind.Idempotent, Memory: memory,
 	}
 	if e.routed() {
 		e.request.Rank = kind.Rank
@@ -257,26 +259,61 @@
 	return defaultBodyBytes
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of r until the deadline of the request. The memory for a large one is reserved
+// before it is read, so that a body that cannot be kept is refused at once.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time, memory *bodymemory.Hold) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit).by(checkBodyBytes)
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	// Memory for a longer body is allocated as it arrives, not on the announced length.
+	if err := memory.Grow(int(max(r.ContentLength, 0))); err != nil {
+		return nil, refuseForMemory(err)
+	}
 	if r.ContentLength > 0 && r.ContentLength <= defaultBodyBytes {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, bodyError(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if int64(len(body)) > limit {
+	var late atomic.Bool
+	timer := time.AfterFunc(time.Until(deadline), func() {
+		late.Store(true)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // interrupts the read
+	})
+	defer timer.Stop()
+	body, err := readLargeBody(r, limit, memory)
+	switch {
+	case errors.Is(err, bodymemory.ErrExhausted):
+		return nil, refuseForMemory(err)
+	case err != nil && late.Load():
+		return nil, refuse(http.StatusServiceUnavailable, "the deadline has passed before the request body arrived")
+	case int64(len(body)) > limit:
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the request body is over %d bytes", limit).by(checkBodyBytes)
 	}
 	return body, bodyError(err)
 }
 
+// readLargeBody reads a body whose memory has been reserved if its length is known. One of unknown length
+// is read up to one byte over limit.
+func readLargeBody(r *http.Request, limit int64, memory *bodymemory.Hold) ([]byte, error) {
+	if r.ContentLength < 0 {
+		return io.ReadAll(memory.Reader(io.LimitReader(r.Body, limit+1)))
+	}
+	if memory == nil {
+		return io.ReadAll(r.Body)
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
+func refuseForMemory(err error) *refusal {
+	f := refuse(http.StatusServiceUnavailable, "%v", err)
+	f.retryAfter = bodymemory.RetryAfter
+	return f
+}
+
 func bodyError(err error) error {
 	if err == nil {
 		return nil
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -27,6 +27,7 @@
 	"kingcupwood.example/kingcupwood/lib/socket"
 	"kingcupwood.example/kingcupwood/lib/traffic"
 	"kingcupwood.example/kingcupwood/pkg/admission"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/burn"
 	"kingcupwood.example/kingcupwood/pkg/endpoint"
 	"kingcupwood.example/kingcupwood/pkg/retry"
@@ -41,6 +42,10 @@
 	retryMinPerSecond = 3
 )
 
+// maxBodyMemory limits the bytes of all bodies that a daemon holds beyond a free part of each: two bodies of
+// the largest size, as a request and its response.
+const maxBodyMemory = call.MaxRequestBodyBytes + call.MaxResponseBodyBytes
+
 // Daemon is the process of the system on one instance.
 type Daemon struct {
 	settings *Settings
@@ -204,7 +209,9 @@
 	d.receiver.backend = d.backend
 	d.selector = selection.New(selection.Config{Instance: local.Instance, Domain: local.Domain}, time.Now, rand.Uint64)
 	d.client = call.NewClientWithDialer(d.dialDaemon, d.log)
+	memory := bodymemory.NewBudget(maxBodyMemory)
 	d.calls = call.NewServer(d.receiver, incarnation, d.log)
+	d.calls.Memory = memory
 	d.burn = burn.New(burn.Config{}, time.Now)
 	d.askKey = keys.QueryFunc(d.dialDaemon)
 	d.retries = d.budgets()
@@ -213,7 +220,7 @@
 		QueryKey: d.askKey, Running: d.receiver.running.contains, RepeatShare: d.receiver.running.repeatShare, Snapshot: d.snapshot, View: d.prober.View,
 		Selector: d.selector, Local: d.receiver, Remote: d.client,
 		Budgets: d.retries, Recorder: d.burn, Log: d.log, Now: time.Now,
-		Stopping: func() bool { return d.gate.draining.Load() }, StopBy: d.callerStopBy,
+		Stopping: func() bool { return d.gate.draining.Load() }, StopBy: d.callerStopBy, Memory: memory,
 		Dialect: d.dialect(), Origin: d.settings.Backend.Service, Random: rand.Uint64,
 	})
 	d.gate = &gate{next: d.callers, refuse: http.HandlerFunc(d.callers.RefuseStopping), log: d.log}
--- a/agent/peer/call/clientconn.go
+++ b/agent/peer/call/clientconn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/socket"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -93,7 +94,7 @@
 		return nil, verdict.Wrap(v, errors.Wrap(ContextError(ctx, err), "send request"))
 	}
 	if resp == nil {
-		resp, err = c.readResponse()
+		resp, err = c.readResponse(r.Memory)
 	}
 	if err == nil && resp.Attempt != r.Attempt {
 		err = ErrMismatch
@@ -114,18 +115,22 @@
 	return p, err
 }
 
-func (c *clientConn) readResponse() (*Response, error) {
+func (c *clientConn) readResponse(memory *bodymemory.Hold) (*Response, error) {
 	p, err := c.nextPrefix()
 	if err != nil {
 		return nil, err
 	}
-	return c.readResponseFrame(p)
+	return c.readResponseFrame(p, memory)
 }
 
-func (c *clientConn) readResponseFrame(p prefix) (*Response, error) {
+// readResponseFrame reads a response whose body is added to memory.
+func (c *clientConn) readResponseFrame(p prefix, memory *bodymemory.Hold) (*Response, error) {
 	if p.kind != frameResponse {
 		return nil, errors.Wrapf(ErrProtocol, "frame type %d instead of a response", p.kind)
 	}
+	if err := memory.Grow(p.body); err != nil {
+		return nil, err
+	}
 	header, body, err := c.codec.readFrame(p)
 	if err != nil {
 		return nil, err
--- a/agent/peer/call/faulty_test.go
+++ b/agent/peer/call/faulty_test.go
@@ -32,7 +32,7 @@
 	if _, err := n.conn.codec.writeRequest(r); err != nil {
 		return nil, err
 	}
-	return n.conn.readResponse()
+	return n.conn.readResponse(nil)
 }
 
 // bodyAfterLateResponse cancels a first request, whose response arrives late, and sends a second
--- a/agent/peer/call/frame.go
+++ b/agent/peer/call/frame.go
@@ -114,7 +114,7 @@
 	if header, err = c.readHeader(p); err != nil {
 		return nil, nil, err
 	}
-	body, err = c.readBody(p)
+	body, err = c.readBody(p, false)
 	return header, body, err
 }
 
@@ -128,11 +128,13 @@
 	return header, err
 }
 
-func (c *codec) readBody(p prefix) ([]byte, error) {
+// readBody reads the body of a frame. counted means that its memory has been reserved, so that all of it
+// may be allocated at once.
+func (c *codec) readBody(p prefix, counted bool) ([]byte, error) {
 	if p.body == 0 {
 		return nil, nil
 	}
-	if p.body <= preallocatedBytes {
+	if p.body <= preallocatedBytes || counted {
 		body := make([]byte, p.body)
 		_, err := io.ReadFull(c.in, body)
 		return body, err
--- a/agent/peer/call/frame_test.go
+++ b/agent/peer/call/frame_test.go
@@ -29,7 +29,7 @@
 			}
 			c := newServerConn(conn)
 			if c.greet(1) == nil {
-				if _, _, err := c.readRequest(nil); err == nil {
+				if _, _, err := c.readRequest(nil, nil); err == nil {
 					_, _ = conn.Write(raw)
 				}
 			}
@@ -125,7 +125,7 @@
 	is.NoErr(err)
 	is.True(complete)
 	is.NoErr(near.Close())
-	_, _, err = receiver.readRequest(nil)
+	_, _, err = receiver.readRequest(nil, nil)
 	is.Equal(err, errAbandoned)
 }
 
@@ -159,7 +159,7 @@
 		_, err := sender.roundTrip(testCtx(t, testTimeout), request(1))
 		result <- err
 	}()
-	r, _, err := receiver.readRequest(nil)
+	r, _, err := receiver.readRequest(nil, nil)
 	is.NoErr(err)
 	time.Sleep(goAwayGrace + 10*time.Millisecond) // the call takes longer than goAwayGrace
 	is.NoErr(receiver.writeResponse(&Response{Attempt: r.Attempt, Verdict: verdict.Ran, Status: 200}))
--- a/agent/peer/call/message.go
+++ b/agent/peer/call/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -68,6 +69,9 @@
 	// WithholdBody sends the body only after the receiver has granted it; see BodyAdmitter.
 	WithholdBody bool
 
+	// Memory counts the body and the bodies of the responses; nil means that they are not counted.
+	Memory *bodymemory.Hold
+
 	table *fence.Table
 }
 
--- a/agent/peer/call/server.go
+++ b/agent/peer/call/server.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/fence"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -31,6 +32,8 @@
 	table       *fence.Table
 	base        context.Context
 	cancel      context.CancelFunc
+	// Memory bounds the bodies of calls in progress; nil means no bound. It is set before Serve.
+	Memory *bodymemory.Budget
 
 	mu        sync.Mutex
 	draining  bool
@@ -113,24 +116,29 @@
 	if err := c.greet(s.incarnation); err != nil || !c.endCall() {
 		return
 	}
-	for {
-		r, resp, err := c.readRequest(func(r *Request, bytes int) (int, *Response) { return s.admitBody(c, r, bytes) })
-		if err != nil {
-			s.logReadError(c, err)
-			return
-		}
-		r.table = s.table
-		if resp == nil {
-			resp = s.serve(c, r)
-		}
-		if err := c.writeResponse(resp); err != nil {
-			s.log.Log(event.CallResponseLost, zap.Stringer("attempt", r.Attempt), zap.Error(err))
-			return
-		}
-		if !c.endCall() {
-			return
-		}
+	for s.serveCall(c) {
+	}
+}
+
+// serveCall serves one call and reports whether the connection can be used for another one.
+func (s *Server) serveCall(c *serverConn) bool {
+	r, resp, err := c.readRequest(s.Memory, func(r *Request, bytes int) (int, *Response) { return s.admitBody(c, r, bytes) })
+	if r != nil {
+		defer r.Memory.Release()
+	}
+	if err != nil {
+		s.logReadError(c, err)
+		return false
+	}
+	r.table = s.table
+	if resp == nil {
+		resp = s.serve(c, r)
+	}
+	if err := c.writeResponse(resp); err != nil {
+		s.log.Log(event.CallResponseLost, zap.Stringer("attempt", r.Attempt), zap.Error(err))
+		return false
 	}
+	return c.endCall()
 }
 
 func (s *Server) logReadError(c *serverConn, err error) {
--- a/agent/peer/call/serverconn.go
+++ b/agent/peer/call/serverconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/socket"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 )
 
 const (
@@ -65,8 +67,9 @@
 // admitBody decides on a withheld body of the given size. A response refuses the request.
 type admitBody func(r *Request, bytes int) (bytesPerSecond int, refused *Response)
 
-// readRequest reads a request. If its withheld body is refused, it also returns the response.
-func (c *serverConn) readRequest(admit admitBody) (*Request, *Response, error) {
+// readRequest reads a request, whose body is counted in memory; the caller releases Request.Memory unless
+// the request is nil. If the request is refused for its body, it also returns the response.
+func (c *serverConn) readRequest(memory *bodymemory.Budget, admit admitBody) (*Request, *Response, error) {
 	p, err := c.codec.nextPrefix(MaxRequestBodyBytes)
 	if err != nil {
 		return nil, nil, err
@@ -85,16 +88,20 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	r.Repeat = p.repeat
+	r.Repeat, r.Memory = p.repeat, memory.Hold()
 	if p.withheld {
 		refused, err := c.readWithheld(r, p, admit)
 		return r, refused, err
 	}
-	if r.Body, err = c.codec.readBody(p); err != nil {
-		return nil, nil, err
+	if err := r.Memory.Grow(p.body); err != nil {
+		_, discarded := io.CopyN(io.Discard, c.codec.in, int64(p.body))
+		return r, refuseBody(r, err), discarded
+	}
+	if r.Body, err = c.codec.readBody(p, r.Memory != nil); err != nil {
+		return r, nil, err
 	}
 	if !c.check.OK() {
-		return nil, nil, errAbandoned
+		return r, nil, errAbandoned
 	}
 	return r, nil, nil
 }
--- a/agent/peer/call/withheld.go
+++ b/agent/peer/call/withheld.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/transfer"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
@@ -58,7 +59,7 @@
 		err = c.writeGranted(ctx, r.Body, p.body)
 		return nil, err == nil, err
 	}
-	refused, err = c.readResponseFrame(p)
+	refused, err = c.readResponseFrame(p, r.Memory)
 	return refused, false, err
 }
 
@@ -96,6 +97,9 @@
 // this takes is subtracted from the remaining time of r.
 func (c *serverConn) readWithheld(r *Request, p prefix, admit admitBody) (*Response, error) {
 	began := time.Now()
+	if err := r.Memory.Grow(p.body); err != nil {
+		return refuseBody(r, err), nil
+	}
 	bytesPerSecond, refused := admit(r, p.body)
 	if refused != nil {
 		return refused, nil
@@ -110,7 +114,7 @@
 	if err := c.codec.conn.SetReadDeadline(time.Now().Add(max(allowed, frameTimeout))); err != nil {
 		return nil, err
 	}
-	body, err := c.codec.readBody(p)
+	body, err := c.codec.readBody(p, r.Memory != nil)
 	if err != nil {
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
@@ -127,6 +131,13 @@
 	return nil, nil
 }
 
+// refuseBody returns the response to a request for whose body there is no memory.
+func refuseBody(r *Request, err error) *Response {
+	resp := ErrorResponse(r.Attempt, verdict.Wrap(verdict.NotRun, err))
+	resp.RetryAfter = bodymemory.RetryAfter
+	return resp
+}
+
 // admitBody passes a withheld body to the handler. The wait ends when the sender disconnects.
 func (s *Server) admitBody(c *serverConn, r *Request, bytes int) (int, *Response) {
 	ctx, cancel := context.WithTimeout(s.base, r.Timeout)
--- a/agent/peer/call/withheld_test.go
+++ b/agent/peer/call/withheld_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupwood.example/kingcupwood/lib/event"
+	"kingcupwood.example/kingcupwood/pkg/bodymemory"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -154,7 +155,7 @@
 	_, err = raw.Write(make([]byte, testBodyBytes-1))
 	is.NoErr(err)
 	is.NoErr(raw.(*net.TCPConn).CloseWrite())
-	_, err = c.readResponse()
+	_, err = c.readResponse(nil)
 	is.True(err != nil)
 	is.Equal(processed.Load(), int32(0))
 }
@@ -191,3 +192,44 @@
 	is.Equal(resp.Verdict, verdict.NotRun)
 	is.Equal(processed.Load(), int32(0))
 }
+
+// Guards against large bodies of other daemons that together exhaust the memory of the process: what does
+// not fit is refused as not run, withheld or not, and the connection stays usable.
+func TestLargeCallsTogetherAreBounded(t *testing.T) {
+	is := is.New(t)
+	const large = 6 << 20
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := NewServer(handlerFunc(func(ctx context.Context, r *Request) *Response {
+		if len(r.Body) == large {
+			arrived <- struct{}{}
+			<-release
+		}
+		return echo(ctx, r)
+	}), 77, event.Nop())
+	server.Memory = bodymemory.NewBudget(10 << 20)
+	l := listen(t)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Shutdown(testCtx(t, testTimeout)) }()
+	c := newTestClient(t)
+	call := func(seq uint64, bytes int, withhold bool) *Response {
+		r := request(seq)
+		r.Body, r.WithholdBody = make([]byte, bytes), withhold
+		resp, err := c.Do(testCtx(t, testTimeout), l.Addr().String(), r)
+		is.NoErr(err)
+		return resp
+	}
+	first := make(chan *Response)
+	go func() { first <- call(1, large, false) }()
+	<-arrived
+	for seq, withhold := range []bool{true, false} {
+		refused := call(uint64(2+seq), large, withhold)
+		is.Equal(refused.Verdict, verdict.NotRun)
+		is.Equal(refused.RetryAfter, bodymemory.RetryAfter)
+		is.Equal(call(uint64(10+seq), 100, false).Verdict, verdict.Ran)
+	}
+	close(release)
+	is.Equal((<-first).Verdict, verdict.Ran)
+	for server.Memory.Used() != 0 { // the memory is returned after the response has been written
+		time.Sleep(time.Millisecond)
+	}
+}
