Compare waiting requests and further attempts with the end of the daemon

What callers may see: a request that waited for a slot when the stop began gets one late and is broken off at the end, and an attempt after a refusal is sent with more time than the daemon has left.

Cause: as for the calls that a stopping daemon took: the time was compared once, at arrival, which may be before the stop.

Change: when the stop begins, waiting requests that may outlast the daemon are refused as not run; it is checked again before sending, and each attempt is bounded by the end of the daemon.

TestWaitingRequestsThatOutlastTheDaemonAreRefused and the second half of TestDeadlineEndsBeforeTheDaemon.

--- a/agent/caller/attempts.go
+++ b/agent/caller/attempts.go
@@ -47,6 +47,7 @@
 		e.budget.Charge(h.config.RepeatShare())
 	}
 	for {
+		h.boundByStop(e)
 		left := retry.HopTimeout(e.deadline.Sub(h.config.Now()))
 		if left <= 0 {
 			return res.end(timeoutRefusal())
@@ -77,6 +78,14 @@
 	}
 }
 
+// boundByStop moves the deadline of e before the end of this daemon if it is stopping, which may have begun
+// since the last attempt.
+func (h *Handler) boundByStop(e *exchange) {
+	if stopBy := h.config.StopBy(); !stopBy.IsZero() && stopBy.Before(e.deadline) {
+		e.deadline = stopBy
+	}
+}
+
 func (h *Handler) pick(e *exchange, res *result) (*selection.Pick, error) {
 	if !e.routed() {
 		return h.config.Selector.Pick(e.service.Name, res.tried)
--- a/agent/caller/deadline_test.go
+++ b/agent/caller/deadline_test.go
@@ -54,6 +54,18 @@
 		is.Equal(b.remote.sent[0].Timeout, 196*time.Millisecond)
 		is.Equal(b.serveHTTP(request("GET", "/pages/1", "", call.TimeoutHeader, "100")).Code, http.StatusOK)
 		is.Equal(b.remote.sent[1].Timeout, 98*time.Millisecond)
+
+		// The stop begins between two attempts.
+		stopBy = time.Time{}
+		b.remote.do = func(ctx context.Context, to string, r *call.Request) (*call.Response, error) {
+			if stopBy.IsZero() {
+				stopBy = time.Now().Add(200 * time.Millisecond)
+				return refused(r, true), nil
+			}
+			return answer(ctx, to, r)
+		}
+		is.Equal(b.serveHTTP(request("GET", "/pages/1", "", call.TimeoutHeader, "300")).Code, http.StatusOK)
+		is.Equal(b.remote.sent[3].Timeout, 196*time.Millisecond)
 	})
 }
 
--- a/agent/caller/request.go
+++ b/agent/caller/request.go
@@ -96,9 +96,7 @@
 		return nil, refuse(http.StatusBadRequest, "%s is longer than %d bytes", marks.IdempotencyKey, MaxKeyBytes).by(checkKey)
 	}
 	e.deadline, e.key = now.Add(timeout), key
-	if stopBy := h.config.StopBy(); !stopBy.IsZero() && stopBy.Before(e.deadline) {
-		e.deadline = stopBy
-	}
+	h.boundByStop(e)
 	body, err := readBody(w, r, bodyLimit(snap), e.deadline, memory)
 	if err != nil {
 		return nil, err
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -9,6 +9,7 @@
 
 	"kingcupwood.example/kingcupwood/agent/backend"
 	"kingcupwood.example/kingcupwood/agent/peer/call"
+	"kingcupwood.example/kingcupwood/pkg/admission"
 	"kingcupwood.example/kingcupwood/pkg/verdict"
 )
 
@@ -68,8 +69,7 @@
 func TestStoppingDaemonTakesOnlyCallsThatEndInTime(t *testing.T) {
 	is := is.New(t)
 	r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) {})
-	stopBy := time.Now().Add(time.Minute)
-	r.stopBy.Store(&stopBy)
+	r.stopAt(time.Now().Add(time.Minute))
 	for timeout, want := range map[time.Duration]verdict.Verdict{time.Second: verdict.Ran, 2 * time.Minute: verdict.NotRun} {
 		req := testRequest()
 		req.Timeout = timeout
@@ -80,3 +80,34 @@
 		is.Equal(refused != nil, want == verdict.NotRun)
 	}
 }
+
+// Guards against a request that waited for a slot when the stop began, gets one late and is broken off.
+func TestWaitingRequestsThatOutlastTheDaemonAreRefused(t *testing.T) {
+	is := is.New(t)
+	r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) {})
+	var tickets []*admission.Ticket
+	for range 4 {
+		ticket, err := r.admission.AcquireFor(t.Context(), admission.Request{Kind: "view", Rank: 2, Deadline: time.Now().Add(time.Hour)})
+		is.NoErr(err)
+		tickets = append(tickets, ticket)
+	}
+	responses := map[time.Duration]chan *call.Response{time.Minute: make(chan *call.Response, 1), time.Hour: make(chan *call.Response, 1)}
+	for timeout, response := range responses {
+		go func() {
+			req := testRequest()
+			req.Attempt.Seq, req.Rank, req.Timeout, req.TimeToTarget = uint64(timeout), 2, timeout, timeout
+			response <- r.ServeCall(t.Context(), req)
+		}()
+	}
+	for r.admission.Load() < 1.5 { // until both wait
+		time.Sleep(time.Millisecond)
+	}
+	r.stopAt(time.Now().Add(2 * time.Minute))
+	refused := <-responses[time.Hour]
+	is.Equal(refused.Verdict, verdict.NotRun)
+	is.True(refused.Draining)
+	for _, ticket := range tickets {
+		ticket.Done(admission.Outcome{})
+	}
+	is.Equal((<-responses[time.Minute]).Verdict, verdict.Ran)
+}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -78,10 +78,18 @@
 	return r.finish(req, r.forward(ctx, req, ticket))
 }
 
-// outlasts reports whether req may still be running when this daemon, which is stopping, ends it.
-func (r *receiver) outlasts(req *call.Request) bool {
+// stopAt records that this daemon is stopping and ends its requests at the given time. Requests that wait
+// for a slot and may last longer are refused at once.
+func (r *receiver) stopAt(end time.Time) {
+	r.stopBy.Store(&end)
+	r.admission.RefuseAfter(end)
+}
+
+// outlasts reports whether a request with the given deadline may still be running when this daemon, which
+// is stopping, ends it.
+func (r *receiver) outlasts(deadline time.Time) bool {
 	stopBy := r.stopBy.Load()
-	return stopBy != nil && time.Now().Add(retry.HopTimeout(req.Timeout)).After(*stopBy)
+	return stopBy != nil && deadline.After(*stopBy)
 }
 
 // refuseByState refuses req if the backend server does not serve its service or is draining, or if this
@@ -91,7 +99,7 @@
 	if status.State == endpoint.Gone || status.Service != req.Service {
 		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, backend.ErrOtherService)))
 	}
-	if status.State == endpoint.Draining || r.draining.Load() || r.outlasts(req) {
+	if status.State == endpoint.Draining || r.draining.Load() || r.outlasts(time.Now().Add(retry.HopTimeout(req.Timeout))) {
 		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
 	}
 	return nil
@@ -135,7 +143,11 @@
 	started := time.Now()
 	defer r.running.remove(req.Attempt)
 	defer ticket.Done(admission.Outcome{}) // after a panic
+	deadline, _ := ctx.Deadline()
 	resp, err := r.backend.Do(ctx, req, func() bool {
+		if r.outlasts(deadline) {
+			return false // this daemon has begun to stop since the request was admitted
+		}
 		r.running.add(req.Attempt, req.Repeat)
 		return req.Start()
 	})
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -88,7 +88,7 @@
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.log.Log(event.DaemonStopping)
 	stopBy := time.Now().Add(d.settings.Daemon.DrainTime + d.settings.Daemon.StopTime)
-	d.receiver.stopBy.Store(&stopBy)
+	d.receiver.stopAt(stopBy)
 	d.gate.draining.Store(true)
 	wait(ctx, d.settings.Daemon.ServeTime)
 	d.receiver.draining.Store(true)
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -137,19 +137,32 @@
 	c.closed = !open
 	var out deliveries
 	if c.closed {
-		out = c.refuseWaiting()
+		out = c.refuseWaiting(func(*Waiter) bool { return true })
 	}
 	c.mu.Unlock()
 	out.deliver()
 	return len(out)
 }
 
-// refuseWaiting empties the queue. The caller must deliver the result after releasing the lock.
-func (c *Controller) refuseWaiting() deliveries {
+// RefuseAfter refuses with ReasonDraining the waiting requests whose deadline is after end, and returns
+// their number.
+func (c *Controller) RefuseAfter(end time.Time) int {
+	c.mu.Lock()
+	out := c.refuseWaiting(func(w *Waiter) bool { return w.deadline.After(end) })
+	c.mu.Unlock()
+	out.deliver()
+	return len(out)
+}
+
+// refuseWaiting removes the waiting requests that match. The caller must deliver the result after
+// releasing the lock.
+func (c *Controller) refuseWaiting(match func(*Waiter) bool) deliveries {
 	var out deliveries
-	for w := c.queue.first(true); w != nil; w = c.queue.first(true) {
-		c.queue.remove(w)
-		out = append(out, delivery{w: w, refusal: &Refusal{Reason: ReasonDraining}})
+	for _, w := range c.queue.all() {
+		if match(w) {
+			c.queue.remove(w)
+			out = append(out, delivery{w: w, refusal: &Refusal{Reason: ReasonDraining}})
+		}
 	}
 	c.publish()
 	return out
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -132,6 +132,9 @@
 	return nil
 }
 
+// all returns the waiting requests in order.
+func (q *queue) all() []*Waiter { return slices.Concat(q.lanes[:]...) }
+
 // last returns the last request in order, or nil.
 func (q *queue) last() *Waiter {
 	for class := classes - 1; class >= 0; class-- {
