--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -241,18 +241,17 @@
 	<-gone
 }
 
-// Guards against exceeding the connection limit, and against a request that waits at the limit and
-// is not woken when a connection becomes free.
-func TestConnectionLimit(t *testing.T) {
-	is := is.New(t)
+// waitForConnection returns a backend server with a limit of one connection, on which a request runs until
+// release is closed while another one waits for it. Their results follow.
+func waitForConnection(t *testing.T) (s *fakeServer, b *Backend, results chan error, release chan struct{}) {
+	t.Helper()
 	arrived, release := make(chan struct{}, 2), make(chan struct{})
-	s := startFake(t, func(_ int32, r *http.Request, w io.Writer) bool {
+	s = startFake(t, func(_ int32, r *http.Request, w io.Writer) bool {
 		arrived <- struct{}{}
 		<-release
 		return reply(okResponse)(0, r, w)
 	})
-	b := newBackend(t, Config{}, s, 4, 1)
-	results := make(chan error, 2)
+	b, results = newBackend(t, Config{}, s, 4, 1), make(chan error, 2)
 	do := func() {
 		_, err := b.Do(testCtx(t, testTimeout), request(), startOK)
 		results <- err
@@ -265,6 +264,14 @@
 		waiting = b.pool.freed != nil
 		b.mu.Unlock()
 	}
+	return s, b, results, release
+}
+
+// Guards against exceeding the connection limit, and against a request that waits at the limit and
+// is not woken when a connection becomes free.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	s, b, results, release := waitForConnection(t)
 	_, err := b.Do(testCtx(t, 20*time.Millisecond), request(), startOK)
 	is.Equal(verdict.Of(err), verdict.NotRun)
 	is.True(errors.Is(err, context.DeadlineExceeded))
@@ -311,26 +318,7 @@
 // process in its place, while the request waited for a connection, and against holding it until one is free.
 func TestWaitForConnectionEndsWhenTheServerLeaves(t *testing.T) {
 	is := is.New(t)
-	arrived, release := make(chan struct{}, 2), make(chan struct{})
-	s := startFake(t, func(_ int32, r *http.Request, w io.Writer) bool {
-		arrived <- struct{}{}
-		<-release
-		return reply(okResponse)(0, r, w)
-	})
-	b := newBackend(t, Config{}, s, 4, 1)
-	results := make(chan error, 2)
-	do := func() {
-		_, err := b.Do(testCtx(t, testTimeout), request(), startOK)
-		results <- err
-	}
-	go do()
-	<-arrived
-	go do()
-	for waiting := false; !waiting; {
-		b.mu.Lock()
-		waiting = b.pool.freed != nil
-		b.mu.Unlock()
-	}
+	s, b, results, release := waitForConnection(t)
 	is.NoErr(b.Leave(""))
 	err := <-results
 	is.True(errors.Is(err, ErrLeaving))
