Refuse a large body that waits for the link when the server leaves

What callers may see: the sender of a large body waits for its grant, up to three quarters of the time to the target, although the backend server of the receiver has left, and learns only then that another server is needed.

Change: it is read every 50 ms of the wait, with the end of a stopping daemon.

Evidence: found by going through the waits. TestBodyWaitEndsWhenTheServerLeaves fails on: the refusal comes after more than 20 s.

--- a/agent/body.go
+++ b/agent/body.go
@@ -15,6 +15,10 @@
 // is no target, within which a large body must have arrived. The rest is for the backend server.
 const bodyTargetShare = 0.75
 
+// stateCheckInterval is the interval at which a request that waits for the link is checked against the
+// state of the backend server.
+const stateCheckInterval = 50 * time.Millisecond
+
 func newBodySchedule(linkBytesPerSecond int64) *transfer.Scheduler {
 	if linkBytesPerSecond <= 0 {
 		return nil
@@ -25,11 +29,11 @@
 // AdmitBody implements call.BodyAdmitter. It refuses a request that would be refused after its body
 // has arrived, and grants the others the link in turn.
 func (r *receiver) AdmitBody(ctx context.Context, req *call.Request, bytes int) (int, *call.Response) {
-	if refused := r.refuseByState(req); refused != nil {
-		return 0, refused
-	}
 	now := time.Now()
 	deadline := now.Add(retry.HopTimeout(req.Timeout))
+	if refused := r.refuseByState(req, deadline); refused != nil {
+		return 0, refused
+	}
 	if refusal := r.admission.Preview(admissionRequest(req, now, deadline)); refusal != nil {
 		r.logRefusal(req, refusal, deadline.Sub(now))
 		return 0, r.finish(req, refusalResponse(req, refusal))
@@ -42,17 +46,31 @@
 		r.logRefusal(req, err, deadline.Sub(now))
 		return 0, r.finish(req, refusalResponse(req, err))
 	}
-	if !waitFor(ctx, grant.Wait) {
-		r.bodies.Cancel(grant)
-		return 0, r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, ctx.Err())))
-	}
-	if refused := r.refuseByState(req); refused != nil { // the state may have changed during the wait
+	if refused := r.awaitLink(ctx, req, deadline, grant.Wait); refused != nil {
 		r.bodies.Cancel(grant)
 		return 0, refused
 	}
 	return grant.BytesPerSecond, nil
 }
 
+// awaitLink waits until the link is free for the body of req, which has the given deadline. It refuses req
+// if ctx ends or, meanwhile, the backend server takes no new requests or this daemon stops too early.
+func (r *receiver) awaitLink(ctx context.Context, req *call.Request, deadline time.Time, wait time.Duration) *call.Response {
+	for {
+		if refused := r.refuseByState(req, deadline); refused != nil {
+			return refused
+		}
+		if wait <= 0 {
+			return nil
+		}
+		step := min(wait, stateCheckInterval)
+		if !waitFor(ctx, step) {
+			return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, ctx.Err())))
+		}
+		wait -= step
+	}
+}
+
 // arrivalLimit returns the time by which the body of req must have arrived.
 func arrivalLimit(req *call.Request, now time.Time) time.Time {
 	left := req.Timeout
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -111,3 +111,27 @@
 	}
 	is.Equal((<-responses[time.Minute]).Verdict, verdict.Ran)
 }
+
+// Guards against a large body whose sender waits for the link although the server has left meanwhile.
+func TestBodyWaitEndsWhenTheServerLeaves(t *testing.T) {
+	is := is.New(t)
+	r := newTestReceiver(t, func(http.ResponseWriter, *http.Request) { t.Error("the request has run") })
+	const linkBytesPerSecond = 1_000_000
+	r.bodies = newBodySchedule(linkBytesPerSecond)
+	req := testRequest()
+	req.Rank, req.Timeout, req.TimeToTarget = 2, time.Minute, time.Minute
+	_, refused := r.AdmitBody(t.Context(), req, 20*linkBytesPerSecond)
+	is.Equal(refused, nil)
+	response := make(chan *call.Response)
+	go func() {
+		_, refused := r.AdmitBody(t.Context(), req, linkBytesPerSecond)
+		response <- refused
+	}()
+	time.Sleep(2 * stateCheckInterval)
+	is.NoErr(r.backend.Leave(r.backend.Status().ID))
+	left := time.Now()
+	refused = <-response
+	is.Equal(refused.Verdict, verdict.NotRun)
+	is.True(refused.Draining)
+	is.True(time.Since(left) < 5*time.Second) // of more than 20 s of waiting
+}
--- a/agent/receiver.go
+++ b/agent/receiver.go
@@ -62,12 +62,12 @@
 	if caller.IsOwned(req) {
 		return r.serveOwned(ctx, req)
 	}
-	if refused := r.refuseByState(req); refused != nil {
-		return refused
-	}
 	// Reserve time to report a failure of the backend server before the call of the sender times out.
 	now := time.Now()
 	deadline := now.Add(retry.HopTimeout(req.Timeout))
+	if refused := r.refuseByState(req, deadline); refused != nil {
+		return refused
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	ticket, err := r.admission.AcquireFor(ctx, admissionRequest(req, now, deadline))
@@ -93,13 +93,13 @@
 }
 
 // refuseByState refuses req if the backend server does not serve its service or is draining, or if this
-// daemon may stop before the request ends.
-func (r *receiver) refuseByState(req *call.Request) *call.Response {
+// daemon may stop before the deadline.
+func (r *receiver) refuseByState(req *call.Request, deadline time.Time) *call.Response {
 	status := r.backend.Status()
 	if status.State == endpoint.Gone || status.Service != req.Service {
 		return r.finish(req, call.ErrorResponse(req.Attempt, verdict.Wrap(verdict.NotRun, backend.ErrOtherService)))
 	}
-	if status.State == endpoint.Draining || r.draining.Load() || r.outlasts(time.Now().Add(retry.HopTimeout(req.Timeout))) {
+	if status.State == endpoint.Draining || r.draining.Load() || r.outlasts(deadline) {
 		return r.finish(req, refusalResponse(req, &admission.Refusal{Reason: admission.ReasonDraining}))
 	}
 	return nil
