Let the servers of tests renew their announcements

Since requests are checked against the state of the server right before they are sent, one that gets there more than 3 s after the only announcement of a test is refused as "backend server is gone". A pause of 3.1 s before the exchanges of that test gives the same failure without load; with a longer lifetime the same pause passes. The failure itself came once, and not in 3 further race runs.

The servers of real deployments renew their announcements. The fixtures do the same by a lifetime of an hour; TestExpiryAndRefusal keeps the default. No check is changed.

--- a/agent/backend/backend_test.go
+++ b/agent/backend/backend_test.go
@@ -88,8 +88,15 @@
 // okResponse is a complete response; reply keeps the connection open because it contains "keep".
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkeep"
 
+// testLifetime stands for a server that renews its announcement.
+const testLifetime = time.Hour
+
+// newBackend returns a Backend for s, whose announcement lasts for testLifetime unless cfg says otherwise.
 func newBackend(t testing.TB, cfg Config, s *fakeServer, slots, connections int) *Backend {
 	t.Helper()
+	if cfg.Lifetime == 0 {
+		cfg.Lifetime = testLifetime
+	}
 	b := New(cfg, event.Nop())
 	t.Cleanup(b.Close)
 	announceTo(t, b, s, "ready", slots, connections)
@@ -292,7 +299,9 @@
 		Changed: func(s Status) { states <- s.State },
 	}
 	s := startFake(t, reply(okResponse))
-	b := newBackend(t, cfg, s, 1, 2)
+	b := New(cfg, event.Nop()) // with the default lifetime
+	t.Cleanup(b.Close)
+	announceTo(t, b, s, "ready", 1, 2)
 	is.Equal(<-states, endpoint.Ready)
 	for opened := false; !opened; { // until the connection in advance is open; no other follows
 		b.mu.Lock()
--- a/agent/backend/departure_test.go
+++ b/agent/backend/departure_test.go
@@ -58,7 +58,7 @@
 	}
 	for name, leave := range leavings {
 		log := &departureLog{}
-		b := New(Config{Departures: log}, event.Nop())
+		b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
 		if leave != nil {
 			is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 7, "ready")))
 			leave(b)
@@ -68,7 +68,7 @@
 		is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 9, "ready")))
 		is.True(b.State() != endpoint.Ready)
 		b.Close()
-		b = New(Config{Departures: log}, event.Nop())
+		b = New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
 		is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 6, "ready"))) // late
 		is.Equal(b.State(), endpoint.Gone)
 		is.NoErr(b.Announce(announcementOf(s, "i-1", 0, 6, "ready"))) // of unknown age
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	s := startFake(t, reply(okResponse))
 	log := &departureLog{}
-	b := New(Config{Departures: log}, event.Nop())
+	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
 	defer b.Close()
 	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 7, "ready")))
 	log.setFault(errors.New("the platform is away"))
@@ -109,7 +109,7 @@
 	is := is.New(t)
 	s := startFake(t, reply(okResponse))
 	log := &departureLog{last: endpoint.Departure{ServerID: "i-1", StartedMS: 100}, fault: errors.New("the platform is away")}
-	b := New(Config{Departures: log}, event.Nop())
+	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
 	defer b.Close()
 	is.True(errors.Is(b.Announce(announcementOf(s, "i-1", 100, 6, "ready")), ErrUnconfirmed))
 	is.Equal(b.State(), endpoint.Gone)
--- a/agent/backend/dialect_test.go
+++ b/agent/backend/dialect_test.go
@@ -30,7 +30,7 @@
 func startWithStamps(t *testing.T, serve func(n int32, r *http.Request, w io.Writer) bool) (*Backend, *fakeServer) {
 	t.Helper()
 	s := startFake(t, serve)
-	b := New(Config{Dialect: &stampDialect}, event.Nop())
+	b := New(Config{Dialect: &stampDialect, Lifetime: testLifetime}, event.Nop())
 	t.Cleanup(b.Close)
 	err := b.Announce(Announcement{
 		Service: "pages", Address: s.listener.Addr().String(), State: "ready", Slots: 1, Connections: 2, ID: "i-1", StartedMS: 100, Sequence: 1,
--- a/agent/receiver_test.go
+++ b/agent/receiver_test.go
@@ -30,7 +30,7 @@
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	r := &receiver{log: event.Nop(), admission: admission.New(admission.Config{Slots: 4}, time.Now)}
-	b := backend.New(backend.Config{Changed: r.backendChanged}, event.Nop())
+	b := backend.New(backend.Config{Changed: r.backendChanged, Lifetime: time.Hour}, event.Nop())
 	t.Cleanup(b.Close)
 	r.backend = b
 	body := fmt.Sprintf(`{"service":"pages","address":%q,"state":"ready","slots":4,"connections":8}`, server.Listener.Addr())
