--- a/agent/backend/exchange.go
+++ b/agent/backend/exchange.go
@@ -44,8 +44,8 @@
 
 // Do sends r to the backend server and reads the whole response in the calling goroutine. When ctx
 // ends, the connection is closed, which cancels the request on the backend server. started is
-// called immediately before the first byte is sent; if it returns false, nothing is sent, as if the
-// backend server is leaving, is gone or serves another service by then. The
+// called immediately before the first byte is sent; if it returns false, nothing is sent. Neither is r if
+// the backend server has left, or another one has taken its place, while Do waited for a connection. The
 // verdict of a response is not run if the backend server rejected the request, otherwise ran. An
 // error is a *verdict.Error: not run if nothing was sent, may have run until the status line has
 // been received, ran afterwards.
--- a/agent/peer/sync/directory.go
+++ b/agent/peer/sync/directory.go
@@ -73,10 +73,10 @@
 	// directory.
 	staleAfter       = 30 * time.Second
 	maxStaleRemovals = 8
-	// removers is the expected number of daemons that remove a stale entry, if more than that see it, which
-	// maxSeers bounds as lists are limited.
-	removers = 4
-	maxSeers = 64
+	// removers is the expected number of daemons that remove a stale entry if more of them list it. Lists are
+	// limited, so that an entry of a large directory is listed by about maxListers daemons.
+	removers   = 4
+	maxListers = 64
 	// maxAbsent bounds the entries of unknown daemons whose first sight is remembered.
 	maxAbsent = 1024
 	// skippedLogInterval is the minimum interval between log lines about skipped entries.
@@ -276,7 +276,7 @@
 		if removed == maxStaleRemovals || ctx.Err() != nil {
 			return
 		}
-		if !f.isStale(name, time.Now()) || f.random(int64(min(members, maxSeers))) >= removers {
+		if !f.isStale(name, time.Now()) || f.random(int64(min(members, maxListers))) >= removers {
 			continue
 		}
 		removed++
