--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -73,6 +74,8 @@
 	store               *standin.Store
 	machines            []*machine
 	rec                 *record
+	// bounds holds further values for the settings.
+	bounds map[string]string
 
 	mu sync.Mutex
 	// statuses holds the answers that clients got, by request, 0 for none.
@@ -153,12 +156,14 @@
 	go func() { _ = http.Serve(listener, http.HandlerFunc(m.serveStore)) }()
 	template, err := os.ReadFile("deploy/daemon.ini")
 	check(err)
-	text, err := fleet.RenderTemplate(string(template), map[string]string{
+	values := map[string]string{
 		"node": name, "zone": zone, "service": service, "ip": ip, "platform.address": at(portStore),
 		"listen.outbound": m.outbound, "listen.control": m.control, "listen.ready": m.ready, "listen.inbound": at(portInbound),
 		"portRange.0": fmt.Sprint(portPeer), "portRange.1": fmt.Sprint(portAdmin), "limits.linkMbps": "1000.0",
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "58", "bounds.budgetWindowS": "10", "bounds.configApplyS": "2",
-	})
+	}
+	maps.Copy(values, d.bounds)
+	text, err := fleet.RenderTemplate(string(template), values)
 	check(err)
 	check(os.WriteFile(m.settings, []byte(text), 0o600))
 	d.machines = append(d.machines, m)
--- a/review/_stand2/server.go
+++ b/review/_stand2/server.go
@@ -26,7 +26,7 @@
 	beatTimeout  = time.Second
 )
 
-// workTime is how long a server works on a request.
+// workTime is how long a server works on a request unless a case sets another time.
 const workTime = 250 * time.Millisecond
 
 // run is a request that a server has begun to work on.
@@ -45,6 +45,8 @@
 	state        atomic.Value
 	stopBeats    chan struct{}
 	stopBeatOnce sync.Once
+	// work is how long the server works on a request.
+	work time.Duration
 
 	mu    sync.Mutex
 	runs  []run
@@ -55,7 +57,7 @@
 func newServer(m *machine, id string) *server {
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", m.ip, portServer))
 	check(err)
-	s := &server{m: m, id: id, born: time.Now().UnixMilli(), address: listener.Addr().String(), listener: listener, stopBeats: make(chan struct{})}
+	s := &server{m: m, id: id, born: time.Now().UnixMilli(), address: listener.Addr().String(), listener: listener, stopBeats: make(chan struct{}), work: workTime}
 	s.state.Store("ready")
 	m.d.rec.log("server %s starts on %s, born %d", id, m.name, s.born)
 	go func() {
@@ -94,7 +96,7 @@
 		s.runs = append(s.runs, run{id, r.Method, time.Now()})
 		s.mu.Unlock()
 		s.m.d.rec.log("server %s runs %s %s %s, %d bytes", s.id, id, r.Method, r.RequestURI, len(body))
-		time.Sleep(workTime)
+		time.Sleep(s.work)
 		text := "answer to " + id
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Length: %d\r\n\r\n%s", headerRequest, id, headerStamp, s.id, id, len(text), text); err != nil {
 			return
