--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -44,6 +44,7 @@
 		}
 		s := newServer(m, id)
 		s.announce()
+		d.servers = append(d.servers, s)
 		if n == 0 {
 			first = s
 		}
--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -73,6 +73,7 @@
 	dir, binary, prefix string
 	store               *standin.Store
 	machines            []*machine
+	servers             []*server
 	rec                 *record
 	// bounds holds further values for the settings.
 	bounds map[string]string
