Keep each departure of a backend server, also of one that was not announced

Cause: Backend.Leave noted the departure of the server announced last only. The DELETE of another ID was confirmed and forgotten, so that its late heartbeat made the server ready. The next departure also replaced the one before.

Change: each DELETE is a departure and is recorded before it is confirmed.

Without the change TestDepartureOfAServerThatWasNotAnnounced fails ("i-second != i-first"), with one departure kept TestDeparturesInSuccession does ("ready != draining").

--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -133,7 +133,7 @@
 	}
 	b.apply(a)
 	if a.state == endpoint.Draining {
-		return b.recordDeparture()
+		return b.recordDepartures()
 	}
 	return nil
 }
@@ -155,18 +155,17 @@
 // ErrUnconfirmed if the departure could not be recorded; the server should then send it again.
 func (b *Backend) Leave(id string) error {
 	b.mu.Lock()
-	switch {
-	case b.current.state == 0:
-		b.depart(id, 0) // it has not announced itself since the start of this process
-	case id == b.current.ID:
+	if b.current.state != 0 && id == b.current.ID {
 		b.depart(id, b.current.StartedMS)
 		b.current.state = endpoint.Draining
 		b.renewedAt = b.cfg.Now()
 		b.pool.wakeWaiters()
+	} else {
+		b.depart(id, 0) // its announcements may be late
 	}
 	b.mu.Unlock()
 	b.report()
-	return b.recordDeparture()
+	return b.recordDepartures()
 }
 
 // outdated reports whether a is older than the current announcement or comes from a process that has
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -49,10 +49,10 @@
 	HostIP netip.Addr
 	// ServerLeft returns what other daemons know of the last backend server that left this instance before
 	// the start of this process, for a platform that may have lost its departure: since when that server had
-	// been ready, as Unix time in milliseconds, 0 if there is none. It is called after Departures.Last and
+	// been ready, as Unix time in milliseconds, 0 if there is none. It is called after Departures.Load and
 	// may be nil.
 	ServerLeft func(ctx context.Context) (int64, error)
-	// Departures keeps the last departure beyond the process; nil means that it is kept in memory only.
+	// Departures keeps the departures beyond the process; nil means that they are kept in memory only.
 	Departures DepartureLog
 }
 
@@ -79,8 +79,8 @@
 	stop    chan struct{}
 	done    chan struct{}
 	started time.Time
-	// running ends with Close. loaded is closed when the last departure of an earlier process is known,
-	// loadEnded when it is not being read any more.
+	// running ends with Close. loaded is closed when the departures of earlier processes are known,
+	// loadEnded when they are not being read any more.
 	running           context.Context
 	end               context.CancelFunc
 	loaded, loadEnded chan struct{}
@@ -95,9 +95,12 @@
 	mu        sync.Mutex
 	current   checkedAnnouncement
 	renewedAt time.Time
-	// departed is the last departure of a backend server on this instance, recorded the one that
+	// departures are those of the backend servers on this instance, logRead means that they include those of
+	// earlier processes. noted counts the departures noted by this process, and recorded how many of them
 	// Config.Departures keeps.
-	departed, recorded endpoint.Departure
+	departures      endpoint.Departures
+	logRead         bool
+	noted, recorded int
 	// serverLeft is the result of Config.ServerLeft.
 	serverLeft int64
 
@@ -127,7 +130,7 @@
 		close(b.loaded)
 		close(b.loadEnded)
 	} else {
-		go b.loadDeparture()
+		go b.loadDepartures()
 	}
 	go b.maintain()
 	return b
--- a/agent/backend/departure.go
+++ b/agent/backend/departure.go
@@ -29,8 +29,6 @@
 )
 
 const (
-	// departureUse is the time for which a departure matters: messages of its server arrive within seconds.
-	departureUse = 10 * time.Minute
 	// lateMessages is the time after the start within which messages from before it may arrive.
 	lateMessages = 30 * time.Second
 	// recentDeparture is the age up to which a copy of the platform's store, some seconds old, may lack a
@@ -40,30 +38,30 @@
 	recentDelay     = 200 * time.Millisecond
 )
 
-// DepartureLog keeps the last departure of a backend server on this instance outside of the process, so
+// DepartureLog keeps the departures of the backend servers on this instance outside of the process, so
 // that the confirmation of a departure also binds the next process of this daemon.
 type DepartureLog interface {
-	// Last returns the last departure, the zero value if there is none.
-	Last(ctx context.Context) (endpoint.Departure, error)
-	// Record replaces the last departure. After an error it may have been recorded.
-	Record(ctx context.Context, d endpoint.Departure) error
+	// Load returns the recorded departures.
+	Load(ctx context.Context) (endpoint.Departures, error)
+	// Record replaces the recorded departures. After an error they may have been replaced.
+	Record(ctx context.Context, list endpoint.Departures) error
 }
 
-// loadDeparture reads the last departure of an earlier process of this daemon, and tries until it
+// loadDepartures reads the departures that earlier processes of this daemon recorded, and tries until it
 // succeeds or b is closed.
-func (b *Backend) loadDeparture() {
+func (b *Backend) loadDepartures() {
 	defer close(b.loadEnded)
 	ctx := b.running
 	for failed := false; ctx.Err() == nil; {
 		attempt, end := context.WithTimeout(ctx, loadTimeout)
-		last, err := b.cfg.Departures.Last(attempt)
+		err := b.readLog(attempt)
 		var left int64
 		if err == nil && b.cfg.ServerLeft != nil {
 			left, err = b.cfg.ServerLeft(attempt)
 		}
 		end()
 		if err == nil {
-			b.applyDeparture(last, left)
+			b.applyDepartures(left)
 			close(b.loaded)
 			return
 		}
@@ -78,14 +76,29 @@
 	}
 }
 
-// applyDeparture applies the last departure of an earlier process of this daemon, and the result of
-// Config.ServerLeft. The backend server may have been accepted already.
-func (b *Backend) applyDeparture(last endpoint.Departure, left int64) {
+// readLog adds the departures that earlier processes of this daemon recorded, once.
+func (b *Backend) readLog(ctx context.Context) error {
 	b.mu.Lock()
-	b.serverLeft = left
-	if b.departed.ServerID == "" {
-		b.departed, b.recorded = last, last
+	read := b.logRead
+	b.mu.Unlock()
+	if read {
+		return nil
 	}
+	earlier, err := b.cfg.Departures.Load(ctx)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.departures, b.logRead = b.departures.Merge(earlier), true
+	return nil
+}
+
+// applyDepartures applies the departures that were read and the result of Config.ServerLeft. The backend
+// server may have been accepted already.
+func (b *Backend) applyDepartures(left int64) {
+	b.mu.Lock()
+	b.serverLeft = left
 	if b.current.state != 0 && b.hasDeparted(&b.current) {
 		b.current.state = endpoint.Draining
 		b.pool.wakeWaiters()
@@ -102,7 +115,7 @@
 	if a.StartedMS > 0 && a.StartedMS <= b.serverLeft && time.Since(b.started) < lateMessages {
 		return true
 	}
-	return b.departed.Covers(a.ID, a.StartedMS)
+	return b.departures.Covers(a.ID, a.StartedMS)
 }
 
 // awaitDeparture waits until the last departure of a backend server on this instance is known. It
@@ -129,16 +142,17 @@
 
 // depart notes that the process of the given lifetime has departed; the caller holds b.mu.
 func (b *Backend) depart(serverID string, startedMS int64) {
-	if serverID != "" && !b.departed.Covers(serverID, startedMS) {
-		b.departed = endpoint.Departure{ServerID: serverID, StartedMS: startedMS, At: b.cfg.Now()}
+	if serverID != "" && !b.departures.Covers(serverID, startedMS) {
+		b.departures = b.departures.Merge(endpoint.Departures{{ServerID: serverID, StartedMS: startedMS, At: b.cfg.Now()}})
+		b.noted++
 	}
 }
 
-// recordDeparture records the current departure unless that has been done. It returns ErrUnconfirmed if
-// that fails: a departure must not be confirmed before it binds the next process of this daemon.
-func (b *Backend) recordDeparture() error {
+// recordDepartures records the departures unless that has been done. It returns ErrUnconfirmed if that
+// fails: a departure must not be confirmed before it binds the next process of this daemon.
+func (b *Backend) recordDepartures() error {
 	b.mu.Lock()
-	id, done := b.departed.ServerID, b.departed == b.recorded
+	id, done := b.departures.Last().ServerID, b.noted == b.recorded
 	b.mu.Unlock()
 	if done || b.cfg.Departures == nil {
 		return nil
@@ -146,7 +160,7 @@
 	ctx, cancel := context.WithTimeout(b.running, recordTimeout)
 	defer cancel()
 	for {
-		err := b.recordLast(ctx)
+		err := b.writeLog(ctx)
 		if err == nil {
 			return nil
 		}
@@ -159,30 +173,34 @@
 	}
 }
 
-// recordLast records the current departure. Calls are serialized, so that none replaces a later departure.
-func (b *Backend) recordLast(ctx context.Context) error {
+// writeLog records the current departures, with those of earlier processes. Calls are serialized, so that none
+// replaces a later departure.
+func (b *Backend) writeLog(ctx context.Context) error {
 	b.recording.Lock()
 	defer b.recording.Unlock()
+	if err := b.readLog(ctx); err != nil {
+		return err
+	}
 	b.mu.Lock()
-	d := b.departed
+	list, noted := b.departures, b.noted
 	b.mu.Unlock()
-	if err := b.cfg.Departures.Record(ctx, d); err != nil {
+	if err := b.cfg.Departures.Record(ctx, list); err != nil {
 		return err
 	}
 	b.mu.Lock()
-	b.recorded = d
+	b.recorded = noted
 	b.mu.Unlock()
 	return nil
 }
 
-// RecordAgain records the last departure again after the DepartureLog may have lost it, within delay, and
-// tries until it succeeds or ctx ends. It returns the number of departures that are recorded again.
+// RecordAgain records the departures again after the DepartureLog may have lost them, within delay, and
+// tries until it succeeds or ctx ends. It returns the number of rows that are recorded again, 0 or 1.
 func (b *Backend) RecordAgain(ctx context.Context, delay time.Duration) int {
 	b.mu.Lock()
-	d := b.departed
+	last := b.departures.Last()
 	b.mu.Unlock()
-	age := b.cfg.Now().Sub(d.At)
-	if b.cfg.Departures == nil || d.ServerID == "" || age > departureUse {
+	age := b.cfg.Now().Sub(last.At)
+	if b.cfg.Departures == nil || last.ServerID == "" || age > endpoint.DepartureRetention {
 		return 0
 	}
 	if age <= recentDeparture {
@@ -195,13 +213,13 @@
 			return 0
 		}
 		limit, cancel := context.WithTimeout(ctx, recordTimeout)
-		err := b.recordLast(limit)
+		err := b.writeLog(limit)
 		cancel()
 		if err == nil {
 			return 1
 		}
 		if !failed && ctx.Err() == nil { // log only the first failure of a series
-			b.log.Log(event.RewriteFailed, zap.String("server", d.ServerID), zap.Error(err))
+			b.log.Log(event.RewriteFailed, zap.String("server", last.ServerID), zap.Error(err))
 		}
 		delay = logPause
 	}
--- a/agent/backend/departure_test.go
+++ b/agent/backend/departure_test.go
@@ -17,21 +17,21 @@
 // departureLog is a DepartureLog in memory. While fault is set, its calls fail.
 type departureLog struct {
 	mu    sync.Mutex
-	last  endpoint.Departure
+	list  endpoint.Departures
 	fault error
 }
 
-func (l *departureLog) Last(context.Context) (endpoint.Departure, error) {
+func (l *departureLog) Load(context.Context) (endpoint.Departures, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.last, l.fault
+	return l.list, l.fault
 }
 
-func (l *departureLog) Record(_ context.Context, d endpoint.Departure) error {
+func (l *departureLog) Record(_ context.Context, list endpoint.Departures) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.fault == nil {
-		l.last = d
+		l.list = list
 	}
 	return l.fault
 }
@@ -101,8 +101,8 @@
 	is.True(errors.Is(b.Leave("i-1"), ErrUnconfirmed))
 	log.setFault(nil)
 	is.NoErr(b.Leave("i-1"))
-	is.Equal(log.last.ServerID, "i-1")
-	is.Equal(log.last.StartedMS, int64(100))
+	is.Equal(log.list.Last().ServerID, "i-1")
+	is.Equal(log.list.Last().StartedMS, int64(100))
 }
 
 // Guards against a server that is used although the departures cannot be read yet, and that stays in use
@@ -110,7 +110,7 @@
 func TestAnnouncementBeforeDeparturesAreKnown(t *testing.T) {
 	is := is.New(t)
 	s := startFake(t, reply(okResponse))
-	log := &departureLog{last: endpoint.Departure{ServerID: "i-1", StartedMS: 100}, fault: errors.New("the platform is away")}
+	log := &departureLog{list: endpoint.Departures{{ServerID: "i-1", StartedMS: 100}}, fault: errors.New("the platform is away")}
 	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
 	defer b.Close()
 	is.True(errors.Is(b.Announce(announcementOf(s, "i-1", 100, 6, "ready")), ErrUnconfirmed))
@@ -158,7 +158,7 @@
 	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 7, "ready")))
 	is.NoErr(b.Leave("i-1"))
 	log.mu.Lock()
-	log.last = endpoint.Departure{}
+	log.list = nil
 	log.mu.Unlock()
 	log.setFault(errors.New("the platform is away"))
 	again := make(chan int)
@@ -168,7 +168,48 @@
 	is.True(errors.Is(b.Leave("i-2"), ErrUnconfirmed))
 	log.setFault(nil)
 	is.Equal(<-again, 1)
-	is.Equal(log.last.ServerID, "i-2")
-	ahead.Store(int64(2 * departureUse))
+	is.Equal(log.list.Last().ServerID, "i-2")
+	ahead.Store(int64(2 * endpoint.DepartureRetention))
 	is.Equal(b.RecordAgain(t.Context(), 0), 0)
 }
+
+// Guards against requests to a server that left before its first announcement arrived, while another server had
+// been announced (review/6).
+func TestDepartureOfAServerThatWasNotAnnounced(t *testing.T) {
+	is := is.New(t)
+	s := startFake(t, reply(okResponse))
+	log := &departureLog{}
+	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	is.NoErr(b.Announce(announcementOf(s, "i-first", 100, 7, "ready")))
+	is.NoErr(b.Leave("i-second"))
+	is.NoErr(b.Announce(announcementOf(s, "i-second", 200, 1, "ready"))) // late
+	is.Equal(b.Status().ID, "i-first")
+	b.Close()
+	b = New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	defer b.Close()
+	is.NoErr(b.Announce(announcementOf(s, "i-second", 200, 1, "ready"))) // later still
+	is.Equal(b.State(), endpoint.Gone)
+}
+
+// Guards against a departure that is forgotten when the next server leaves, in the process or in the log.
+func TestDeparturesInSuccession(t *testing.T) {
+	is := is.New(t)
+	s := startFake(t, reply(okResponse))
+	log := &departureLog{}
+	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 7, "ready")))
+	is.NoErr(b.Leave("i-1"))
+	is.NoErr(b.Leave("i-2"))
+	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 8, "ready"))) // late
+	is.Equal(b.State(), endpoint.Draining)
+	b.Close()
+	log.setFault(errors.New("the platform is away"))
+	b = New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	defer b.Close()
+	is.True(errors.Is(b.Leave("i-3"), ErrUnconfirmed)) // before the earlier ones are known
+	log.setFault(nil)
+	is.NoErr(b.Leave("i-3"))
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		is.True(log.list.Covers(id, 100))
+	}
+}
--- a/agent/store/departure_test.go
+++ b/agent/store/departure_test.go
@@ -14,17 +14,23 @@
 	is := is.New(t)
 	h := newHarness(t)
 	log := h.client.Departures("one")
-	last, err := log.Last(h.ctx)
+	list, err := log.Load(h.ctx)
 	is.NoErr(err)
-	is.Equal(last, endpoint.Departure{})
-	for started := range int64(2) {
-		d := endpoint.Departure{ServerID: "s", StartedMS: started, At: time.UnixMilli(1_800_000_000_000 + started)}
-		is.NoErr(log.Record(h.ctx, d))
-		last, err = log.Last(h.ctx)
+	is.Equal(len(list), 0)
+	var all endpoint.Departures
+	for started := range int64(3) {
+		all = append(all, endpoint.Departure{ServerID: "s", StartedMS: started, At: time.UnixMilli(1_800_000_000_000 + started).UTC()})
+		is.NoErr(log.Record(h.ctx, all))
+		list, err = log.Load(h.ctx)
 		is.NoErr(err)
-		is.Equal(last, d)
+		is.Equal(len(list), len(all))
+		for i, d := range list {
+			is.True(d.At.Equal(all[i].At))
+			is.Equal(d.ServerID, all[i].ServerID)
+			is.Equal(d.StartedMS, all[i].StartedMS)
+		}
 	}
-	last, err = h.client.Departures("two").Last(h.ctx)
+	list, err = h.client.Departures("two").Load(h.ctx)
 	is.NoErr(err)
-	is.Equal(last, endpoint.Departure{})
+	is.Equal(len(list), 0)
 }
