Let a departure by ID cover all processes that started under it before

Cause: a DELETE names no start; it was completed with the start of the process announced last, so that the later process seemed not to have left.

Change: a DELETE covers each process that started under its ID before the confirmation. A living process that a late DELETE hits is used again when its announcements have gone on for 30 s; before, it stayed out for good.

Without the change TestDepartureOfAServerThatStartedAgain fails ("ready != draining") and TestDepartureIsRefutedByTheServer ("draining != ready").

--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -29,6 +29,8 @@
 	// which may have been stepped back since. An announcement with a later start time would hide those
 	// of the real server.
 	maxStartAhead = time.Hour
+	// maxIDBytes limits the ID of a server, so that the departures of an instance fit into a row of the platform.
+	maxIDBytes = 200
 	// maxRejectionText limits the logged text of an error, which may quote the announcement.
 	maxRejectionText = 200
 )
@@ -90,6 +92,9 @@
 		return checked, errors.Errorf("slots %d must be 1 to %d and connections %d 1 to %d",
 			a.Slots, snapshot.MaxSlots, a.Connections, snapshot.MaxConnections)
 	}
+	if err := checkID(a.ID); err != nil {
+		return checked, err
+	}
 	if a.Sequence > maxSequence {
 		return checked, errors.Errorf("sequence %d is over %d", a.Sequence, maxSequence)
 	}
@@ -97,6 +102,13 @@
 	return checked, nil
 }
 
+func checkID(id string) error {
+	if len(id) > maxIDBytes {
+		return errors.Errorf("id of %d bytes is longer than %d", len(id), maxIDBytes)
+	}
+	return nil
+}
+
 // checkForHost checks the values that depend on this daemon: its clock and its host.
 func (b *Backend) checkForHost(a *checkedAnnouncement) error {
 	if latest := b.cfg.Now().Add(maxStartAhead).UnixMilli(); a.StartedMS < 0 || a.StartedMS > latest {
@@ -110,7 +122,7 @@
 }
 
 // Announce applies an announcement. It ignores one that is older than the current announcement or that
-// arrives after the departure of its server. It returns an error, and changes nothing, if the
+// arrives after the departure of its server, see Leave. It returns an error, and changes nothing, if the
 // announcement is invalid. ErrUnconfirmed means that the server should send it again.
 func (b *Backend) Announce(a Announcement) error {
 	checked, err := checkAnnouncement(a)
@@ -131,10 +143,13 @@
 			return err
 		}
 	}
-	b.apply(a)
+	changed := b.apply(a)
 	if a.state == endpoint.Draining {
 		return b.recordDepartures()
 	}
+	if changed {
+		_ = b.recordDepartures() // logged; the next process would need as long as this one to see that the server lives
+	}
 	return nil
 }
 
@@ -151,17 +166,20 @@
 func truncate(text string) string { return text[:min(len(text), maxRejectionText)] }
 
 // Leave records that the backend server with the given ID is stopping. No further requests are sent
-// to it; requests in flight finish. Later announcements of the same process are ignored. The error is
+// to it; requests in flight finish. Announcements of processes that started under this ID before are ignored,
+// unless they go on for longer than late ones may arrive. The error is
 // ErrUnconfirmed if the departure could not be recorded; the server should then send it again.
 func (b *Backend) Leave(id string) error {
+	if err := checkID(id); err != nil {
+		b.Reject(id, err)
+		return err
+	}
 	b.mu.Lock()
+	b.departByID(id)
 	if b.current.state != 0 && id == b.current.ID {
-		b.depart(id, b.current.StartedMS)
 		b.current.state = endpoint.Draining
 		b.renewedAt = b.cfg.Now()
 		b.pool.wakeWaiters()
-	} else {
-		b.depart(id, 0) // its announcements may be late
 	}
 	b.mu.Unlock()
 	b.report()
@@ -171,7 +189,10 @@
 // outdated reports whether a is older than the current announcement or comes from a process that has
 // departed; the caller holds b.mu.
 func (b *Backend) outdated(a *checkedAnnouncement) bool {
-	if a.state != endpoint.Draining && b.hasDeparted(a) {
+	if a.state != endpoint.Draining && b.hasDeparted(a) && !b.refuted(a) {
+		b.ignoredLog.Do(func() {
+			b.log.Log(event.DepartedIgnored, zap.String("id", truncate(a.ID)), zap.Int64("started_ms", a.StartedMS), zap.Uint64("sequence", a.Sequence))
+		})
 		return true
 	}
 	last := &b.current
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -72,6 +72,8 @@
 	// rejected counts the invalid announcements; rejectLog limits the log lines about them.
 	rejected  atomic.Uint64
 	rejectLog rate.Sometimes
+	// ignoredLog limits the log lines about announcements of servers that have left.
+	ignoredLog rate.Sometimes
 	// badResponses counts the responses without a valid status; badResponseLog limits the log lines about them.
 	badResponses   atomic.Uint64
 	badResponseLog rate.Sometimes
@@ -101,6 +103,8 @@
 	departures      endpoint.Departures
 	logRead         bool
 	noted, recorded int
+	// returning tracks the announcements of a process that departures cover.
+	returning liveness
 	// serverLeft is the result of Config.ServerLeft.
 	serverLeft int64
 
@@ -121,7 +125,7 @@
 		cfg.Lifetime = announcementLifetime
 	}
 	b := &Backend{
-		cfg: cfg, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval}, badResponseLog: rate.Sometimes{Interval: rejectLogInterval},
+		cfg: cfg, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval}, ignoredLog: rate.Sometimes{Interval: rejectLogInterval}, badResponseLog: rate.Sometimes{Interval: rejectLogInterval},
 		maintainNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 		reported: Status{State: endpoint.Gone}, started: time.Now(), loaded: make(chan struct{}), loadEnded: make(chan struct{}),
 	}
@@ -184,12 +188,13 @@
 }
 
 // apply applies a checked announcement unless it is outdated. Connections to an earlier lifetime of
-// the backend server are not reused.
-func (b *Backend) apply(a checkedAnnouncement) {
+// the backend server are not reused. changed means that the departures have changed.
+func (b *Backend) apply(a checkedAnnouncement) (changed bool) {
 	b.mu.Lock()
+	before := b.noted
 	if b.outdated(&a) {
 		b.mu.Unlock()
-		return
+		return false
 	}
 	if a.Address != b.pool.addr || a.ID != b.current.ID || a.StartedMS != b.current.StartedMS {
 		b.pool.reset(a.Address, a.ID)
@@ -200,9 +205,11 @@
 	if a.state == endpoint.Draining {
 		b.depart(a.ID, a.StartedMS)
 	}
+	changed = b.noted != before
 	b.mu.Unlock()
 	b.report()
 	b.triggerMaintain()
+	return changed
 }
 
 // markRefused records that the backend server at addr refused a connection.
--- a/agent/backend/departure.go
+++ b/agent/backend/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +30,11 @@
 )
 
 const (
-	// lateMessages is the time after the start within which messages from before it may arrive.
+	// lateMessages is the time within which messages arrive.
 	lateMessages = 30 * time.Second
+	// repeatedLeave is the time within which a server that got no confirmation repeats its departure, and before
+	// which a successor under its ID has not departed too.
+	repeatedLeave = 5 * time.Second
 	// recentDeparture is the age up to which a copy of the platform's store, some seconds old, may lack a
 	// departure; recentDelay limits the delay after which it is recorded again. Few servers leave within
 	// this time, and until then another process of this daemon would accept messages of the server.
@@ -140,12 +144,59 @@
 	return ErrUnconfirmed
 }
 
-// depart notes that the process of the given lifetime has departed; the caller holds b.mu.
+// depart notes the departure of the process with the given start; the caller holds b.mu.
 func (b *Backend) depart(serverID string, startedMS int64) {
-	if serverID != "" && !b.departures.Covers(serverID, startedMS) {
-		b.departures = b.departures.Merge(endpoint.Departures{{ServerID: serverID, StartedMS: startedMS, At: b.cfg.Now()}})
+	if startedMS == 0 {
+		b.departByID(serverID)
+	} else if serverID != "" && !b.departures.CoversExactly(serverID, startedMS) {
+		b.note(endpoint.Departure{ServerID: serverID, StartedMS: startedMS, At: b.cfg.Now()}, true)
+	}
+}
+
+// departByID notes a departure that names only the ID of the server; the caller holds b.mu. That may be another
+// process than the one announced last under this ID: its announcements may be late. A repetition needs no new
+// record, nor does that of a process whose own departure is known.
+func (b *Backend) departByID(serverID string) {
+	if serverID == "" {
+		return
+	}
+	now := b.cfg.Now()
+	repeated := slices.ContainsFunc(b.departures, func(d endpoint.Departure) bool {
+		return d.ServerID == serverID && d.NamesOnlyID() && now.Sub(d.At) < repeatedLeave
+	})
+	announced := b.current.ID == serverID && b.departures.CoversExactly(serverID, b.current.StartedMS)
+	b.note(endpoint.Departure{ServerID: serverID, At: now}, !repeated && !announced)
+	if b.current.ID == serverID && b.current.StartedMS > now.UnixMilli() { // the clock was stepped back
+		b.depart(serverID, b.current.StartedMS)
+	}
+}
+
+// note adds a departure and, if record is set, has it recorded.
+func (b *Backend) note(d endpoint.Departure, record bool) {
+	b.departures = b.departures.Merge(endpoint.Departures{d})
+	b.returning = liveness{}
+	if record {
 		b.noted++
+		b.log.Log(event.DepartureNoted, zap.String("id", d.ServerID), zap.Int64("started_ms", d.StartedMS))
+	}
+}
+
+// refuted reports whether the announcements of a process that departures cover have gone on for longer than those
+// from before may arrive. The process then lives: a departure that names only its ID was the late one of an earlier
+// process. The departure of a process that stated its start is never refuted. The caller holds b.mu.
+func (b *Backend) refuted(a *checkedAnnouncement) bool {
+	if b.departures.CoversExactly(a.ID, a.StartedMS) {
+		return false
+	}
+	now := b.cfg.Now()
+	b.returning.note(a, now)
+	if !b.returning.proven(now, lateMessages) {
+		return false
 	}
+	b.departures = b.departures.Except(a.ID, a.StartedMS)
+	b.noted++
+	b.log.Log(event.DepartureRefuted, zap.String("id", a.ID), zap.Int64("started_ms", a.StartedMS), zap.Uint64("sequence", a.Sequence))
+	return true
 }
 
 // recordDepartures records the departures unless that has been done. It returns ErrUnconfirmed if that
--- a/agent/backend/departure_test.go
+++ b/agent/backend/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,8 @@
 	mu    sync.Mutex
 	list  endpoint.Departures
 	fault error
+	// records counts the calls of Record.
+	records int
 }
 
 func (l *departureLog) Load(context.Context) (endpoint.Departures, error) {
@@ -30,6 +33,7 @@
 func (l *departureLog) Record(_ context.Context, list endpoint.Departures) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.records++
 	if l.fault == nil {
 		l.list = list
 	}
@@ -102,7 +106,7 @@
 	log.setFault(nil)
 	is.NoErr(b.Leave("i-1"))
 	is.Equal(log.list.Last().ServerID, "i-1")
-	is.Equal(log.list.Last().StartedMS, int64(100))
+	is.True(log.list.CoversExactly("i-1", 100))
 }
 
 // Guards against a server that is used although the departures cannot be read yet, and that stays in use
@@ -213,3 +217,81 @@
 		is.True(log.list.Covers(id, 100))
 	}
 }
+
+// Guards against requests to a server that started again under its ID and left before its first announcement
+// arrived: its departure was taken for that of the process announced before (review/7).
+func TestDepartureOfAServerThatStartedAgain(t *testing.T) {
+	is := is.New(t)
+	s := startFake(t, reply(okResponse))
+	log := &departureLog{}
+	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	started := b.cfg.Now().Add(-time.Second).UnixMilli()
+	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 7, "ready")))
+	is.NoErr(b.Leave("i-1"))
+	late := announcementOf(s, "i-1", started, 1, "ready")
+	is.NoErr(b.Announce(late))
+	is.Equal(b.State(), endpoint.Draining)
+	b.Close()
+	b = New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	defer b.Close()
+	is.NoErr(b.Announce(late))
+	is.Equal(b.State(), endpoint.Gone)
+}
+
+// Guards against a server that lives and stays out for good because the departure of an earlier process under its ID
+// arrived late, and against a server that is used again because of a few late messages.
+func TestDepartureIsRefutedByTheServer(t *testing.T) {
+	is := is.New(t)
+	s := startFake(t, reply(okResponse))
+	log := &departureLog{}
+	var ahead time.Duration
+	now := func() time.Time { return time.Now().Add(ahead) }
+	b := New(Config{Departures: log, Lifetime: testLifetime, Now: now}, event.Nop())
+	started := now().Add(-time.Second).UnixMilli()
+	next := announcementOf(s, "i-1", started, 0, "ready")
+	announce := func() {
+		next.Sequence++
+		is.NoErr(b.Announce(next))
+	}
+	announce()
+	is.NoErr(b.Leave("i-1")) // of the process before
+	announce()
+	ahead += lateMessages
+	announce()
+	is.True(b.State() != endpoint.Ready) // too few
+	is.NoErr(b.Announce(next))           // repeated
+	is.True(b.State() != endpoint.Ready)
+	announce()
+	is.Equal(b.State(), endpoint.Ready)
+	is.True(!log.list.Covers("i-1", started))
+	is.True(log.list.Covers("i-1", started-1))
+
+	next.State = "draining"
+	announce()
+	next.State = "ready"
+	for range 3 {
+		ahead += lateMessages
+		announce()
+	}
+	is.True(b.State() != endpoint.Ready) // it said so itself
+	b.Close()
+}
+
+// Guards against a write to the store for each repetition of a departure, and against one that does not fit into it.
+func TestRepeatedDepartureIsRecordedOnce(t *testing.T) {
+	is := is.New(t)
+	s := startFake(t, reply(okResponse))
+	log := &departureLog{}
+	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	defer b.Close()
+	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 1, "draining")))
+	is.NoErr(b.Leave("i-1"))
+	is.NoErr(b.Leave("i-2"))
+	is.NoErr(b.Leave("i-2"))
+	is.True(b.Leave(strings.Repeat("i", maxIDBytes+1)) != nil)
+	is.NoErr(b.Announce(announcementOf(s, "i-3", 0, 1, "draining")))
+	is.NoErr(b.Announce(announcementOf(s, "i-3", 0, 2, "draining")))
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	is.Equal(log.records, 3)
+}
--- a/lib/event/transport.go
+++ b/lib/event/transport.go
@@ -14,6 +14,9 @@
 	DepartureUnknown     = Event{3006, zapcore.WarnLevel, "cannot read the last departure of a backend server"}
 	DepartureNotRecorded = Event{3007, zapcore.WarnLevel, "departure of the backend server not confirmed because it cannot be recorded"}
 	BadResponse          = Event{3008, zapcore.WarnLevel, "response of the backend server has no valid status"}
+	DepartureNoted       = Event{3009, zapcore.InfoLevel, "departure of a backend server noted"}
+	DepartedIgnored      = Event{3010, zapcore.InfoLevel, "announcement ignored because its backend server has left"}
+	DepartureRefuted     = Event{3011, zapcore.WarnLevel, "backend server in use again because its announcements went on after its departure"}
 
 	CallConnRejected   = Event{4301, zapcore.WarnLevel, "call connection closed because of a protocol error"}
 	CallConnLimit      = Event{4302, zapcore.WarnLevel, "call connection refused at the connection limit"}
--- a/pkg/endpoint/departure.go
+++ b/pkg/endpoint/departure.go
@@ -6,31 +6,42 @@
 )
 
 // Departure is the end of the service of one backend server process, as confirmed to that process. No
-// later message may make the process ready again.
+// message that the process sent before makes it ready again.
 type Departure struct {
-	// ServerID and StartedMS identify the process. StartedMS is its start as Unix time in milliseconds,
-	// zero if unknown. The zero Departure has no ServerID and stands for none.
+	// ServerID and StartedMS identify the process. StartedMS is its start as Unix time in milliseconds if the
+	// process itself has stated it, zero if the message that told of the departure names the ID only. The zero
+	// Departure has no ServerID and stands for none.
 	ServerID  string `json:"server_id"`
 	StartedMS int64  `json:"started_ms,omitempty"`
 	// At is the time of the confirmation.
 	At time.Time `json:"at"`
 }
 
-// Covers reports whether a message of the process with this ID and start time comes from the process
-// that has departed. Without a start time it cannot be told from it; a process that started after the
-// confirmation is another one with the same ID.
+// Covers reports whether a message of the process with this ID and start time comes from a process that has
+// departed. Processes may follow each other under one ID: a departure that states a start covers that process and
+// the earlier ones, and one that names the ID only covers all that started before the confirmation. A message
+// without a start time cannot be told from theirs.
 func (d Departure) Covers(serverID string, startedMS int64) bool {
-	return d.ServerID != "" && d.ServerID == serverID && startedMS <= d.lastStartMS()
+	return d.ServerID != "" && d.ServerID == serverID && startedMS <= d.LastStartMS()
 }
 
-// lastStartMS is the latest start of a process that d covers, as Unix time in milliseconds.
-func (d Departure) lastStartMS() int64 {
-	if d.StartedMS == 0 {
+// NamesOnlyID reports whether the departure may be that of another process under the same ID.
+func (d Departure) NamesOnlyID() bool { return d.StartedMS == 0 }
+
+// LastStartMS is the latest start of a process that d covers, as Unix time in milliseconds.
+func (d Departure) LastStartMS() int64 {
+	if d.NamesOnlyID() {
 		return d.At.UnixMilli()
 	}
 	return d.StartedMS
 }
 
+// replaces reports whether d makes an earlier departure redundant. One that states a start is kept beside one
+// that does not, as it holds whatever becomes of the other.
+func (d Departure) replaces(earlier Departure) bool {
+	return d.Covers(earlier.ServerID, earlier.LastStartMS()) && (earlier.NamesOnlyID() || !d.NamesOnlyID())
+}
+
 const (
 	// DepartureRetention is the time for which a departure matters: messages of its server arrive within
 	// seconds.
@@ -48,9 +59,26 @@
 	return slices.ContainsFunc(l, func(d Departure) bool { return d.Covers(serverID, startedMS) })
 }
 
+// CoversExactly is like Covers, without the departures that name only an ID.
+func (l Departures) CoversExactly(serverID string, startedMS int64) bool {
+	return slices.ContainsFunc(l, func(d Departure) bool { return !d.NamesOnlyID() && d.Covers(serverID, startedMS) })
+}
+
+// Except returns the departures without effect on the process with this ID and start time: those that name only its
+// ID become departures of earlier processes.
+func (l Departures) Except(serverID string, startedMS int64) Departures {
+	rest := slices.Clone(l)
+	for i, d := range rest {
+		if d.NamesOnlyID() && d.Covers(serverID, startedMS) {
+			rest[i].StartedMS = startedMS - 1
+		}
+	}
+	return rest
+}
+
 // Include reports whether each departure of others is covered by one of l.
 func (l Departures) Include(others Departures) bool {
-	return !slices.ContainsFunc(others, func(d Departure) bool { return !l.Covers(d.ServerID, d.lastStartMS()) })
+	return !slices.ContainsFunc(others, func(d Departure) bool { return !l.Covers(d.ServerID, d.LastStartMS()) })
 }
 
 // Last returns the last departure, the zero value if there is none.
@@ -69,7 +97,8 @@
 	slices.SortStableFunc(all, func(a, b Departure) int { return a.At.Compare(b.At) })
 	var merged Departures
 	for i, d := range all {
-		if !all[i+1:].Covers(d.ServerID, d.lastStartMS()) && all.Last().At.Sub(d.At) <= DepartureRetention {
+		replaced := slices.ContainsFunc(all[i+1:], func(later Departure) bool { return later.replaces(d) })
+		if !replaced && all.Last().At.Sub(d.At) <= DepartureRetention {
 			merged = append(merged, d)
 		}
 	}
