Let other daemons remember departures, and ask them without the store

Cause: only the store was asked who had left. From 3 s after its start on, a daemon that could not read it took any late heartbeat for one of a server that serves. Other daemons were asked after the store had answered; they heard of a departure up to 100 ms after its confirmation, and not which server had left.

Change: a departure is sent to daemons of each failure domain before it is confirmed; they remember the ID and the latest start covered. While the store cannot be read they are asked, and otherwise three announcements over 2.5 s prove that a server lives, instead of one after 3 s.

TestAnnouncementBeforeDeparturesAreKnown asked for a single message after 3 s and asks for three now; TestMembersRememberTheServerThatLeft became TestMembersRememberDepartures, with two departures and their IDs.

--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -139,7 +139,7 @@
 		return err
 	}
 	if a.ID != "" {
-		if err := b.awaitDeparture(); err != nil {
+		if err := b.awaitDepartures(&a); err != nil {
 			return err
 		}
 	}
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -47,13 +47,14 @@
 	// HostIP is the address of this instance. If it is set, announcements with an address of another
 	// host are rejected; loopback addresses are accepted.
 	HostIP netip.Addr
-	// ServerLeft returns what other daemons know of the last backend server that left this instance before
-	// the start of this process, for a platform that may have lost its departure: since when that server had
-	// been ready, as Unix time in milliseconds, 0 if there is none. It is called after Departures.Load and
-	// may be nil.
-	ServerLeft func(ctx context.Context) (int64, error)
 	// Departures keeps the departures beyond the process; nil means that they are kept in memory only.
 	Departures DepartureLog
+	// Departed is called with each departure before it is recorded, so that other daemons remember it. Remembered
+	// asks them for the departures on this instance and returns an error if none answers; LogIncomplete reports
+	// whether Departures may have lost some. All three may be nil.
+	Departed      func(endpoint.DepartureMark)
+	Remembered    func(ctx context.Context) ([]endpoint.DepartureMark, error)
+	LogIncomplete func() bool
 }
 
 // Status holds the announced values of the backend server and its current state.
@@ -81,11 +82,12 @@
 	stop    chan struct{}
 	done    chan struct{}
 	started time.Time
-	// running ends with Close. loaded is closed when the departures of earlier processes are known,
-	// loadEnded when they are not being read any more.
-	running           context.Context
-	end               context.CancelFunc
-	loaded, loadEnded chan struct{}
+	// running ends with Close. loaded is closed when the departures of earlier processes are known;
+	// loading waits for the goroutines that read them.
+	running context.Context
+	end     context.CancelFunc
+	loaded  chan struct{}
+	loading sync.WaitGroup
 
 	// recording serializes the calls of Config.Departures.Record; it is locked before mu.
 	recording sync.Mutex
@@ -105,8 +107,11 @@
 	noted, recorded int
 	// returning tracks the announcements of a process that departures cover.
 	returning liveness
-	// serverLeft is the result of Config.ServerLeft.
-	serverLeft int64
+	// remembered holds the answers of Config.Remembered, told is the mark that Config.Departed was last called with.
+	remembered []endpoint.DepartureMark
+	told       endpoint.DepartureMark
+	// starting tracks the announcements that arrive before the departures of earlier processes are known.
+	starting liveness
 
 	refused bool // a connection was refused since the last renewal
 	pool    pool
@@ -127,14 +132,16 @@
 	b := &Backend{
 		cfg: cfg, log: log, rejectLog: rate.Sometimes{Interval: rejectLogInterval}, ignoredLog: rate.Sometimes{Interval: rejectLogInterval}, badResponseLog: rate.Sometimes{Interval: rejectLogInterval},
 		maintainNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
-		reported: Status{State: endpoint.Gone}, started: time.Now(), loaded: make(chan struct{}), loadEnded: make(chan struct{}),
+		reported: Status{State: endpoint.Gone}, started: time.Now(), loaded: make(chan struct{}),
 	}
 	b.running, b.end = context.WithCancel(context.Background())
 	if cfg.Departures == nil {
 		close(b.loaded)
-		close(b.loadEnded)
 	} else {
-		go b.loadDepartures()
+		b.loading.Go(b.loadDepartures)
+		if cfg.Remembered != nil {
+			b.loading.Go(b.askWhileUnknown)
+		}
 	}
 	go b.maintain()
 	return b
@@ -153,7 +160,7 @@
 	close(b.stop)
 	b.end()
 	<-b.done
-	<-b.loadEnded
+	b.loading.Wait()
 }
 
 // State returns the announced state. It returns Gone if there is no announcement, if it has
--- a/agent/backend/departure.go
+++ b/agent/backend/departure.go
@@ -18,15 +18,19 @@
 const (
 	// recordTimeout limits the recording of a departure. Backend servers wait 1 s for a confirmation.
 	recordTimeout = 800 * time.Millisecond
-	// loadTimeout limits one attempt to read the last departure.
+	// loadTimeout limits one attempt to read the departures.
 	loadTimeout = time.Second
 	// logPause is the pause after a failed call of the DepartureLog.
 	logPause = 200 * time.Millisecond
-	// announceWait limits how long an announcement waits until the last departure is known.
+	// announceWait limits how long an announcement waits until the departures are known.
 	announceWait = 500 * time.Millisecond
-	// loadGrace is the time after the start from which announcements are accepted although the last
-	// departure cannot be read: in a long outage of the platform, the backend server is still of use.
-	loadGrace = 3 * time.Second
+	// firstQuestion is the time after the start from which other daemons are asked for the departures that cannot
+	// be read, questionInterval the time between two questions.
+	firstQuestion    = 300 * time.Millisecond
+	questionInterval = time.Second
+	// startSpan is how long the announcements of a process must go on if neither the log nor another daemon tells
+	// of departures: three in intervals of 1.5 s and less.
+	startSpan = 2500 * time.Millisecond
 )
 
 const (
@@ -54,18 +58,17 @@
 // loadDepartures reads the departures that earlier processes of this daemon recorded, and tries until it
 // succeeds or b is closed.
 func (b *Backend) loadDepartures() {
-	defer close(b.loadEnded)
 	ctx := b.running
 	for failed := false; ctx.Err() == nil; {
 		attempt, end := context.WithTimeout(ctx, loadTimeout)
 		err := b.readLog(attempt)
-		var left int64
-		if err == nil && b.cfg.ServerLeft != nil {
-			left, err = b.cfg.ServerLeft(attempt)
+		var marks []endpoint.DepartureMark
+		if err == nil && b.cfg.Remembered != nil && b.cfg.LogIncomplete() {
+			marks, err = b.cfg.Remembered(attempt)
 		}
 		end()
 		if err == nil {
-			b.applyDepartures(left)
+			b.applyDepartures(marks)
 			close(b.loaded)
 			return
 		}
@@ -80,6 +83,25 @@
 	}
 }
 
+// askWhileUnknown asks other daemons again and again while the log cannot be read: the next answer may be that of one
+// that has heard of a departure in the meantime.
+func (b *Backend) askWhileUnknown() {
+	for wait := firstQuestion; ; wait = questionInterval {
+		select {
+		case <-time.After(wait):
+		case <-b.loaded:
+			return
+		case <-b.running.Done():
+			return
+		}
+		attempt, end := context.WithTimeout(b.running, loadTimeout)
+		if marks, err := b.cfg.Remembered(attempt); err == nil { // otherwise the log has told why nothing is known
+			b.applyDepartures(marks)
+		}
+		end()
+	}
+}
+
 // readLog adds the departures that earlier processes of this daemon recorded, once.
 func (b *Backend) readLog(ctx context.Context) error {
 	b.mu.Lock()
@@ -98,11 +120,15 @@
 	return nil
 }
 
-// applyDepartures applies the departures that were read and the result of Config.ServerLeft. The backend
-// server may have been accepted already.
-func (b *Backend) applyDepartures(left int64) {
+// applyDepartures applies the departures that were read and those that other daemons remember. The backend server
+// may have been accepted already.
+func (b *Backend) applyDepartures(marks []endpoint.DepartureMark) {
 	b.mu.Lock()
-	b.serverLeft = left
+	for _, mark := range marks {
+		if !slices.Contains(b.remembered, mark) {
+			b.remembered = append(b.remembered, mark)
+		}
+	}
 	if b.current.state != 0 && b.hasDeparted(&b.current) {
 		b.current.state = endpoint.Draining
 		b.pool.wakeWaiters()
@@ -111,26 +137,27 @@
 	b.report()
 }
 
-// hasDeparted reports whether a comes from a process that has departed; the caller holds b.mu. By what other
-// daemons know, a process that started before the last one that left was ready has left, too. That is used for
-// messages that were late at the start of this process only, so that a clock that was stepped back does
-// not lock out a new server.
+// hasDeparted reports whether a comes from a process that has departed; the caller holds b.mu. What other daemons
+// remember is used for messages that were late at the start of this process only, so that a clock that was stepped
+// back does not lock out a new server.
 func (b *Backend) hasDeparted(a *checkedAnnouncement) bool {
-	if a.StartedMS > 0 && a.StartedMS <= b.serverLeft && time.Since(b.started) < lateMessages {
+	remembered := func(mark endpoint.DepartureMark) bool { return mark.Covers(a.ID, a.StartedMS) }
+	if time.Since(b.started) < lateMessages && slices.ContainsFunc(b.remembered, remembered) {
 		return true
 	}
 	return b.departures.Covers(a.ID, a.StartedMS)
 }
 
-// awaitDeparture waits until the last departure of a backend server on this instance is known. It
-// returns ErrUnconfirmed if it is not within announceWait, until loadGrace has passed since the start.
-func (b *Backend) awaitDeparture() error {
+// awaitDepartures waits until the departures of backend servers on this instance are known. It returns ErrUnconfirmed
+// if they are not within announceWait, unless the announcements of the process of a have gone on for startSpan: in a
+// long outage of the platform, a server that lives is of use.
+func (b *Backend) awaitDepartures(a *checkedAnnouncement) error {
 	select {
 	case <-b.loaded:
 		return nil
 	default:
 	}
-	if time.Since(b.started) >= loadGrace {
+	if b.isAlive(a) {
 		return nil
 	}
 	timer := time.NewTimer(announceWait)
@@ -144,6 +171,18 @@
 	return ErrUnconfirmed
 }
 
+// isAlive counts a and reports whether its process lives, although it is not known which ones have left.
+func (b *Backend) isAlive(a *checkedAnnouncement) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current.state != 0 && a.ID == b.current.ID && a.StartedMS == b.current.StartedMS {
+		return true // accepted before
+	}
+	now := b.cfg.Now()
+	b.starting.note(a, now)
+	return b.starting.proven(now, startSpan)
+}
+
 // depart notes the departure of the process with the given start; the caller holds b.mu.
 func (b *Backend) depart(serverID string, startedMS int64) {
 	if startedMS == 0 {
@@ -199,9 +238,22 @@
 	return true
 }
 
+// tellDeparture passes the last departure to other daemons unless that has been done.
+func (b *Backend) tellDeparture() {
+	b.mu.Lock()
+	mark := b.departures.Last().Mark()
+	again := mark == b.told
+	b.told = mark
+	b.mu.Unlock()
+	if !again && b.cfg.Departed != nil {
+		b.cfg.Departed(mark)
+	}
+}
+
 // recordDepartures records the departures unless that has been done. It returns ErrUnconfirmed if that
 // fails: a departure must not be confirmed before it binds the next process of this daemon.
 func (b *Backend) recordDepartures() error {
+	b.tellDeparture()
 	b.mu.Lock()
 	id, done := b.departures.Last().ServerID, b.noted == b.recorded
 	b.mu.Unlock()
--- a/agent/backend/departure_test.go
+++ b/agent/backend/departure_test.go
@@ -109,43 +109,79 @@
 	is.True(log.list.CoversExactly("i-1", 100))
 }
 
-// Guards against a server that is used although the departures cannot be read yet, and that stays in use
-// once they are.
+// Guards against a server that is used because of a single message while the departures cannot be read, against one
+// that is not used although it goes on, and against one that stays in use once they can be read.
 func TestAnnouncementBeforeDeparturesAreKnown(t *testing.T) {
 	is := is.New(t)
 	s := startFake(t, reply(okResponse))
 	log := &departureLog{list: endpoint.Departures{{ServerID: "i-1", StartedMS: 100}}, fault: errors.New("the platform is away")}
-	b := New(Config{Departures: log, Lifetime: testLifetime}, event.Nop())
+	var ahead atomic.Int64
+	now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	b := New(Config{Departures: log, Lifetime: testLifetime, Now: now}, event.Nop())
 	defer b.Close()
-	is.True(errors.Is(b.Announce(announcementOf(s, "i-1", 100, 6, "ready")), ErrUnconfirmed))
-	is.Equal(b.State(), endpoint.Gone)
-	b.started = b.started.Add(-loadGrace) // a long outage
-	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 6, "ready")))
+	unconfirmed := func(sequence uint64) {
+		t.Helper()
+		is.True(errors.Is(b.Announce(announcementOf(s, "i-1", 100, sequence, "ready")), ErrUnconfirmed))
+		is.Equal(b.State(), endpoint.Gone)
+	}
+	unconfirmed(6)
+	ahead.Add(int64(2 * startSpan)) // a long outage
+	unconfirmed(6)                  // the same message
+	unconfirmed(7)
+	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 8, "ready")))
 	is.Equal(b.State(), endpoint.Ready)
 	log.setFault(nil)
 	<-b.loaded
 	is.Equal(b.State(), endpoint.Draining)
 }
 
-// Guards against a server that is used again because the platform has lost its departure while other daemons
-// remember it, and against a refusal of its successor, also after the clock was stepped back.
+// Guards against a server that is used again after a restart of its daemon that cannot read the platform, although
+// other daemons remember its departure (review/8), or because the platform has lost it; and against a refusal of
+// its successor, also after the clock was stepped back.
 func TestDepartureThatOtherDaemonsRemember(t *testing.T) {
 	is := is.New(t)
 	s := startFake(t, reply(okResponse))
-	left := func(context.Context) (int64, error) { return 150, nil }
-	b := New(Config{Departures: &departureLog{}, ServerLeft: left, Lifetime: testLifetime}, event.Nop())
-	defer b.Close()
-	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 9, "ready"))) // late
-	is.Equal(b.State(), endpoint.Gone)
-	is.NoErr(b.Announce(announcementOf(s, "i-2", 200, 1, "ready")))
-	is.Equal(b.State(), endpoint.Ready)
-	b.started = b.started.Add(-lateMessages)
-	is.NoErr(b.Announce(announcementOf(s, "i-3", 201, 1, "draining")))
-	is.NoErr(b.Announce(announcementOf(s, "i-4", 202, 1, "ready")))
-	is.Equal(b.State(), endpoint.Ready)
-	b.mu.Lock()
-	is.True(!b.hasDeparted(&checkedAnnouncement{Announcement: Announcement{ID: "i-5", StartedMS: 120}}))
-	b.mu.Unlock()
+	var told []endpoint.DepartureMark
+	b := New(Config{Departures: &departureLog{}, Departed: func(mark endpoint.DepartureMark) { told = append(told, mark) }}, event.Nop())
+	is.NoErr(b.Announce(announcementOf(s, "i-1", 100, 7, "ready")))
+	is.NoErr(b.Leave("i-1"))
+	b.Close()
+	is.Equal(len(told), 1)
+	for _, restored := range []bool{false, true} {
+		log := &departureLog{}
+		if !restored {
+			log.fault = errors.New("the platform is away")
+		}
+		asked := make(chan struct{}, 100)
+		remembered := func(context.Context) ([]endpoint.DepartureMark, error) {
+			asked <- struct{}{}
+			return told, nil
+		}
+		b := New(Config{Departures: log, Remembered: remembered, LogIncomplete: func() bool { return restored }, Lifetime: testLifetime}, event.Nop())
+		<-asked
+		late := announcementOf(s, "i-1", 100, 9, "ready")
+		for n := range uint64(4) {
+			late.Sequence += n
+			_ = b.Announce(late) // unconfirmed at first unless the platform can be read
+			is.Equal(b.State(), endpoint.Gone)
+			b.mu.Lock()
+			b.starting.first = b.starting.first.Add(-startSpan)
+			b.mu.Unlock()
+		}
+		next := announcementOf(s, "i-2", 200, 1, "ready")
+		for b.Announce(next) != nil {
+			next.Sequence++
+			b.mu.Lock()
+			b.starting.first = b.starting.first.Add(-startSpan)
+			b.mu.Unlock()
+		}
+		is.Equal(b.State(), endpoint.Ready)
+		b.started = b.started.Add(-lateMessages)
+		b.mu.Lock()
+		is.True(!b.hasDeparted(&checkedAnnouncement{Announcement: Announcement{ID: "i-1", StartedMS: 100}}))
+		b.mu.Unlock()
+		b.Close()
+	}
 }
 
 // Guards against an old departure that replaces a later one when it is recorded again after a restore of the
--- a/agent/peer/probe/probe.go
+++ b/agent/peer/probe/probe.go
@@ -263,6 +263,14 @@
 	p.Do(func(now time.Time, s *membership.State) { s.SetLocal(now, r) })
 }
 
+// PushLocal sends the record of the local instance to a few members of each failure domain at once.
+func (p *Prober) PushLocal() {
+	p.mu.Lock()
+	packets := p.state.PushLocal()
+	p.mu.Unlock()
+	p.send(packets)
+}
+
 // View returns the current view of all endpoints.
 func (p *Prober) View() *endpoint.View { return p.state.View() }
 
--- a/agent/peer/sync/join.go
+++ b/agent/peer/sync/join.go
@@ -103,7 +103,6 @@
 	if err := callOnce(ctx, f.dial, addr, exchangeTimeout, "Exchange", args, &reply); err != nil {
 		return nil, err
 	}
-	f.restores.noteServerLeft(reply.ServerLeft)
 	if reply.RetryAfter > 0 {
 		return usableAddrs(reply.Peers), &busyError{min(reply.RetryAfter, maxRetryAfter)}
 	}
--- a/agent/peer/sync/messages.go
+++ b/agent/peer/sync/messages.go
@@ -71,8 +71,16 @@
 	RetryAfter time.Duration
 	Peers      []string
 	Highest    snapshot.Version
-	// ServerLeft is membership.State.ServerLeft of the daemon that asks.
-	ServerLeft int64
+}
+
+// DeparturesArgs asks what a daemon remembers of the departures of backend servers on an instance.
+type DeparturesArgs struct {
+	Instance endpoint.InstanceID
+}
+
+// DeparturesReply answers DeparturesArgs with membership.State.Departures.
+type DeparturesReply struct {
+	Marks []endpoint.DepartureMark
 }
 
 // DigestArgs carries the digests of the endpoint records by failure domain.
--- a/agent/peer/sync/restores.go
+++ b/agent/peer/sync/restores.go
@@ -47,36 +47,10 @@
 	rewritten atomic.Uint64
 	// leaving is set when the entry of this daemon is removed from the directory because it stops.
 	leaving atomic.Bool
-	// serverLeft is the latest answer of members to ServerLeft.
-	serverLeft atomic.Int64
 	// rows counts the rows that were written again.
 	rows atomic.Uint64
 }
 
-func (r *restoreState) noteServerLeft(since int64) {
-	for {
-		old := r.serverLeft.Load()
-		if since <= old || r.serverLeft.CompareAndSwap(old, since) {
-			return
-		}
-	}
-}
-
-// ServerLeft waits until this daemon has joined and returns what members know of the last backend server that
-// left this instance before: since when it had been ready, as Unix time in milliseconds, 0 if they know of
-// none. It returns 0 at once for a store that was never restored, which has kept the departure.
-func (f *Follower) ServerLeft(ctx context.Context) (int64, error) {
-	if f.RestoreStatus().Era == 0 {
-		return 0, nil
-	}
-	select {
-	case <-f.joined:
-		return f.restores.serverLeft.Load(), nil
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	}
-}
-
 // RestoreStatus describes the restores of the store for operators.
 type RestoreStatus struct {
 	// Era is the newest era known, Rewritten the number of rows that this daemon has written again.
--- a/agent/peer/sync/restores_test.go
+++ b/agent/peer/sync/restores_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -200,27 +201,34 @@
 	})
 }
 
-// Guards against a departure that the members forget with the record of the process that reported it.
-func TestMembersRememberTheServerThatLeft(t *testing.T) {
+// Guards against a departure that the members forget with the record of the process that reported it, or with the
+// next departure, so that the next process cannot learn of it from them (review/8).
+func TestMembersRememberDepartures(t *testing.T) {
 	runRestorable(t, func(c *cluster) {
 		d := c.daemons[5]
-		const readySince = 77
-		d.Do(func(now time.Time, s *membership.State) {
-			r := s.Local()
-			r.State, r.ServerLeft, r.ReadySinceMS = endpoint.Draining, true, readySince
-			s.SetLocal(now, r)
-		})
-		time.Sleep(5 * time.Second)
+		marks := []endpoint.DepartureMark{{Server: 7, LastStartMS: 77}, {Server: 8, LastStartMS: 88}}
+		for _, mark := range marks {
+			d.Do(func(now time.Time, s *membership.State) {
+				r := s.Local()
+				r.LeftServer, r.LeftStartMS = mark.Server, mark.LastStartMS
+				s.SetLocal(now, r)
+			})
+			time.Sleep(5 * time.Second)
+		}
 		d.kill()
-		c.source.restore(3, false)
 		c.known[5].Record.Incarnation++
 		d = c.start(5, "domain-0")
-		time.Sleep(5 * time.Second)
-		if _, err := d.exchange(context.Background(), c.daemons[2].record.RPCAddr); err != nil {
+		remembered, err := d.Departures(context.Background())
+		for began := time.Now(); err != nil && time.Since(began) < 10*time.Second; remembered, err = d.Departures(context.Background()) {
+			time.Sleep(100 * time.Millisecond)
+		}
+		if err != nil {
 			t.Fatal(err)
 		}
-		if since, err := d.ServerLeft(context.Background()); err != nil || since != readySince {
-			t.Errorf("members tell %d, %v", since, err)
+		for _, mark := range marks {
+			if !slices.Contains(remembered, mark) {
+				t.Errorf("members remember %v", remembered)
+			}
 		}
 	})
 }
--- a/agent/peer/sync/server.go
+++ b/agent/peer/sync/server.go
@@ -61,7 +61,7 @@
 // should be the context of Serve, which waits for running calls.
 func (s *Server) Register(ctx context.Context, r *rpc.Server) error {
 	err := gobtypes.Register(PollArgs{}, PollReply{}, ExchangeArgs{}, ExchangeReply{}, DigestArgs{}, DigestReply{},
-		BucketArgs{}, BucketReply{}, HighestArgs{}, HighestReply{})
+		BucketArgs{}, BucketReply{}, HighestArgs{}, HighestReply{}, DeparturesArgs{}, DeparturesReply{})
 	if err != nil {
 		return err
 	}
@@ -177,12 +177,7 @@
 	if err != nil {
 		return err
 	}
-	s.members.Do(func(now time.Time, m *membership.State) {
-		m.Merge(now, entries)
-		if len(entries) > 0 { // the first is that of the daemon that asks
-			reply.ServerLeft = m.ServerLeft(entries[0].Record.Instance)
-		}
-	})
+	s.members.Do(func(now time.Time, m *membership.State) { m.Merge(now, entries) })
 	if !s.tryBeginFullSync() {
 		reply.RetryAfter = retryAfter()
 		reply.Peers = randomAddrs(s.members.View(), redirectPeers)
--- a/agent/record.go
+++ b/agent/record.go
@@ -34,6 +34,13 @@
 	})
 }
 
+// serverDeparted announces a departure before it is confirmed, so that other daemons can tell the next process of this
+// daemon of it.
+func (k *recordKeeper) serverDeparted(mark endpoint.DepartureMark) {
+	k.update(func(r *endpoint.Record) { r.LeftServer, r.LeftStartMS = mark.Server, mark.LastStartMS })
+	k.prober.PushLocal()
+}
+
 // drain announces that this instance accepts no new requests, whatever its backend server
 // announces.
 func (k *recordKeeper) drain() {
--- a/pkg/endpoint/departure.go
+++ b/pkg/endpoint/departure.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Departure is the end of the service of one backend server process, as confirmed to that process. No
@@ -36,6 +38,27 @@
 	return d.StartedMS
 }
 
+// DepartureMark is the short form of a Departure in the record of an instance, which other daemons remember.
+type DepartureMark struct {
+	// Server is the hash of the ID of the server, zero in the mark of no departure.
+	Server uint64
+	// LastStartMS is Departure.LastStartMS.
+	LastStartMS int64
+}
+
+// Mark returns the short form of d.
+func (d Departure) Mark() DepartureMark {
+	if d.ServerID == "" {
+		return DepartureMark{}
+	}
+	return DepartureMark{Server: xxhash.Sum64String(d.ServerID), LastStartMS: d.LastStartMS()}
+}
+
+// Covers is Departure.Covers, up to collisions of the hash.
+func (m DepartureMark) Covers(serverID string, startedMS int64) bool {
+	return m.Server != 0 && m.Server == xxhash.Sum64String(serverID) && startedMS <= m.LastStartMS
+}
+
 // replaces reports whether d makes an earlier departure redundant. One that states a start is kept beside one
 // that does not, as it holds whatever becomes of the other.
 func (d Departure) replaces(earlier Departure) bool {
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -84,8 +84,12 @@
 	// SourceAway means that the daemon cannot reach the configuration source.
 	SourceAway bool `cbor:"13,keyasint,omitempty"`
 	// ServerLeft means that the state is Draining because the backend server has left, and not because
-	// the daemon stops.
+	// the daemon stops. Only daemons of earlier releases read it.
 	ServerLeft bool `cbor:"19,keyasint,omitempty"`
+	// LeftServer and LeftStartMS are the DepartureMark of the last backend server that left during this run of
+	// the daemon, zero if none did.
+	LeftServer  uint64 `cbor:"20,keyasint,omitempty"`
+	LeftStartMS int64  `cbor:"21,keyasint,omitempty"`
 	// LinkBytesPerSecond is the rate of the network link of the instance, zero if unknown. With a
 	// rate, the daemon schedules the large bodies that other daemons send to it.
 	LinkBytesPerSecond int64 `cbor:"14,keyasint,omitempty"`
@@ -101,6 +105,9 @@
 	StoreEra uint64 `cbor:"18,keyasint,omitempty"`
 }
 
+// Left returns the DepartureMark in r.
+func (r Record) Left() DepartureMark { return DepartureMark{r.LeftServer, r.LeftStartMS} }
+
 // MaxVersionBytes bounds Record.Version, and MaxRolloutsBytes bounds Record.Rollouts, so that every
 // record fits in a packet.
 const (
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -31,9 +31,9 @@
 	// suspectUntil is the time at which a suspect is declared dead; zero for a member of another
 	// domain, which decides itself.
 	suspectUntil time.Time
-	// serverLeft is the time, in milliseconds, from which on the last server that was seen leaving had been
-	// ready. It outlives the record, which a new process of the daemon replaces.
-	serverLeft int64
+	// left holds the last departures of servers that records of the member stated. They outlive the record,
+	// which a new process of the daemon replaces.
+	left []endpoint.DepartureMark
 	// diedAt is the time at which the member became dead.
 	diedAt time.Time
 }
@@ -61,6 +61,18 @@
 	pendingProbes int
 }
 
+// maxMarks bounds the departures that are remembered of each member.
+const maxMarks = 4
+
+// noteDeparture remembers a departure in place of an earlier one under the same ID.
+func (m *member) noteDeparture(mark endpoint.DepartureMark) {
+	if mark.Server == 0 || slices.Contains(m.left, mark) {
+		return
+	}
+	m.left = slices.DeleteFunc(m.left, func(old endpoint.DepartureMark) bool { return old.Server == mark.Server })
+	m.left = append(m.left[max(0, len(m.left)-maxMarks+1):], mark)
+}
+
 func bucketOf(id endpoint.InstanceID) int { return int(xxhash.Sum64String(string(id)) % DigestBuckets) }
 
 func digestOf(r endpoint.Record) uint64 {
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -58,9 +58,7 @@
 	}
 	r.Domain, r.Service, r.Version = s.intern(r.Domain), s.intern(r.Service), s.intern(r.Version)
 	m.record, m.addr = r, addr
-	if r.ServerLeft {
-		m.serverLeft = max(m.serverLeft, r.ReadySinceMS)
-	}
+	m.noteDeparture(r.Left())
 	if m.status != Alive && r.Incarnation > m.statusInc {
 		s.revive(m)
 	}
--- a/pkg/membership/record_size_test.go
+++ b/pkg/membership/record_size_test.go
@@ -24,6 +24,7 @@
 	full.Service, full.LinkBytesPerSecond, full.ReadySinceMS = strings.Repeat("s", maxFieldBytes), math.MaxInt64, math.MaxInt64
 	full.Version, full.Rollouts = strings.Repeat("v", endpoint.MaxVersionBytes), strings.Repeat("r", endpoint.MaxRolloutsBytes)
 	full.RolloutBad, full.Counter = math.MaxUint64, maxIncarnation
+	full.LeftServer, full.LeftStartMS, full.StoreEra, full.ServerLeft = math.MaxUint64, math.MaxInt64, math.MaxUint64, true
 	is.NoErr(Validate(full))
 	s := New(Config{Local: testRecord(2, full.Domain, 1000), Reserve: reserve}, epoch, 1)
 	s.Merge(epoch, []Entry{{Record: full}})
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -112,6 +112,14 @@
 	s.publish(now)
 }
 
+// PushLocal returns packets with the local record for a few members of each domain, in advance of the next Tick.
+func (s *State) PushLocal() []Packet {
+	local := s.local.record
+	s.fanOut(update{Kind: updateRecord, Record: &local})
+	s.announceRecord()
+	return s.take()
+}
+
 // Local returns the record of the local instance.
 func (s *State) Local() endpoint.Record { return s.local.record }
 
@@ -174,13 +182,13 @@
 	return m.record, true
 }
 
-// ServerLeft returns since when the last backend server that was seen leaving an instance had been ready, as
-// Unix time in milliseconds, 0 if none was. Servers that started before have left, too.
-func (s *State) ServerLeft(id endpoint.InstanceID) int64 {
+// Departures returns the last departures of backend servers on an instance that its records stated, also those of
+// earlier runs of its daemon.
+func (s *State) Departures(id endpoint.InstanceID) []endpoint.DepartureMark {
 	if m, ok := s.members[id]; ok {
-		return m.serverLeft
+		return slices.Clone(m.left)
 	}
-	return 0
+	return nil
 }
 
 // intern returns a shared copy of a text that many records have in common.
