Bound the requests without an owner by what the other side of a cut leaves

Cause: the owner went on at the full rate until it found the others unreachable, up to 3.8 s in domains of one machine. The others let 1.2 times the earlier use pass for up to 4 s, and the next owner could begin 1.9 s before the former one was bounded.

Change: a domain probes each other one at least once a second; the next owner waits for 2 s instead of 1.5 s; what passes without an owner is bounded by the rate that the other side leaves from 2.5 s on and a quarter of the tolerance, divided by all daemons.

--- a/agent/peer/usage/usage_test.go
+++ b/agent/peer/usage/usage_test.go
@@ -112,11 +112,16 @@
 
 // load sends rate requests a second, at all daemons in turn, for a time.
 func (f *testFleet) load(ctx context.Context, rate int, d time.Duration) {
+	f.loadAt(ctx, f.daemons, rate, d)
+}
+
+// loadAt is load at some of the daemons.
+func (f *testFleet) loadAt(ctx context.Context, daemons []*testDaemon, rate int, d time.Duration) {
 	var wg sync.WaitGroup
 	for range int(d.Seconds() * float64(rate)) {
 		f.mu.Lock()
 		f.asked++
-		daemon := f.daemons[f.asked%len(f.daemons)]
+		daemon := daemons[f.asked%len(daemons)]
 		f.mu.Unlock()
 		wg.Go(func() { f.request(ctx, daemon) })
 		time.Sleep(time.Second / time.Duration(rate))
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -35,8 +35,11 @@
 	PublishInterval  = 250 * time.Millisecond
 	publishPerMember = 250 * time.Microsecond
 
-	// remoteInterval is the interval between a daemon's probes of other failure domains.
+	// remoteInterval is the longest interval between a daemon's probes of other failure domains, domainInterval the
+	// one at which the members of a small domain together probe each other domain. The time until both sides of a
+	// partition know of it, and pkg/usagecap waits for that, would else grow as the domains get smaller.
 	remoteInterval = 3 * ProbeInterval
+	domainInterval = ProbeInterval
 	// remoteShift is the number of turns after which each member moves on to a different sequence
 	// of remote domains.
 	remoteShift = 20
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -102,20 +102,25 @@
 	s.send(m.addr, true, message{Kind: kindPing, Seq: s.seq, Target: m.record.Instance}, update{Kind: updateRecord, Record: &local})
 }
 
-// probeRemote probes a member of another domain once per remoteInterval. The members of a domain
+// probeRemote probes a member of another domain once per remoteEvery. The members of a domain
 // divide the other domains among themselves: their turns are spread over the interval by rank and
-// iterate over the domains, so that n members probe each of d domains every remoteInterval*d/n.
+// iterate over the domains, so that n members probe each of d domains every remoteEvery*d/n.
 // With random choices the gaps between probes would be unbounded; clock differences only make them
 // uneven.
 func (s *State) probeRemote(now time.Time) {
 	rank, members := s.rank()
-	phase := remoteInterval * time.Duration(rank) / time.Duration(members)
-	turn := now.Add(-phase).UnixMilli() / remoteInterval.Milliseconds()
+	list := s.remoteDomains(func(*domain) bool { return true })
+	every := min(remoteInterval, max(TickInterval, domainInterval*time.Duration(members)/time.Duration(max(1, len(list)))))
+	phase := every * time.Duration(rank) / time.Duration(members)
+	turn := now.Add(-phase).UnixMilli() / every.Milliseconds()
+	if every != s.remoteEvery { // turns of another length have other numbers
+		s.remoteEvery, s.remoteTurn = every, turn
+		return
+	}
 	if turn <= s.remoteTurn {
 		return
 	}
 	s.remoteTurn = turn
-	list := s.remoteDomains(func(*domain) bool { return true })
 	if len(list) == 0 {
 		return
 	}
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -39,9 +39,10 @@
 	probes    []*probe
 	relays    []*relay
 	nextProbe time.Time
-	// remoteTurn is the last interval in which another domain was probed.
-	remoteTurn int64
-	lastTick   time.Time
+	// remoteTurn is the last interval of remoteEvery in which another domain was probed.
+	remoteTurn  int64
+	remoteEvery time.Duration
+	lastTick    time.Time
 
 	// health counts missed acks and late ticks; timeouts are multiplied by 1+health.
 	health int
@@ -91,7 +92,7 @@
 	s.members[s.self] = s.local
 	s.lastTick = now
 	s.nextProbe = now.Add(time.Duration(s.rng.Int64N(int64(ProbeInterval))))
-	s.remoteTurn = now.UnixMilli() / remoteInterval.Milliseconds()
+	s.remoteTurn, s.remoteEvery = now.UnixMilli()/remoteInterval.Milliseconds(), remoteInterval
 	s.localChanged()
 	s.publish(now)
 	return s
--- a/pkg/usagecap/balance.go
+++ b/pkg/usagecap/balance.go
@@ -176,7 +176,8 @@
 // mayContinue reports whether a request may pass without a token, at the rate before the owner became absent.
 func (p *Balance) mayContinue(now Instant) bool {
 	elapsed := min(now.Since(p.absentAt), p.continueFor)
-	return now.Since(p.absentAt) < p.bounds.Window && float64(p.continued+1) <= p.atOnce+p.absentRate*elapsed.Seconds()
+	most := min(p.atOnce+p.absentRate*elapsed.Seconds(), p.continueMost())
+	return now.Since(p.absentAt) < p.bounds.Window && float64(p.continued+1) <= most
 }
 
 // Query returns the next query of the account, and false if none is needed any more.
--- a/pkg/usagecap/continuation.go
+++ b/pkg/usagecap/continuation.go
@@ -1,6 +1,9 @@
 package usagecap
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// useSpan is the span over which the use of an account is measured for a continuation.
@@ -13,6 +16,9 @@
 	// that pass at once: at exactly the mean rate, requests at random times are refused about half of the time.
 	continueRate   = 1.2
 	continueAtOnce = 2
+	// continueShare is the part of the tolerance for requests that pass without the owner. Half of it is used by the
+	// tokens that are lent.
+	continueShare = 0.25
 )
 
 // EndWait notes that a request has waited for MaxWait. If no reply came in that time, the owner counts as absent. The
@@ -46,6 +52,17 @@
 	return float64(p.spent+p.spentBefore) / span.Seconds()
 }
 
+// continueMost returns the largest number of requests that pass without the owner. It may lend its whole bucket on the
+// other side of a partition, and the full rate until it has reduced its share. From then on, what it leaves of the rate
+// to this side and a part of the tolerance are divided by the daemons, since none knows on which side the others are.
+// The remainder below one request is one with that probability.
+func (p *Balance) continueMost() float64 {
+	left := p.limit.Rate * (p.bounds.Window - partitionTime).Seconds()
+	part := p.fleet.Lone() * (max(0, left) + continueShare*p.bounds.Tolerance(p.limit))
+	chance := float64(mix(p.hash^p.fleet.self^uint64(p.absentAt.Mono))>>11) / (1 << 53)
+	return math.Floor(part + chance)
+}
+
 // noteLevel takes the level of the owner's bucket from a reply. A continuation that has begun is shortened if the
 // account has come near its cap.
 func (p *Balance) noteLevel(now Instant, level uint8) {
--- a/pkg/usagecap/fleet.go
+++ b/pkg/usagecap/fleet.go
@@ -17,10 +17,13 @@
 	// MinPause is shorter than the time in which the other members declare a daemon dead.
 	MinPause = 2 * time.Second
 	// partitionHold is the time for which a daemon that owns accounts because a domain became unreachable lends
-	// nothing: the other side may detect the partition that much later and lends at the full rate until then. In
-	// the model of pkg/membership, the first daemon of a side and the last one of the other were 1.2 to 2.4 s apart;
-	// what is left of that is within half of the tolerance.
-	partitionHold = 1500 * time.Millisecond
+	// nothing: the other side may detect the partition that much later and lends at the full rate until then. A
+	// domain probes each other one once a second, so that a side of one machine knows of the partition of all other
+	// domains 0.4 to 2.2 s after it. In the model of pkg/membership with larger domains, the first daemon of a side
+	// and the last one of the other were 1.2 to 2.4 s apart; what is left of that is within half of the tolerance.
+	partitionHold = 2 * time.Second
+	// partitionTime is the time within which an owner has reduced its share after a partition.
+	partitionTime = 2500 * time.Millisecond
 	// riseHold is the time for which a larger share is not used, since an owner on the other side of a partition
 	// that has ended may learn of it later, by 0.9 s at most in that model.
 	riseHold = 1500 * time.Millisecond
@@ -150,6 +153,9 @@
 // Share returns the fraction of the members that this daemon sees.
 func (f *Fleet) Share() float64 { return f.share }
 
+// Lone returns the fraction of a single daemon, 0 if this daemon knows of no other one.
+func (f *Fleet) Lone() float64 { return f.lone }
+
 // Owner returns the address of the daemon that owns the account with the given hash of its name, and its hash. self
 // reports that it is this daemon.
 func (f *Fleet) Owner(account uint64) (addr netip.AddrPort, owner uint64, self bool) {
