Reject announcements of another service, and let none that has expired hide others

Cause: the service of an announcement was not checked, and the order of announcements was final. One that seemed to be newer hid those of the real server for good.

Change: an announcement of another service than that of the settings is rejected. One that has expired is replaced by three with a rising sequence over 2.5 s, whatever its own sequence, start and ID.

--- a/agent/backend/announce.go
+++ b/agent/backend/announce.go
@@ -109,8 +109,11 @@
 	return nil
 }
 
-// checkForHost checks the values that depend on this daemon: its clock and its host.
+// checkForHost checks the values that depend on this daemon: its service, its clock and its host.
 func (b *Backend) checkForHost(a *checkedAnnouncement) error {
+	if b.cfg.Service != "" && a.Service != b.cfg.Service {
+		return errors.Errorf("service %q is not that of this instance, %q", truncate(a.Service), b.cfg.Service)
+	}
 	if latest := b.cfg.Now().Add(maxStartAhead).UnixMilli(); a.StartedMS < 0 || a.StartedMS > latest {
 		return errors.Errorf("start time %d is not a time up to %d in milliseconds", a.StartedMS, latest)
 	}
@@ -187,7 +190,7 @@
 }
 
 // outdated reports whether a is older than the current announcement or comes from a process that has
-// departed; the caller holds b.mu.
+// departed; the caller holds b.mu. An announcement that has expired hides none that go on.
 func (b *Backend) outdated(a *checkedAnnouncement) bool {
 	if a.state != endpoint.Draining && b.hasDeparted(a) && !b.refuted(a) {
 		b.ignoredLog.Do(func() {
@@ -195,6 +198,23 @@
 		})
 		return true
 	}
+	if !b.isOlder(a) {
+		return false
+	}
+	// An announcement of another writer may seem to be newer than those of the server. It is not renewed, and
+	// those of the server go on.
+	now := b.cfg.Now()
+	b.hidden.note(a, now)
+	if b.state() != endpoint.Gone || !b.hidden.proven(now, startSpan) {
+		return true
+	}
+	b.log.Log(event.AnnounceUncovered, zap.String("id", a.ID), zap.Uint64("sequence", a.Sequence),
+		zap.String("current_id", b.current.ID), zap.Uint64("current_sequence", b.current.Sequence))
+	return false
+}
+
+// isOlder reports whether a seems to be older than the current announcement; the caller holds b.mu.
+func (b *Backend) isOlder(a *checkedAnnouncement) bool {
 	last := &b.current
 	if last.StartedMS == 0 || a.StartedMS == 0 {
 		return false
--- a/agent/backend/backend.go
+++ b/agent/backend/backend.go
@@ -44,6 +44,9 @@
 	Dialect *dialect.Dialect
 	// Lifetime is the time after which an announcement that is not renewed expires; zero means 3 s.
 	Lifetime time.Duration
+	// Service is that of the backend server on this instance. If it is set, announcements of another service are
+	// rejected.
+	Service string
 	// HostIP is the address of this instance. If it is set, announcements with an address of another
 	// host are rejected; loopback addresses are accepted.
 	HostIP netip.Addr
@@ -110,8 +113,9 @@
 	// remembered holds the answers of Config.Remembered, told is the mark that Config.Departed was last called with.
 	remembered []endpoint.DepartureMark
 	told       endpoint.DepartureMark
-	// starting tracks the announcements that arrive before the departures of earlier processes are known.
-	starting liveness
+	// starting tracks the announcements that arrive before the departures of earlier processes are known, hidden
+	// those that seem to be older than the current one.
+	starting, hidden liveness
 
 	refused bool // a connection was refused since the last renewal
 	pool    pool
--- a/agent/backend/departure.go
+++ b/agent/backend/departure.go
@@ -29,7 +29,7 @@
 	firstQuestion    = 300 * time.Millisecond
 	questionInterval = time.Second
 	// startSpan is how long the announcements of a process must go on if neither the log nor another daemon tells
-	// of departures: three in intervals of 1.5 s and less.
+	// of departures, or if one that has expired seems to be newer: three in intervals of 1.5 s and less.
 	startSpan = 2500 * time.Millisecond
 )
 
--- a/agent/backend/odd_announcement_test.go
+++ b/agent/backend/odd_announcement_test.go
@@ -41,11 +41,12 @@
 		"multicast address":         func(a *Announcement) { a.Address = "224.0.0.1:80" },
 		"address of another host":   func(a *Announcement) { a.Address = "10.1.0.9:80" },
 		"no service":                func(a *Announcement) { a.Service = "" },
+		"another service":           func(a *Announcement) { a.Service = "nosuch" },
 		"unknown state":             func(a *Announcement) { a.State = "lost" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			cfg := Config{Now: func() time.Time { return now }, HostIP: netip.MustParseAddr("10.1.0.7")}
+			cfg := Config{Now: func() time.Time { return now }, Service: "pages", HostIP: netip.MustParseAddr("10.1.0.7")}
 			b := New(cfg, event.Nop())
 			defer b.Close()
 			is.NoErr(b.Announce(valid))
@@ -63,6 +64,45 @@
 	}
 }
 
+// Guards against a server that stays out for good because one announcement of another writer, whose values are possible,
+// seems to be newer than its own (review/10), and against an earlier server that replaces the one that goes on.
+func TestPlausibleAnnouncementHidesTheServerUntilItExpires(t *testing.T) {
+	s := startFake(t, reply(okResponse))
+	for name, change := range map[string]func(a *Announcement){
+		"higher sequence": func(a *Announcement) { a.Sequence = 1_000_000 },
+		"later start":     func(a *Announcement) { a.StartedMS += 1000 },
+		"another process": func(a *Announcement) { a.ID, a.StartedMS = "i-9", a.StartedMS+1000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			b := New(Config{Now: func() time.Time { return now }, Lifetime: 2 * time.Second}, event.Nop())
+			defer b.Close()
+			next := announcementOf(s, "i-1", now.Add(-time.Minute).UnixMilli(), 5, "ready")
+			is.NoErr(b.Announce(next))
+			odd := next
+			change(&odd)
+			is.NoErr(b.Announce(odd))
+			for range 5 {
+				now = now.Add(time.Second)
+				next.Sequence++
+				is.NoErr(b.Announce(next))
+			}
+			is.Equal(b.State(), endpoint.Ready)
+			is.Equal(b.Status().ID, "i-1")
+			earlier := announcementOf(s, "i-0", next.StartedMS-1000, 1, "ready")
+			for range 5 {
+				now = now.Add(time.Second)
+				next.Sequence++
+				earlier.Sequence++
+				is.NoErr(b.Announce(next))
+				is.NoErr(b.Announce(earlier))
+				is.Equal(b.Status().ID, "i-1")
+			}
+		})
+	}
+}
+
 // Guards against a log that grows with the announcements that another writer sends.
 func TestRejectedAnnouncementsAreLoggedBounded(t *testing.T) {
 	is := is.New(t)
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -72,7 +72,8 @@
 	} `section:"security"`
 	// Backend holds the settings for the backend server on this instance.
 	Backend struct {
-		// Service is sent to other backend servers as the origin of requests from this instance.
+		// Service is that of the backend server on this instance: announcements of another one are rejected, and it is
+		// sent to other backend servers as the origin of requests from this instance.
 		Service string `key:"service" optional:"true"`
 		// AnnouncementLifetime is the time after which an announcement that is not renewed expires.
 		AnnouncementLifetime time.Duration `key:"announcement-lifetime" default:"3s"`
--- a/lib/event/transport.go
+++ b/lib/event/transport.go
@@ -17,6 +17,7 @@
 	DepartureNoted       = Event{3009, zapcore.InfoLevel, "departure of a backend server noted"}
 	DepartedIgnored      = Event{3010, zapcore.InfoLevel, "announcement ignored because its backend server has left"}
 	DepartureRefuted     = Event{3011, zapcore.WarnLevel, "backend server in use again because its announcements went on after its departure"}
+	AnnounceUncovered    = Event{3012, zapcore.WarnLevel, "backend server in use again although an announcement that has expired seems to be newer"}
 
 	CallConnRejected   = Event{4301, zapcore.WarnLevel, "call connection closed because of a protocol error"}
 	CallConnLimit      = Event{4302, zapcore.WarnLevel, "call connection refused at the connection limit"}
