--- a/agent/backend/departure.go
+++ b/agent/backend/departure.go
@@ -24,17 +24,17 @@
 	logPause = 200 * time.Millisecond
 	// announceWait limits how long an announcement waits until the departures are known.
 	announceWait = 500 * time.Millisecond
-	// firstQuestion is the time after the start from which other daemons are asked for the departures that cannot
-	// be read, questionInterval the time between two questions.
-	firstQuestion    = 300 * time.Millisecond
-	questionInterval = time.Second
+	// askDelay is the time after the start from which other daemons are asked while the departures cannot be read,
+	// askInterval the time between two questions.
+	askDelay    = 300 * time.Millisecond
+	askInterval = time.Second
 	// startSpan is how long the announcements of a process must go on if neither the log nor another daemon tells
 	// of departures, or if one that has expired seems to be newer: three in intervals of 1.5 s and less.
 	startSpan = 2500 * time.Millisecond
 )
 
 const (
-	// lateMessages is the time within which messages arrive.
+	// lateMessages is the longest time that a message takes to arrive.
 	lateMessages = 30 * time.Second
 	// repeatedLeave is the time within which a server that got no confirmation repeats its departure, and before
 	// which a successor under its ID has not departed too.
@@ -86,7 +86,7 @@
 // askWhileUnknown asks other daemons again and again while the log cannot be read: the next answer may be that of one
 // that has heard of a departure in the meantime.
 func (b *Backend) askWhileUnknown() {
-	for wait := firstQuestion; ; wait = questionInterval {
+	for wait := askDelay; ; wait = askInterval {
 		select {
 		case <-time.After(wait):
 		case <-b.loaded:
--- a/agent/backend/liveness.go
+++ b/agent/backend/liveness.go
@@ -1,14 +1,10 @@
 package backend
 
-import (
-	"time"
-)
+import "time"
 
-const (
-	// livenessCount is the number of announcements that prove that their process lives. Single ones are late
-	// now and then.
-	livenessCount = 3
-)
+// livenessCount is the number of announcements that prove that their process lives. Single ones are late now and
+// then.
+const livenessCount = 3
 
 // liveness tracks the announcements of one process of a backend server. A process that has left sends none, and
 // those still on their way arrive within a bounded time; those of a process that lives go on.
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -213,7 +213,7 @@
 	d.backend = backend.New(backend.Config{
 		Changed: d.backendChanged, Dialect: d.dialect(), Lifetime: d.settings.Backend.AnnouncementLifetime,
 		Service: d.settings.Backend.Service, HostIP: d.hostIP(), Departures: d.departures(), Departed: d.record.serverDeparted,
-		Remembered: d.follower.Departures, LogIncomplete: d.follower.StoreRestored,
+		Remembered: d.follower.RememberedDepartures, LogIncomplete: d.follower.StoreRestored,
 	}, d.log)
 	d.receiver.backend = d.backend
 	d.buildRollouts(local.Instance)
--- a/agent/peer/sync/departures.go
+++ b/agent/peer/sync/departures.go
@@ -19,9 +19,9 @@
 // StoreRestored reports whether the store was ever restored from an older copy, as far as this daemon knows.
 func (f *Follower) StoreRestored() bool { return f.RestoreStatus().Era > 0 }
 
-// Departures asks some members what they remember of the departures of backend servers on this instance. It
+// RememberedDepartures asks some members what they remember of the departures of backend servers on this instance. It
 // returns an error if none of them answers, but not if this daemon has joined and has no other members.
-func (f *Follower) Departures(ctx context.Context) ([]endpoint.DepartureMark, error) {
+func (f *Follower) RememberedDepartures(ctx context.Context) ([]endpoint.DepartureMark, error) {
 	joined, members := f.Joined(), 0
 	f.cfg.Members.Do(func(_ time.Time, s *membership.State) { members = s.Size() })
 	if joined && members <= 1 {
@@ -52,7 +52,7 @@
 	return marks, nil
 }
 
-// Departures answers Follower.Departures of another daemon.
+// Departures answers Follower.RememberedDepartures of another daemon.
 func (s *service) Departures(args DeparturesArgs, reply *DeparturesReply) (err error) {
 	defer s.log.ContainError("sync", &err)
 	s.members.Do(func(_ time.Time, m *membership.State) { reply.Marks = slices.Clip(m.Departures(args.Instance)) })
--- a/agent/peer/sync/restores_test.go
+++ b/agent/peer/sync/restores_test.go
@@ -218,8 +218,8 @@
 		d.kill()
 		c.known[5].Record.Incarnation++
 		d = c.start(5, "domain-0")
-		remembered, err := d.Departures(context.Background())
-		for began := time.Now(); err != nil && time.Since(began) < 10*time.Second; remembered, err = d.Departures(context.Background()) {
+		remembered, err := d.RememberedDepartures(context.Background())
+		for began := time.Now(); err != nil && time.Since(began) < 10*time.Second; remembered, err = d.RememberedDepartures(context.Background()) {
 			time.Sleep(100 * time.Millisecond)
 		}
 		if err != nil {
