--- a/pkg/usagecap/fleet.go
+++ b/pkg/usagecap/fleet.go
@@ -18,8 +18,8 @@
 	MinPause = 2 * time.Second
 	// partitionHold is the time for which a daemon that owns accounts because a domain became unreachable lends
 	// nothing: the other side may detect the partition that much later and lends at the full rate until then. A
-	// domain probes each other one once a second, so that a side of one machine knows of the partition of all other
-	// domains 0.4 to 2.2 s after it. In the model of pkg/membership with larger domains, the first daemon of a side
+	// domain probes each other one once a second, so that by its timeouts a side of one machine knows of the partition of
+	// all other domains 0.4 to 2.2 s after it. In the model of pkg/membership with larger domains, the first daemon of a side
 	// and the last one of the other were 1.2 to 2.4 s apart; what is left of that is within half of the tolerance.
 	partitionHold = 2 * time.Second
 	// partitionTime is the time within which an owner has reduced its share after a partition.
