Review: two bodies in chunks are enough to exhaust the memory of a daemon

The case with 300 clients is replaced by one with the 30 clients of a zone: two uploads of 67 MB in chunks at a time where there is usually one. An unused case of the stand-in is removed, and no daemon can start while a case ends.

--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -20,9 +20,8 @@
 // maxTime is the longest time of a case.
 const maxTime = 115 * time.Second
 
-var cases = map[string]func(rec *record, trouble bool) int{
-	"uploads": uploads, "quota": quota, "other": other,
-}
+// cases holds the cases by name.
+var cases = map[string]func(rec *record, trouble bool) int{"quota": quota, "uploads": uploads}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
@@ -50,6 +49,7 @@
 		os.Exit(noRun)
 	}()
 	code := play(rec, trouble)
+	endProcesses() // a daemon may just have been started again
 	rec.add("exit code %d", code)
 	os.Exit(code)
 }
--- a/review/_stand3/uploads.go
+++ b/review/_stand3/uploads.go
@@ -5,10 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,41 +41,31 @@
 	return fmt.Sprintf("status %d, stamp %q, %.60q", a.status, a.stamp, a.body)
 }
 
-// send sends a request on a new connection, as a client on the machine.
-func send(m *machine, method, path, id string, deadline time.Duration, size int, chunked bool) answer {
+// send sends a request with a body in chunks on a new connection, as a client on the machine. perSecond is the rate of
+// the body in bytes per second, 0 for no limit; size may be 0.
+func send(m *machine, path, id string, deadline time.Duration, size, perSecond int) answer {
 	conn, err := net.DialTimeout("tcp", m.ip+":"+m.outbound, time.Second)
 	if err != nil {
 		time.Sleep(50 * time.Millisecond)
 		return answer{err: err}
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(deadline))
-	out := bufio.NewWriterSize(conn, 64<<10)
-	fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, headerRequest, id, headerDeadline, deadline.Milliseconds())
-	block := make([]byte, 32<<10)
-	switch {
-	case size == 0:
-		fmt.Fprint(out, "\r\n")
-	case chunked:
-		fmt.Fprint(out, "Transfer-Encoding: chunked\r\n\r\n")
-		for left := size; left > 0; {
-			n := min(left, len(block))
-			fmt.Fprintf(out, "%x\r\n", n)
-			_, _ = out.Write(block[:n])
-			fmt.Fprint(out, "\r\n")
-			left -= n
+	began := time.Now()
+	_ = conn.SetDeadline(began.Add(deadline))
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nTransfer-Encoding: chunked\r\n\r\n", path, host, headerRequest, id, headerDeadline, deadline.Milliseconds())
+	block := make([]byte, 64<<10)
+	for sent := 0; sent < size; {
+		n := min(len(block), size-sent)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", n, block[:n]); err != nil {
+			break // an early answer may still be read
 		}
-		fmt.Fprint(out, "0\r\n\r\n")
-	default:
-		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n", size)
-		for left := size; left > 0; {
-			n := min(left, len(block))
-			_, _ = out.Write(block[:n])
-			left -= n
+		sent += n
+		if perSecond > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / float64(perSecond) * float64(time.Second)))))
 		}
 	}
-	_ = out.Flush() // an early answer may still be read after an error
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	fmt.Fprint(conn, "0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return answer{err: err}
 	}
@@ -86,27 +74,30 @@
 }
 
 const (
-	// savesKept is the number of clients of a machine that save small pages on kept connections.
-	savesKept = 16
-	// largeBytes is below maxBodyBytes, mediumBytes is that of a page with pictures.
-	largeBytes, mediumBytes, smallBytes = 63_200_000, 250_000, 4_000
-	// uploadTime is how long the clients go on.
-	uploadTime = 25 * time.Second
+	// savesKept is the number of clients that save small pages on kept connections, mediumClients that of those that
+	// save pages with pictures on new ones. With the large uploads they are the 30 clients of a zone.
+	savesKept, mediumClients = 16, 12
+	// largeBytes is below maxBodyBytes.
+	largeBytes, mediumBytes, smallBytes = 67_000_000, 250_000, 4_000
+	// uploadRate is the rate of a large upload in bytes per second; two take a fifth of the link.
+	uploadRate = 12 << 20
+	// uploadRounds is how often the large uploads are made, and roundTime the time for each.
+	uploadRounds, roundTime = 6, 7 * time.Second
 )
 
-// uploads plays a burst of clients whose bodies are all within maxBodyBytes: usualLarge and usualMedium clients
-// upload at each of two machines, and 2 and 2.5 times as many in the burst.
+// uploads plays a burst of clients that send large bodies in chunks, all within maxBodyBytes: two at a time where there
+// is usually one.
 func uploads(rec *record, trouble bool) int {
-	const usualLarge, usualMedium = 1, 120
-	large, medium := usualLarge, usualMedium
+	large := 1
 	if trouble {
-		large, medium = 2*usualLarge, usualMedium*5/2
+		large = 2
 	}
 	w, err := newWorld(rec)
 	if err != nil {
 		return noRun
 	}
 	defer w.close()
+	restartDelay = time.Second
 	for _, zone := range []string{"lj-a", "lj-b", "lj-c"} {
 		m := w.add(zone, "pages")
 		s, err := startServer(m, "i-"+m.name, 12)
@@ -114,8 +105,11 @@
 			return noRun
 		}
 		s.run = func(_ http.ResponseWriter, r *http.Request, _ []byte) bool {
-			if r.URL.Path == "/save/page" {
+			switch r.URL.Path {
+			case "/save/page":
 				time.Sleep(290 * time.Millisecond)
+			case "/save/pictures":
+				time.Sleep(880 * time.Millisecond)
 			}
 			return false
 		}
@@ -126,63 +120,63 @@
 	}
 	var all sync.WaitGroup
 	var next atomic.Int64
-	end := time.Now().Add(uploadTime)
+	newID := func() string { return fmt.Sprintf("%016x", 0xa000+next.Add(1)) }
+	m := w.machines[0]
+	end := time.Now().Add(uploadRounds * roundTime)
 	var mu sync.Mutex
-	cut := map[string]*machine{}
-	totals := tally{}
-	for _, m := range w.machines[:2] {
-		upload := func(size int, pause time.Duration) {
+	var cut []string
+	for range mediumClients {
+		all.Go(func() {
 			for time.Now().Before(end) {
-				id := fmt.Sprintf("%016x", 0xa000+next.Add(1))
-				totals.add(m, size, send(m, "POST", "/save/upload", id, 6*time.Second, size, true))
-				time.Sleep(pause)
+				id := newID()
+				a := send(m, "/save/pictures", id, 6*time.Second, mediumBytes, 0)
+				rec.quiet("%s on a new connection, %d bytes in chunks: %s", id, mediumBytes, a)
+				time.Sleep(200 * time.Millisecond)
 			}
-		}
+		})
+	}
+	for range savesKept {
+		all.Go(func() {
+			c := &client{m: m}
+			defer c.close()
+			for time.Now().Before(end) {
+				id, kept := newID(), c.conn != nil
+				a := c.send("POST", "/save/page", id, 2*time.Second, smallBytes)
+				rec.quiet("%s on a kept connection (%t), %d bytes: %s", id, kept, smallBytes, a)
+				if kept && a.err != nil && !a.timedOut() {
+					mu.Lock()
+					cut = append(cut, id)
+					mu.Unlock()
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+	for round := range uploadRounds {
 		for range large {
-			all.Go(func() { upload(largeBytes, 0) })
-		}
-		for range medium {
-			all.Go(func() { upload(mediumBytes, 200*time.Millisecond) })
-		}
-		for range savesKept {
 			all.Go(func() {
-				c := &client{m: m}
-				defer c.close()
-				for time.Now().Before(end) {
-					id := fmt.Sprintf("%016x", 0xa000+next.Add(1))
-					kept := c.conn != nil
-					a := c.send("POST", "/save/page", id, 2*time.Second, smallBytes)
-					totals.add(m, smallBytes, a)
-					if kept && a.err != nil && !a.timedOut() {
-						mu.Lock()
-						cut[id] = m
-						mu.Unlock()
-					}
-					time.Sleep(100 * time.Millisecond)
-				}
+				id := newID()
+				a := send(m, "/save/upload", id, 6*time.Second, largeBytes, uploadRate)
+				rec.add("round %d, %s on a new connection, %d bytes in chunks: %s", round+1, id, largeBytes, a)
 			})
 		}
+		time.Sleep(roundTime)
 	}
 	all.Wait()
-	time.Sleep(time.Second)
-	lost := map[*machine]int{}
-	for id, m := range cut {
+	lost := 0
+	for _, id := range cut {
 		if w.ran(id) > 0 {
-			lost[m]++
-			rec.quiet("%s was passed on to a server and ran, and its connection was closed by %s without an answer", id, m.name)
+			lost++
+			rec.add("%s was passed on to a server and ran, and its kept connection was closed without an answer", id)
 		}
 	}
-	totals.write(rec)
-	code := held
-	for _, m := range w.machines {
-		m.mu.Lock()
-		rec.add("%s: at most %.0f MiB of memory of its own, ended for it %d times; %d requests of kept connections ran and got no answer", m.name, m.peakMB, m.killed, lost[m])
-		m.mu.Unlock()
-		if lost[m] > 3 {
-			code = broken
-		}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rec.add("the daemon had at most %.0f MiB of memory and was ended for it %d times; %d requests of kept connections ran and got no answer", m.peakMB, m.killed, lost)
+	if lost > 3 {
+		return broken
 	}
-	return code
+	return held
 }
 
 // startAll starts all daemons and waits until they are ready and know each other.
@@ -261,33 +255,3 @@
 	}
 	return answer{status: resp.StatusCode, body: string(body), stamp: resp.Header.Get(headerStamp), err: err}
 }
-
-// tally counts answers by machine, size of the request and outcome.
-type tally struct {
-	mu     sync.Mutex
-	counts map[string]int
-}
-
-func (t *tally) add(m *machine, size int, a answer) {
-	outcome := fmt.Sprintf("status %d", a.status)
-	switch {
-	case a.timedOut():
-		outcome = "no answer in time"
-	case a.err != nil:
-		outcome = "no connection, or closed without a complete answer"
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.counts == nil {
-		t.counts = map[string]int{}
-	}
-	t.counts[fmt.Sprintf("%s: sent with %d bytes: %s", m.name, size, outcome)]++
-}
-
-func (t *tally) write(rec *record) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, key := range slices.Sorted(maps.Keys(t.counts)) {
-		rec.quiet("%s: %d", key, t.counts[key])
-	}
-}
